--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -421,8 +421,10 @@
 	// Started and Finished count attempts by request id.
 	Started  map[string]int `json:"started"`
 	Finished map[string]int `json:"finished"`
-	// Versions counts attempts started by "model@version".
+	// Versions counts attempts started by "model@version", and Prompts by the
+	// text of the first message.
 	Versions map[string]int `json:"versions"`
+	Prompts  map[string]int `json:"prompts"`
 	Orders   int            `json:"orders"`
 }
 
@@ -430,10 +432,13 @@
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := EngineCounts{Started: map[string]int{}, Finished: map[string]int{}, Versions: map[string]int{}, Orders: e.orders}
+	out := EngineCounts{Started: map[string]int{}, Finished: map[string]int{}, Versions: map[string]int{}, Prompts: map[string]int{}, Orders: e.orders}
 	for _, r := range e.attempts {
 		out.Started[r.attempt.RequestID]++
 		out.Versions[r.attempt.Chat.Model]++
+		if len(r.attempt.Chat.Messages) > 0 {
+			out.Prompts[r.attempt.Chat.Messages[0].Content]++
+		}
 		if r.finished {
 			out.Finished[r.attempt.RequestID]++
 		}
