--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,169 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+)
+
+func one() int { return 1 }
+
+// An organisation that was idle sends ten requests at once, well under its
+// rate, and is refused. The cause was a limiter that started empty.
+func TestIdleOrganisationHasItsBurst(t *testing.T) {
+	o := NewOrganisations(clockwork.NewFakeClock(), one)
+	for range 100 {
+		_, _, ok := o.Admit("a", config.Limits{RequestsPerSecond: 100}, 0)
+		require.True(t, ok)
+	}
+	_, wait, ok := o.Admit("a", config.Limits{RequestsPerSecond: 100}, 0)
+	require.False(t, ok)
+	require.Equal(t, 10*time.Millisecond, wait)
+}
+
+func TestInFlightLimit(t *testing.T) {
+	o := NewOrganisations(clockwork.NewFakeClock(), one)
+	release, _, ok := o.Admit("a", config.Limits{InFlight: 1}, 0)
+	require.True(t, ok)
+	_, _, ok = o.Admit("a", config.Limits{InFlight: 1}, 0)
+	require.False(t, ok)
+	release()
+	release()
+	_, _, ok = o.Admit("a", config.Limits{InFlight: 1}, 0)
+	require.True(t, ok)
+}
+
+// A granted share lapses while the daemon is cut off: it falls back to an
+// equal part, so that the daemons stay within the limit together.
+func TestShareLapses(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	o := NewOrganisations(clock, func() int { return 4 })
+	o.SetShare("a", Share{Fraction: 0.9, Until: clock.Now().Add(ShareTTL)})
+	admitted := func() (n int) {
+		for {
+			if _, _, ok := o.Admit("a", config.Limits{InFlight: 100}, 0); !ok {
+				return n
+			}
+			n++
+		}
+	}
+	require.Equal(t, 90, admitted())
+	clock.Advance(ShareTTL)
+	o = NewOrganisations(clock, func() int { return 4 })
+	require.Equal(t, 25, admitted())
+}
+
+// Daemons report in any order and with any demand; the shares in force never
+// add up to more than the whole limit.
+func TestSharesNeverExceedTheWhole(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := NewAllocator(clock, func() int { return 3 })
+	shares := map[string]Share{}
+	demand := func(from string, offered int) {
+		shares[from] = a.Report(from, []Demand{{Organisation: "o", Offered: offered}})["o"]
+		sum := 0.0
+		for _, s := range shares {
+			if clock.Now().Before(s.Until) {
+				sum += s.Fraction
+			}
+		}
+		require.LessOrEqual(t, sum, 1.0001)
+	}
+	for i := range 100 {
+		demand("x", 1000)
+		demand("y", i)
+		demand("z", 0)
+		clock.Advance(time.Second)
+	}
+	require.Greater(t, shares["x"].Fraction, 0.8)
+}
+
+func TestRetryBudget(t *testing.T) {
+	b := NewRetryBudget(0.5, 2)
+	require.True(t, b.Take())
+	require.True(t, b.Take())
+	require.False(t, b.Take())
+	b.Success()
+	require.False(t, b.Take())
+	b.Success()
+	require.True(t, b.Take())
+}
+
+// waiter queues work and returns where its outcome arrives.
+func waiter(q *Queue, w Work, room *int) chan error {
+	before := q.Len()
+	done := make(chan error, 1)
+	go func() {
+		done <- q.Wait(context.Background(), w, func() bool {
+			if *room == 0 {
+				return false
+			}
+			*room--
+			return true
+		})
+	}()
+	for q.Len() == before && len(done) == 0 {
+		runtime.Gosched()
+	}
+	return done
+}
+
+func TestQueueOrder(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	q := NewQueue(clock)
+	room := 0
+	work := func(org string, priority int) Work {
+		return Work{Priority: priority, Organisation: org, Cost: 1, Deadline: clock.Now().Add(time.Hour)}
+	}
+	greedy1 := waiter(q, work("greedy", 1), &room)
+	greedy2 := waiter(q, work("greedy", 1), &room)
+	modest := waiter(q, work("modest", 1), &room)
+	urgent := waiter(q, work("greedy", 2), &room)
+	for _, next := range []chan error{urgent, greedy1, modest, greedy2} {
+		q.mu.Lock()
+		room = 1
+		q.mu.Unlock()
+		q.Poke()
+		require.NoError(t, <-next)
+	}
+}
+
+// The queue is long and the deadline short. The caller is refused at once with
+// a time to come back, not kept until the deadline.
+func TestRefusedEarly(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	q := NewQueue(clock)
+	q.interval = time.Second
+	room := 0
+	far := Work{Organisation: "a", Cost: 1, Deadline: clock.Now().Add(time.Hour)}
+	for range 5 {
+		waiter(q, far, &room)
+	}
+	err := q.Wait(context.Background(), Work{Organisation: "b", Priority: -1, Deadline: clock.Now().Add(3 * time.Second)}, func() bool { return false })
+	var refused *RefusedError
+	require.True(t, errors.As(err, &refused))
+	require.Equal(t, 6*time.Second, refused.RetryAfter)
+	require.Equal(t, 5, q.Len())
+}
+
+// Urgent work pushes batch work back beyond its deadline. The batch work is
+// refused as soon as that is clear.
+func TestPushedBackWorkIsRefusedAtOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	q := NewQueue(clock)
+	q.interval = time.Second
+	room := 0
+	batch := waiter(q, Work{Organisation: "a", Deadline: clock.Now().Add(1500 * time.Millisecond)}, &room)
+	go func() {
+		_ = q.Wait(context.Background(), Work{Organisation: "a", Priority: 2, Deadline: clock.Now().Add(time.Hour)}, func() bool { return false })
+	}()
+	var refused *RefusedError
+	require.True(t, errors.As(<-batch, &refused))
+}
--- a/internal/limit/organisation.go
+++ b/internal/limit/organisation.go
@@ -48,7 +48,7 @@
 func (o *Organisations) usage(name string) *usage {
 	u, ok := o.table[name]
 	if !ok {
-		u = &usage{limiter: rate.NewLimiter(rate.Inf, 1)}
+		u = &usage{}
 		o.table[name] = u
 	}
 	return u
@@ -98,6 +98,11 @@
 		return 0
 	}
 	now := o.clock.Now()
+	if u.limiter == nil {
+		// A limiter starts with a full burst: an organisation that was idle
+		// has not used its rate.
+		u.limiter = rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+	}
 	if u.limiter.Limit() != rate.Limit(perSecond) {
 		u.limiter.SetLimitAt(now, rate.Limit(perSecond))
 		u.limiter.SetBurstAt(now, max(int(perSecond), 1))
--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"sync"
@@ -14,6 +15,9 @@
 	"github.com/hornbeamsill/hornbeamsill/test/cluster"
 )
 
+// errNotYet makes cluster.Eventually try again.
+var errNotYet = errors.New("not yet")
+
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // A publisher's client sends a clearance, loses the connection and repeats it
