--- a/internal/daemon/answers.go
+++ b/internal/daemon/answers.go
@@ -71,10 +71,10 @@
 
 // Find implements caller.Answers.
 func (f *answerFinder) Find(ctx context.Context, requestID string, resume *session.Resume) (caller.Reader, error) {
-	if a, ok := f.store.Get(requestID); ok {
+	if a, ok := f.store.Get(requestID); ok && !cutByStop(a.View(-1), resume) {
 		return a, nil
 	}
-	if remote, ok := f.remote(ctx, requestID); ok {
+	if remote, ok := f.remote(ctx, requestID); ok && !cutByStop(remote.view, resume) {
 		return remote, nil
 	}
 	if resume != nil {
@@ -83,7 +83,13 @@
 	return nil, fault.New(fault.RequestNotFound, "request %s is not known; with its resume token the stream can be continued from the upstream", requestID)
 }
 
-func (f *answerFinder) remote(ctx context.Context, requestID string) (caller.Reader, bool) {
+// cutByStop reports whether a daemon that stopped gave the answer up while the
+// upstream went on: with a resume token it can be continued from there.
+func cutByStop(v answer.View, resume *session.Resume) bool {
+	return resume != nil && v.Err != nil && v.Err.Kind == fault.Stopping
+}
+
+func (f *answerFinder) remote(ctx context.Context, requestID string) (*remoteReader, bool) {
 	d, known := successorOf(f.registry, ident.Incarnation(requestID))
 	if !known || d.Incarnation == f.self || d.State == member.Left {
 		return nil, false
--- a/internal/daemon/app.go
+++ b/internal/daemon/app.go
@@ -54,6 +54,12 @@
 		case <-ctx.Done():
 		}
 	}()
-	err := app.Stop(ctx)
+	// fx returns from Stop as soon as its context ends, with hooks still
+	// running. The hook gets a limit of its own, after which it still tells
+	// callers and peers what became of their requests.
+	process.limit = ctx
+	stopping, release := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer release()
+	err := app.Stop(stopping)
 	return process.Cut, trace.Wrap(err)
 }
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -112,6 +112,10 @@
 
 // OnDemand implements peer.Handler.
 func (n *Node) OnDemand(r peer.DemandRequest) map[string]limit.Share {
+	if r.Leaving {
+		n.allocator.Return(r.From)
+		return nil
+	}
 	return n.allocator.Report(r.From, r.Demands)
 }
 
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -91,6 +91,8 @@
 	loops         sync.WaitGroup
 	stopLoops     context.CancelFunc
 	flushTraces   func(context.Context) error
+	// limit ends the patience of a stop; nil is the context of the stop.
+	limit context.Context
 	// Cut is the number of requests that the stop cut off.
 	Cut int
 }
@@ -182,7 +184,11 @@
 }
 
 func (p *Process) stop(ctx context.Context) error {
-	p.Cut = p.node.Drain(ctx)
+	patience := p.limit
+	if patience == nil {
+		patience = ctx
+	}
+	p.Cut = p.node.Drain(patience)
 	late := context.WithoutCancel(ctx)
 	const closing = 5 * time.Second
 	httpCtx, cancel := context.WithTimeout(late, closing)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -148,11 +148,12 @@
 	n.requests = ident.NewRequests(n.incarnation)
 }
 
-// sharers is the number of daemons of this site, which share its limits.
+// sharers is the number of daemons of this site that may serve callers, which
+// share its limits: those that are leaving or suspect still do.
 func (n *Node) sharers() int {
 	count := 0
-	for _, d := range n.registry.Live() {
-		if d.Site == n.settings.Site {
+	for _, d := range n.registry.All() {
+		if d.Site == n.settings.Site && d.State != member.Left {
 			count++
 		}
 	}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -40,6 +40,7 @@
 	n.waitUntil(ctx, func() bool { return n.answers.Running() == 0 })
 	cut := n.answers.FailRunning(fault.New(fault.Stopping, "the daemon stopped before the answer was complete").WithRan(fault.RanUnknown))
 	n.controller.ReleaseAll(context.WithoutCancel(ctx))
+	n.returnShares(context.WithoutCancel(ctx))
 	n.settleBills(ctx)
 	n.handOver(ctx)
 	slog.Info("stop.drained", "cut", cut, "bills_left", n.ledger.Pending())
@@ -59,6 +60,16 @@
 	}
 }
 
+// returnShares gives the shares of limits back, so that the daemon's successors
+// need not wait until they lapse.
+func (n *Node) returnShares(ctx context.Context) {
+	for _, d := range n.registry.Live() {
+		if d.Site == n.settings.Site {
+			_, _ = n.peers.Demand(ctx, d.PeerAddress, peer.DemandRequest{From: n.incarnation, Leaving: true})
+		}
+	}
+}
+
 // settleBills commits what is left. Bills that cannot be committed because the
 // store is out stay with the peers that hold copies, who close them.
 func (n *Node) settleBills(ctx context.Context) {
--- a/internal/limit/allocator.go
+++ b/internal/limit/allocator.go
@@ -58,6 +58,15 @@
 	return out
 }
 
+// Return gives back the shares of a daemon that stops.
+func (a *Allocator) Return(from string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, shares := range a.table {
+		delete(shares, from)
+	}
+}
+
 func (a *Allocator) allot(from string, d Demand, now time.Time) Share {
 	shares := a.table[d.Organisation]
 	if shares == nil {
@@ -78,10 +87,11 @@
 	}
 	mine := &granted{demand: float64(d.Offered + d.InFlight), until: now.Add(ShareTTL)}
 	total += mine.demand
-	equal := 1 / float64(max(a.daemons(), 1))
-	mine.fraction = equal
+	// One part stays free for a daemon that has just started.
+	parts := float64(max(a.daemons(), 1) + 1)
+	mine.fraction = 1 / parts
 	if now.Sub(a.since[d.Organisation]) >= ShareTTL && total > 0 {
-		mine.fraction = shareFloor*equal + (1-shareFloor)*mine.demand/total
+		mine.fraction = shareFloor/parts + (1-shareFloor)*mine.demand/total
 	}
 	mine.fraction = max(min(mine.fraction, 1-taken), 0)
 	shares[from] = mine
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -85,6 +85,23 @@
 	require.Greater(t, shares["x"].Fraction, 0.8)
 }
 
+// A daemon starts while the others hold all of the limit, and its first
+// requests are refused as over the limit. A part is kept free for it, and a
+// daemon that stops gives its share back at once.
+func TestNewDaemonFindsAShare(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := NewAllocator(clock, func() int { return 2 })
+	report := func(from string) Share { return a.Report(from, []Demand{{Organisation: "o", Offered: 10}})["o"] }
+	for range 10 {
+		report("x")
+		report("y")
+		clock.Advance(time.Second)
+	}
+	require.Greater(t, report("z").Fraction, 0.03)
+	a.Return("x")
+	require.Greater(t, report("z").Fraction, 0.4)
+}
+
 func TestRetryBudget(t *testing.T) {
 	b := NewRetryBudget(0.5, 2)
 	require.True(t, b.Take())
--- a/internal/limit/organisation.go
+++ b/internal/limit/organisation.go
@@ -79,8 +79,10 @@
 	if limits.TokensInFlight > 0 && u.tokens > 0 && u.tokens+tokens > part(limits.TokensInFlight, fraction) {
 		return nil, busyRetry, false
 	}
-	if wait := o.takeRate(u, limits.RequestsPerSecond*fraction); wait > 0 {
-		return nil, wait, false
+	if limits.RequestsPerSecond > 0 {
+		if wait := o.takeRate(u, max(limits.RequestsPerSecond*fraction, leastRate)); wait > 0 {
+			return nil, wait, false
+		}
 	}
 	u.inFlight++
 	u.tokens += tokens
@@ -88,15 +90,16 @@
 	return func() { once.Do(func() { o.end(name, tokens) }) }, 0, true
 }
 
+// leastRate is the rate, in requests per second, that a share of nearly nothing
+// still allows.
+const leastRate = 0.1
+
 // busyRetry is when to come back after a limit on running work.
 const busyRetry = 500 * time.Millisecond
 
 func part(limit int, fraction float64) int { return max(int(float64(limit)*fraction+0.5), 1) }
 
 func (o *Organisations) takeRate(u *usage, perSecond float64) time.Duration {
-	if perSecond <= 0 {
-		return 0
-	}
 	now := o.clock.Now()
 	if u.limiter == nil {
 		// A limiter starts with a full burst: an organisation that was idle
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -89,6 +89,8 @@
 type DemandRequest struct {
 	From    string
 	Demands []limit.Demand
+	// Leaving gives all shares back.
+	Leaving bool
 }
 
 // HandoverRequest passes on what a stopping daemon remembers.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -24,8 +24,10 @@
 
 // Faults of the platform.
 const (
-	FaultNone       PlatformFault = "none"
-	FaultRefuse     PlatformFault = "refuse"
+	FaultNone   PlatformFault = "none"
+	FaultRefuse PlatformFault = "refuse"
+	// FaultLoseAnswer lets writes take effect and loses their answers. After
+	// the first one, reads are refused, so that nobody can look.
 	FaultLoseAnswer PlatformFault = "lose_answer"
 )
 
@@ -45,6 +47,7 @@
 
 	mu       sync.Mutex
 	fault    PlatformFault
+	lost     bool // the answer to a write was lost
 	previous []listing
 	commits  int
 	reads    int
@@ -95,6 +98,7 @@
 func (p *Platform) injectFault(c *gin.Context) {
 	p.mu.Lock()
 	fault := p.fault
+	refuseReads := p.lost
 	if c.Request.Method == http.MethodGet {
 		p.reads++
 	} else {
@@ -106,9 +110,14 @@
 		c.AbortWithStatus(http.StatusServiceUnavailable)
 	case FaultLoseAnswer:
 		if c.Request.Method == http.MethodGet {
-			c.AbortWithStatus(http.StatusServiceUnavailable)
+			if refuseReads {
+				c.AbortWithStatus(http.StatusServiceUnavailable)
+			}
 			return
 		}
+		p.mu.Lock()
+		p.lost = true
+		p.mu.Unlock()
 		c.Writer = &discardWriter{ResponseWriter: c.Writer}
 		c.Next()
 		panic(http.ErrAbortHandler)
@@ -216,6 +225,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = in.Fault
+	p.lost = false
 	c.JSON(http.StatusOK, gin.H{})
 }
 
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -308,9 +308,16 @@
 	return s, err
 }
 
+// SettleOption changes what Settle waits for.
+type SettleOption int
+
+// IgnoreOthers lets daemons see further ones beside those named.
+const IgnoreOthers SettleOption = 1
+
 // Settle waits until all daemons are ready, know each other, and see the
 // upstreams with their versions.
-func (c *Cluster) Settle(daemons []*Daemon, upstreams int) error {
+func (c *Cluster) Settle(daemons []*Daemon, upstreams int, options ...SettleOption) error {
+	others := len(options) > 0 && options[0] == IgnoreOthers
 	return Eventually(func() error {
 		for _, d := range daemons {
 			s, err := d.Status()
@@ -329,7 +336,8 @@
 					ready++
 				}
 			}
-			if !s.Ready || alive != len(daemons) || ready < upstreams {
+			enough := alive == len(daemons) || (others && alive > len(daemons))
+			if !s.Ready || !enough || ready < upstreams {
 				return trace.Errorf("%s: ready=%v alive=%d/%d upstreams=%d/%d", d.Incarnation, s.Ready, alive, len(daemons), ready, upstreams)
 			}
 		}
