Bills written twice when two commits met; property tests of claims and ledger

Cause: a bill that no peer could hold was written at once while the regular commit had already picked it up; the second writer did not look again after it waited for the log. ledger list hid it, since it showed one bill a request. Ruled out: the conditional append itself (property test with refused, lost and doubled commits by an owner and two holders found nothing).

Conclusion: bills are looked up while the log is locked.

--- a/internal/dispatch/reader.go
+++ b/internal/dispatch/reader.go
@@ -64,6 +64,10 @@
 	case errors.Is(err, errAbandoned):
 		r.cancel(ctx)
 		base.err, base.final = err, true
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The daemon stops. The upstream goes on: the caller can continue the
+		// answer there with its resume token.
+		base.err, base.final = ctx.Err(), true
 	case ctx.Err() != nil:
 		r.cancel(ctx)
 		base.err, base.final = ctx.Err(), true
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,91 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+)
+
+const duration = 9 * time.Second
+
+func renew(t *testing.T, l *Lease) bool {
+	t.Helper()
+	held, err := l.Renew(context.Background())
+	require.NoError(t, err)
+	return held
+}
+
+// A holder is paused past its lease; another daemon takes over. When the old
+// holder wakes it must see by itself that it holds nothing, its write must
+// fail, and its fencing number must be the lower one.
+func TestHolderPausedPastItsLease(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := platform.NewMemory()
+	a, b := New("duty", "a", duration, store, clock), New("duty", "b", duration, store, clock)
+	require.True(t, renew(t, a))
+	require.False(t, renew(t, b))
+	clock.Advance(duration - time.Second)
+	require.False(t, a.Held())
+	require.False(t, renew(t, b), "the lease has not lapsed for a contender yet")
+	clock.Advance(time.Second)
+	require.True(t, renew(t, b))
+	require.False(t, a.Held())
+	require.Greater(t, b.Fence(), a.Fence())
+	_, err := store.Commit(context.Background(), platform.Txn{
+		Checks: []platform.Check{a.Check()},
+		Puts:   []platform.Put{platform.PutJSON("x", 1)},
+	})
+	require.True(t, trace.IsCompareFailed(err))
+	require.False(t, renew(t, a))
+}
+
+// A contender starts long after the last renewal it could have seen. It cannot
+// know how old the row is, and waits a whole duration.
+func TestContenderWaitsAWholeDuration(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := platform.NewMemory()
+	a := New("duty", "a", duration, store, clock)
+	require.True(t, renew(t, a))
+	clock.Advance(time.Hour)
+	b := New("duty", "b", duration, store, clock)
+	require.False(t, renew(t, b))
+	clock.Advance(duration)
+	require.True(t, renew(t, b))
+}
+
+// The answer to a renewal is lost. The holder goes on only as long as its last
+// confirmed renewal lasts, and finds its lease again when the store answers.
+func TestLostAnswerToARenewal(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := platform.NewMemory()
+	a := New("duty", "a", duration, store, clock)
+	store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+		if p.Op == "commit" {
+			return platform.FaultLoseAnswer
+		}
+		return platform.FaultNone
+	})
+	_, err := a.Renew(context.Background())
+	require.Error(t, err)
+	require.False(t, a.Held(), "not confirmed")
+	store.SetFault(nil)
+	require.True(t, renew(t, a))
+	require.Equal(t, int64(1), a.Fence())
+	require.True(t, a.Held())
+}
+
+func TestReleaseLetsOthersInAtOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := platform.NewMemory()
+	a, b := New("duty", "a", duration, store, clock), New("duty", "b", duration, store, clock)
+	require.True(t, renew(t, a))
+	require.NoError(t, a.Release(context.Background()))
+	require.True(t, renew(t, b))
+	require.Equal(t, int64(2), b.Fence())
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -230,7 +230,7 @@
 	err := l.peers.Hold(held, l.self, after, bills)
 	cancel()
 	if err != nil {
-		return l.commitBills(ctx, bills)
+		return l.commitBills(ctx, ids)
 	}
 	l.markHeld(bills)
 	return nil
@@ -314,28 +314,35 @@
 		}
 		slices.SortFunc(due, func(x, y *entry) int { return cmp.Compare(x.order, y.order) })
 		due = due[:min(len(due), MaxBatch)]
-		bills := make([]Bill, len(due))
+		ids := make([]string, len(due))
 		for i, e := range due {
-			bills[i] = e.bill
+			ids[i] = e.bill.RequestID
 		}
 		l.mu.Unlock()
-		if len(bills) == 0 {
+		if len(ids) == 0 {
 			return nil
 		}
-		if err := l.commitBills(ctx, bills); err != nil {
+		if err := l.commitBills(ctx, ids); err != nil {
 			return err
 		}
 	}
 }
 
-func (l *Ledger) commitBills(ctx context.Context, bills []Bill) error {
+// commitBills writes the bills with these ids that are still uncommitted.
+//
+// A regular commit and a bill that no peer could hold may reach this with the
+// same bill. The second writer must not go by what it saw before it waited for
+// the log: the bill would be written twice, and the organisation billed twice.
+// So the bills are looked up while the log is locked, and one committed
+// meanwhile is gone by then.
+func (l *Ledger) commitBills(ctx context.Context, ids []string) error {
 	l.logMu.Lock()
-	err := l.log.Append(ctx, bills, false)
-	last := l.log.Last()
-	l.logMu.Unlock()
-	if err != nil {
+	defer l.logMu.Unlock()
+	bills, _ := l.newest(ids)
+	if err := l.log.Append(ctx, bills, false); err != nil {
 		return err
 	}
+	last := l.log.Last()
 	var released []string
 	l.mu.Lock()
 	l.after = last
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,190 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
+)
+
+var ctx = context.Background()
+
+// engine is what an upstream says of a request.
+type engine map[string]upstream.RequestUsage
+
+func (e engine) Usage(_ context.Context, _, id string) (upstream.RequestUsage, error) {
+	return e[id], nil
+}
+
+func bill(id string, state State) Bill {
+	return Bill{RequestID: id, State: state, Upstream: "u", OutputPrice: 2}
+}
+
+func listed(t *testing.T, store platform.Table) map[string]Entry {
+	t.Helper()
+	rows, err := List(ctx, store, "")
+	require.NoError(t, err)
+	out := map[string]Entry{}
+	for _, r := range rows {
+		require.NotContains(t, out, r.RequestID, "billed twice")
+		out[r.RequestID] = r
+	}
+	return out
+}
+
+// A daemon is paused between opening a bill and sending the request. It is
+// taken for dead and, as the engine ran nothing, the bill is voided. Then it
+// wakes and sends the request after all: its own bill must still count.
+func TestVoidedWhilePausedThenRun(t *testing.T) {
+	store := platform.NewMemory()
+	holder := NewHoldings("h", store, engine{}, clockwork.NewFakeClock())
+	holder.Hold("a", 0, []Bill{bill("a-1", Open)})
+	done, err := holder.Seal(ctx, "a")
+	require.NoError(t, err)
+	require.True(t, done)
+	require.Empty(t, listed(t, store))
+	owner := NewLog(store, "a", "a")
+	require.NoError(t, owner.Append(ctx, []Bill{bill("a-1", Answered)}, false))
+	require.Equal(t, Answered, listed(t, store)["a-1"].State)
+}
+
+// A paused daemon is taken for dead while a plain service works for it. The
+// holder cannot learn what ran and presumes a failure; the daemon wakes and
+// knows better.
+func TestPresumedBillIsReplacedOnce(t *testing.T) {
+	store := platform.NewMemory()
+	holder := NewHoldings("h", store, engine{}, clockwork.NewFakeClock())
+	call := Bill{RequestID: "a-1", State: Open, Service: "folders", Upstream: "u"}
+	holder.Hold("a", 0, []Bill{call})
+	_, err := holder.Seal(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, Failed, listed(t, store)["a-1"].State)
+	owner := NewLog(store, "a", "a")
+	call.State, call.Amount = Answered, 7
+	require.NoError(t, owner.Append(ctx, []Bill{call}, false))
+	_, err = holder.Seal(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, int64(7), listed(t, store)["a-1"].Amount)
+}
+
+// Work still runs at the engine when its daemon is found dead. The bill waits
+// for the engine's count instead of being closed with nothing.
+func TestSealWaitsForRunningWork(t *testing.T) {
+	store := platform.NewMemory()
+	usage := engine{"a-1": {Attempts: 1, Running: true}}
+	holder := NewHoldings("h", store, usage, clockwork.NewFakeClock())
+	holder.Hold("a", 0, []Bill{bill("a-1", Open)})
+	done, err := holder.Seal(ctx, "a")
+	require.NoError(t, err)
+	require.False(t, done)
+	require.Empty(t, listed(t, store))
+	usage["a-1"] = upstream.RequestUsage{Attempts: 1, Finished: true, Usage: upstream.Usage{CompletionTokens: 5}}
+	done, err = holder.Seal(ctx, "a")
+	require.NoError(t, err)
+	require.True(t, done)
+	require.Equal(t, int64(10), listed(t, store)["a-1"].Amount)
+}
+
+// An owner and two holders append the same bills in any order, with commits
+// that are refused, lost on the way, or whose answers are lost, and an owner
+// that was only paused. Once all have got through, every request has exactly
+// one bill.
+func TestEachRequestIsBilledOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := platform.NewMemory()
+		store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+			if p.Op != "commit" {
+				return platform.FaultNone
+			}
+			return rapid.SampledFrom([]platform.FaultAction{
+				platform.FaultNone, platform.FaultNone, platform.FaultRefuse, platform.FaultLoseAnswer, platform.FaultLoseRequest,
+			}).Draw(t, "fault")
+		})
+		usage := engine{}
+		clock := clockwork.NewFakeClock()
+		owner := NewLog(store, "a", "a")
+		holders := []*Holdings{NewHoldings("h1", store, usage, clock), NewHoldings("h2", store, usage, clock)}
+		var pending []Bill
+		n := 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"request", "commit", "seal"}).Draw(t, "step") {
+			case "request":
+				n++
+				b := bill(fmt.Sprintf("a-%d", n), Answered)
+				usage[b.RequestID] = upstream.RequestUsage{Attempts: 1, Finished: true}
+				copied := b
+				if rapid.Bool().Draw(t, "copy is open") {
+					copied.State = Open
+				}
+				for _, h := range holders {
+					h.Hold("a", owner.Last(), []Bill{copied})
+				}
+				pending = append(pending, b)
+			case "commit":
+				if owner.Append(ctx, pending, false) == nil {
+					pending = nil
+				}
+			case "seal":
+				_, _ = holders[rapid.IntRange(0, 1).Draw(t, "holder")].Seal(ctx, "a")
+			}
+		}
+		store.SetFault(nil)
+		if err := owner.Append(ctx, pending, false); err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range holders {
+			if _, err := h.Seal(ctx, "a"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rows, err := List(ctx, store, "")
+		if err != nil || len(rows) != n {
+			t.Fatalf("%d bills of %d requests (%v)", len(rows), n, err)
+		}
+	})
+}
+
+// alone is a daemon without peers.
+type alone struct{}
+
+func (alone) Hold(context.Context, string, int64, []Bill) error { return errors.New("no peers") }
+func (alone) Release(context.Context, string, []string)         {}
+func (alone) Epoch() uint64                                     { return 0 }
+
+// A daemon without peers writes each closed bill at once, while its regular
+// commit has picked up the same bill. A publisher was billed twice: the second
+// writer did not look whether the first had written the bill meanwhile.
+func TestTwoCommitsAtOnceBillOnce(t *testing.T) {
+	store := platform.NewMemory()
+	l := New("a", store, alone{}, clockwork.NewRealClock(), Options{
+		CommitInterval: func() time.Duration { return time.Microsecond }, MaxPending: 1000, HoldTimeout: time.Second,
+	})
+	running, stop := context.WithCancel(ctx)
+	var loop, requests sync.WaitGroup
+	loop.Go(func() { l.Run(running) })
+	const n = 300
+	for i := range n {
+		requests.Go(func() {
+			b := bill(fmt.Sprintf("a-%d", i), Open)
+			if err := l.Open(ctx, b); err != nil {
+				t.Error(err)
+			}
+			b.State = Answered
+			l.Close(ctx, b)
+		})
+	}
+	requests.Wait()
+	require.NoError(t, l.Commit(ctx))
+	stop()
+	loop.Wait()
+	require.Len(t, listed(t, store), n)
+}
--- a/internal/ledger/log.go
+++ b/internal/ledger/log.go
@@ -231,11 +231,13 @@
 }
 
 // List reads all bills, final ones and those still open, over all logs. An
-// empty organisation is all organisations.
+// empty organisation is all organisations. A second settled bill of a request,
+// which would be a fault, is listed after the others and not hidden.
 func List(ctx context.Context, table platform.Table, organisation string) ([]Entry, error) {
 	const page = 200
 	bills := map[string]Entry{}
 	var order []string
+	var doubled []Entry
 	after := ""
 	for {
 		rows, err := table.List(ctx, batchPrefix, after, page)
@@ -254,6 +256,9 @@
 				if !seen {
 					order = append(order, bill.RequestID)
 				}
+				if seen && have.Settled() && bill.Settled() {
+					doubled = append(doubled, Entry{Bill: bill, Batch: n})
+				}
 				if !seen || !have.Settled() && (bill.Final() || !have.Final()) {
 					bills[bill.RequestID] = Entry{Bill: bill, Batch: n}
 				}
@@ -272,30 +277,9 @@
 			out = append(out, entry)
 		}
 	}
-	return out, nil
-}
-
-// DoubleBilled returns the ids with more than one settled bill. It is empty
-// unless an invariant is broken.
-func DoubleBilled(ctx context.Context, table platform.Table) ([]string, error) {
-	rows, err := table.List(ctx, batchPrefix, "", 1<<30)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	count := map[string]int{}
-	var out []string
-	for _, row := range rows {
-		var b batch
-		if err := json.Unmarshal(row.Value, &b); err != nil {
-			return nil, trace.Wrap(err)
-		}
-		for _, bill := range b.Bills {
-			if !bill.Settled() {
-				continue
-			}
-			if count[bill.RequestID]++; count[bill.RequestID] == 2 {
-				out = append(out, bill.RequestID)
-			}
+	for _, entry := range doubled {
+		if organisation == "" || entry.Organisation == organisation {
+			out = append(out, entry)
 		}
 	}
 	return out, nil
