--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/fault"
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+)
+
+var ctx = context.Background()
+
+func example(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/" + name)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func TestExamplesOfBothSites(t *testing.T) {
+	base := []byte(example(t, "base.jsonc"))
+	for _, site := range []string{"gothenburg", "tbilisi"} {
+		require.NoError(t, CheckSite(base, []byte(example(t, "overlay-"+site+".jsonc")), false))
+	}
+	doc, err := Merge(base, []byte(example(t, "overlay-gothenburg.jsonc")))
+	require.NoError(t, err)
+	require.Equal(t, 0.95, doc.Kinds["clearance"].QualityTarget)
+	require.True(t, doc.Kinds["clearance"].KeyRequired, "kept from the base")
+	s := NewSnapshot(1, doc, nil)
+	name, ok := s.OrganisationOf("example-key-visrad")
+	require.True(t, ok)
+	require.True(t, s.Allows(name, VersionRef{"notes-large", "2"}))
+	require.False(t, s.Allows("franchise-batumi", VersionRef{"mail-small", "2"}))
+}
+
+// A withdrawn version stays withdrawn, whether the document or the live row
+// says so.
+func TestWithdrawnWins(t *testing.T) {
+	a, b := VersionRef{"m", "1"}, VersionRef{"m", "2"}
+	doc := Document{Models: map[string]Model{"m": {Versions: map[string]Version{"1": {State: Withdrawn}, "2": {State: Serving}}}}}
+	s := NewSnapshot(1, doc, []Rollout{{VersionRef: a, State: Serving, Share: 1}, {VersionRef: b, State: Withdrawn}})
+	for _, ref := range []VersionRef{a, b} {
+		state, _ := s.State(ref)
+		require.Equal(t, Withdrawn, state)
+		require.Zero(t, s.Share(ref))
+	}
+}
+
+// The answer to an accepted change is lost and its id cannot be read. The
+// operator is told that the outcome is unknown, never that it failed; asking
+// again gives the truth, and the change does not take effect later.
+func TestChangeWithUnknownOutcome(t *testing.T) {
+	for _, action := range []platform.FaultAction{platform.FaultLoseAnswer, platform.FaultLoseRequest} {
+		memory := platform.NewMemory()
+		store := NewStore(memory, time.Now)
+		lost := false
+		memory.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+			switch {
+			case p.Op == "commit" && !lost:
+				lost = true
+				return action
+			case lost:
+				return platform.FaultRefuse
+			default:
+				return platform.FaultNone
+			}
+		})
+		req := ApplyRequest{ChangeID: "c", Text: example(t, "base.jsonc")}
+		_, err := store.Apply(ctx, req)
+		require.True(t, fault.Is(err, fault.ConfigUnknown))
+		memory.SetFault(nil)
+		change, err := store.Apply(ctx, req)
+		require.NoError(t, err)
+		require.Equal(t, int64(1), change.Generation)
+		head, _, err := store.Head(ctx)
+		require.NoError(t, err)
+		require.Equal(t, int64(1), head.Generation)
+	}
+}
+
+// The write is still on its way when the operator is told that it was not
+// accepted. It must not take effect afterwards.
+func TestDelayedWriteDoesNotTakeEffectLater(t *testing.T) {
+	memory := platform.NewMemory()
+	store := NewStore(memory, time.Now)
+	var delayed *platform.Txn
+	memory.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+		if p.Op == "commit" && delayed == nil {
+			delayed = p.Txn
+			return platform.FaultLoseRequest
+		}
+		return platform.FaultNone
+	})
+	_, err := store.Apply(ctx, ApplyRequest{ChangeID: "c", Text: example(t, "base.jsonc")})
+	require.True(t, fault.Is(err, fault.StoreUnavailable))
+	require.Equal(t, fault.RanNo, fault.From(err).Ran)
+	_, err = memory.Commit(ctx, *delayed)
+	require.Error(t, err)
+	head, _, err := store.Head(ctx)
+	require.NoError(t, err)
+	require.Zero(t, head.Generation)
+}
+
+// A follower reads while changes are made; rows of different generations must
+// not be mixed, and nothing older than what is in force is installed.
+func TestFollowerNeverMixesOrGoesBack(t *testing.T) {
+	memory := platform.NewMemory()
+	store := NewStore(memory, time.Now)
+	clock := clockwork.NewFakeClock()
+	follower := NewFollower("s", store, clock)
+	peer := NewFollower("s", store, clock)
+	doc := func(n int) string {
+		return fmt.Sprintf(`{"kinds":{"k":{"quality_target":0.5,"deadline_ms":%d}}}`, n)
+	}
+	var old Delta
+	for n := 1; n <= 20; n++ {
+		for _, site := range []string{"", "s"} {
+			_, err := store.Apply(ctx, ApplyRequest{Site: site, FromRevision: int64(n - 1), ChangeID: fmt.Sprint(site, n), Text: doc(n)})
+			require.NoError(t, err)
+		}
+		torn := follower.DeltaFor("s", Head{})
+		torn.Head.Generation += 100
+		torn.Head.Documents[baseTarget]++
+		require.False(t, peer.Install(torn))
+		require.NoError(t, follower.Refresh(ctx))
+		require.Equal(t, int64(n), follower.Current().Doc.Kinds["k"].DeadlineMS)
+		require.True(t, peer.Install(follower.DeltaFor("s", peer.Known())))
+		require.Equal(t, follower.Generation(), peer.Generation())
+		if n == 1 {
+			old = follower.DeltaFor("s", Head{})
+		}
+		peer.Install(old)
+		require.Equal(t, int64(n), peer.Current().Doc.Kinds["k"].DeadlineMS)
+	}
+}
+
+// A daemon is paused. Its confirmation ages meanwhile, so that it asks before
+// it dispatches again.
+func TestConfirmationAgesFromTheQuestion(t *testing.T) {
+	memory := platform.NewMemory()
+	store := NewStore(memory, time.Now)
+	clock := clockwork.NewFakeClock()
+	_, err := store.Apply(ctx, ApplyRequest{ChangeID: "c", Text: `{}`})
+	require.NoError(t, err)
+	f := NewFollower("s", store, clock)
+	require.Greater(t, f.Age(), time.Hour)
+	require.NoError(t, f.Refresh(ctx))
+	require.Zero(t, f.Age())
+	clock.Advance(time.Minute)
+	require.Equal(t, time.Minute, f.Age())
+	f.Confirm(f.Generation()-1, clock.Now())
+	require.Equal(t, time.Minute, f.Age(), "an older generation confirms nothing")
+	f.Confirm(f.Generation(), clock.Now().Add(-time.Second))
+	require.Equal(t, time.Second, f.Age())
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,179 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
+)
+
+func daemon(n int) Daemon {
+	return Daemon{Incarnation: fmt.Sprintf("d%04d", n), PeerAddress: fmt.Sprintf("p%d", n)}
+}
+
+func registry(n int, clock clockwork.Clock) *Registry {
+	return NewRegistry(daemon(n), clock, Options{Watched: 2, Random: 2, EventsPerMessage: 16, ForgetAfter: time.Hour}, rand.New(rand.NewPCG(uint64(n), 1)))
+}
+
+// A daemon is paused; the others suspect it. When it wakes and hears so, it
+// refutes and takes part again. One that leaves stays gone, whatever old news
+// says.
+func TestSuspicionAndLeaving(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b := registry(1, clock), registry(2, clock)
+	a.Learn([]Daemon{daemon(2)})
+	old := a.All()
+	a.Suspect("d0002")
+	require.Len(t, a.Live(), 1)
+	require.Empty(t, a.Dead(time.Second))
+	clock.Advance(time.Second)
+	require.Equal(t, []string{"d0002"}, a.Dead(time.Second))
+	b.Learn(a.All())
+	require.Equal(t, Alive, b.Self().State)
+	a.Learn([]Daemon{b.Self()})
+	require.Len(t, a.Live(), 2)
+	b.SetSelf(func(d *Daemon) { d.State = Leaving })
+	a.Learn([]Daemon{b.Self()})
+	a.Learn(old)
+	a.Suspect("d0002")
+	got, _ := a.Get("d0002")
+	require.Equal(t, Leaving, got.State)
+}
+
+// rounds spreads news among n daemons and returns how many rounds of
+// heartbeats it took until all know that one leaves.
+func rounds(t *testing.T, n int) int {
+	clock := clockwork.NewFakeClock()
+	var all []*Registry
+	var everyone []Daemon
+	for i := range n {
+		everyone = append(everyone, daemon(i))
+	}
+	byAddress := map[string]*Registry{}
+	for i := range n {
+		r := registry(i, clock)
+		r.Learn(everyone)
+		all = append(all, r)
+		byAddress[daemon(i).PeerAddress] = r
+	}
+	for _, r := range all {
+		for range 64 {
+			r.News() // old news has been told
+		}
+	}
+	all[0].SetSelf(func(d *Daemon) { d.State = Leaving })
+	for round := 1; round < 100; round++ {
+		for _, r := range all {
+			for _, target := range r.Targets() {
+				byAddress[target.PeerAddress].Learn(r.News())
+			}
+		}
+		knowing := 0
+		for _, r := range all {
+			if d, _ := r.Get(daemon(0).Incarnation); d.State == Leaving {
+				knowing++
+			}
+		}
+		if knowing == n {
+			return round
+		}
+	}
+	t.Fatalf("not spread among %d", n)
+	return 0
+}
+
+func TestNewsSpreadsInFewRounds(t *testing.T) {
+	for n, most := range map[int]int{8: 3, 64: 7, 512: 10} {
+		require.LessOrEqual(t, rounds(t, n), most, n)
+	}
+}
+
+// Every daemon is watched by exactly two others, so that none can fail
+// unnoticed.
+func TestEveryDaemonIsWatched(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	const n = 50
+	var everyone []Daemon
+	for i := range n {
+		everyone = append(everyone, daemon(i))
+	}
+	watched := map[string]int{}
+	for i := range n {
+		r := registry(i, clock)
+		r.Learn(everyone)
+		for _, target := range r.Targets()[:2] {
+			watched[target.Incarnation]++
+		}
+	}
+	for _, d := range everyone {
+		require.Equal(t, 2, watched[d.Incarnation])
+	}
+}
+
+func upstreams(clock clockwork.Clock, n int) *Upstreams {
+	t := NewUpstreams(clock, func() config.UpstreamPolicy { return config.UpstreamPolicy{} })
+	t.SetList(list(n, platform.StateLive))
+	return t
+}
+
+func list(n int, state platform.InstanceState) []platform.Instance {
+	var out []platform.Instance
+	for i := range n {
+		out = append(out, platform.Instance{ID: fmt.Sprintf("u%d", i), Role: platform.RoleEngine, State: state})
+	}
+	return out
+}
+
+// An engine says that it leaves; the platform's list still calls it live for a
+// while. The old list must not bring it back.
+func TestOldListDoesNotBringALeavingUpstreamBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	u := upstreams(clock, 2)
+	u.SetReport("u0", upstream.LoadReport{Leaving: true}, clock.Now())
+	u.SetList(list(2, platform.StateLive))
+	require.Len(t, u.Usable(platform.RoleEngine), 1)
+	require.Equal(t, []string{"u0"}, u.Leaving())
+}
+
+// All engines fail at once, as when this daemon's own network is at fault. At
+// most half of them are ejected, and they come back.
+func TestEjectionIsCapped(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	u := upstreams(clock, 4)
+	for i := range 4 {
+		for range 3 {
+			u.Failed(fmt.Sprintf("u%d", i))
+		}
+	}
+	require.Len(t, u.Usable(platform.RoleEngine), 2)
+	clock.Advance(2 * time.Second)
+	require.Len(t, u.Usable(platform.RoleEngine), 4)
+	u.Failed("u0")
+	require.Len(t, u.Usable(platform.RoleEngine), 3, "one more failure ejects it again")
+}
+
+// A report is old when it arrives. Work sent after its figures were true is
+// counted on top, work they include is not.
+func TestWorkSinceTheReport(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	u := upstreams(clock, 1)
+	u.Started("u0", "before")
+	clock.Advance(2 * time.Second)
+	u.Started("u0", "since")
+	u.SetReport("u0", upstream.LoadReport{Running: 1, AgeMS: 1000}, clock.Now())
+	got := u.All()[0]
+	require.Equal(t, 1, got.SentSince)
+	require.Equal(t, 2, got.InFlight)
+	u.Ended("u0", "since", false)
+	u.Ended("u0", "before", false)
+	got = u.All()[0]
+	require.Zero(t, got.SentSince)
+	require.Zero(t, got.InFlight)
+}
--- a/test/process/helpers_test.go
+++ b/test/process/helpers_test.go
@@ -120,3 +120,5 @@
 	req.Header.Set(caller.HeaderResume, sofar.Header.Get(caller.HeaderResume))
 	return cluster.Receive(req, nil)
 }
+
+func containsLog(d *cluster.Daemon, text string) bool { return strings.Contains(d.Log(), text) }
