Errors before the first token of a stream came with status 200

Cause: the stream was flushed before its head was known, so net/http sent 200 and the error followed as if it were an answer. A client library would have taken a refusal for an empty answer.

Before: status 200 for every refused stream; after: 503 with Retry-After, in the test of refused requests, streamed and not.

Conclusion: nothing is flushed before the head.

--- a/internal/caller/respond.go
+++ b/internal/caller/respond.go
@@ -210,7 +210,11 @@
 			r.event(head, event)
 			r.after = event.Offset
 		}
-		r.c.Writer.Flush()
+		if head != nil {
+			// Flushing before there is a head would send status 200, and an
+			// error that follows would look like an answer.
+			r.c.Writer.Flush()
+		}
 		if !view.Done {
 			continue
 		}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -425,27 +425,48 @@
 	// text of the first message.
 	Versions map[string]int `json:"versions"`
 	Prompts  map[string]int `json:"prompts"`
-	Orders   int            `json:"orders"`
+	// FinishedPrompts counts finished attempts by the same text.
+	FinishedPrompts map[string]int `json:"finished_prompts"`
+	// Running counts attempts that have not ended.
+	Running int `json:"running"`
+	Orders  int `json:"orders"`
 }
 
 // Counts returns what the engine did so far.
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := EngineCounts{Started: map[string]int{}, Finished: map[string]int{}, Versions: map[string]int{}, Prompts: map[string]int{}, Orders: e.orders}
+	out := EngineCounts{
+		Started:         map[string]int{},
+		Finished:        map[string]int{},
+		Versions:        map[string]int{},
+		Prompts:         map[string]int{},
+		FinishedPrompts: map[string]int{},
+		Orders:          e.orders,
+	}
 	for _, r := range e.attempts {
-		out.Started[r.attempt.RequestID]++
-		out.Versions[r.attempt.Chat.Model]++
-		if len(r.attempt.Chat.Messages) > 0 {
-			out.Prompts[r.attempt.Chat.Messages[0].Content]++
-		}
-		if r.finished {
-			out.Finished[r.attempt.RequestID]++
-		}
+		out.add(r)
 	}
 	return out
 }
 
+func (c *EngineCounts) add(r *run) {
+	text := ""
+	if len(r.attempt.Chat.Messages) > 0 {
+		text = r.attempt.Chat.Messages[0].Content
+	}
+	c.Started[r.attempt.RequestID]++
+	c.Versions[r.attempt.Chat.Model]++
+	c.Prompts[text]++
+	if r.finished {
+		c.Finished[r.attempt.RequestID]++
+		c.FinishedPrompts[text]++
+	}
+	if !r.ended() {
+		c.Running++
+	}
+}
+
 // SetLeaving makes the engine refuse new attempts.
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -301,6 +302,17 @@
 	return d, nil
 }
 
+// FreeAddress returns a loopback address that was free a moment ago, for a
+// listener that has to be known before it listens.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
 // Status asks a daemon for its status.
 func (d *Daemon) Status() (operator.Status, error) {
 	var s operator.Status
--- /dev/null
+++ b/test/faults/main.go
@@ -0,0 +1,87 @@
+// Command faults runs a load of requests through real daemons while one fault
+// after the other is injected, and counts what callers, engines and the ledger
+// say afterwards:
+//
+//	go run ./test/faults [--json FILE] [--seconds N] [--only NAME]
+//
+// It exits with 1 when a request was lost, doubled, cut or wrongly reported.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+)
+
+type options struct {
+	JSON    string  `long:"json" description:"also write the rows to this file"`
+	Seconds float64 `long:"seconds" default:"4" description:"length of the load for each fault"`
+	Only    string  `long:"only" description:"only the faults whose names contain this"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	dir, err := os.MkdirTemp("", "hornbeamsill-faults")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := cluster.Build(dir)
+	if err != nil {
+		return err
+	}
+	var rows []row
+	for _, f := range faults {
+		if !strings.Contains(f.name, o.Only) {
+			continue
+		}
+		r, err := trial(bin, f, time.Duration(o.Seconds*float64(time.Second)))
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+		rows = append(rows, r)
+	}
+	print(rows)
+	if o.JSON != "" {
+		data, err := json.MarshalIndent(rows, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(o.JSON, data, 0o644); err != nil {
+			return err
+		}
+	}
+	for _, r := range rows {
+		if r.broken() {
+			return fmt.Errorf("promises were broken under %q", r.Fault)
+		}
+	}
+	return nil
+}
+
+func print(rows []row) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "FAULT\tASKED\tWHOLE\tNOT RUN\tUNKNOWN\tLOST\tDOUBLED\tCUT\tMISREPORTED\tBILLS MISSING\tBILLS DOUBLED")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", r.Fault, r.Asked, r.Whole, r.NotRun, r.Unknown,
+			r.Lost, r.Doubled, r.Cut, r.Misreported, r.BillsMissing, r.BillsDoubled)
+	}
+	w.Flush()
+}
--- /dev/null
+++ b/test/faults/trial.go
@@ -0,0 +1,352 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/caller"
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/fault"
+	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/internal/standin"
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+)
+
+// words is the length of a whole answer of the engines.
+const words = 24
+
+// callers is how many callers ask at once.
+const callers = 12
+
+// row is what was counted under one fault.
+type row struct {
+	Fault string `json:"fault"`
+	// Asked counts requests; Whole those with a whole answer in the end;
+	// NotRun and Unknown those whose last answer was an error with ran: no, or
+	// with any other outcome.
+	Asked   int `json:"asked"`
+	Whole   int `json:"whole"`
+	NotRun  int `json:"not_run"`
+	Unknown int `json:"unknown"`
+	// Lost counts whole answers that no engine finished.
+	Lost int `json:"lost"`
+	// Doubled counts keyed requests that engines started more than once.
+	Doubled int `json:"doubled"`
+	// Cut counts answers that ended like whole ones and were not.
+	Cut int `json:"cut"`
+	// Misreported counts requests reported as not run that an engine started.
+	Misreported  int `json:"misreported"`
+	BillsMissing int `json:"bills_missing"`
+	BillsDoubled int `json:"bills_doubled"`
+}
+
+func (r row) broken() bool {
+	return r.Lost+r.Doubled+r.Cut+r.Misreported+r.BillsMissing+r.BillsDoubled > 0
+}
+
+// world is the system under one fault.
+type world struct {
+	*cluster.Cluster
+	platform *cluster.Proxy
+	peers    []*cluster.Proxy
+	engines  []*cluster.Upstream
+	links    []*cluster.Proxy
+}
+
+// trial runs the load for a time, with the fault in the middle half.
+func trial(bin cluster.Binaries, f injected, length time.Duration) (row, error) {
+	dir, err := os.MkdirTemp("", "trial")
+	if err != nil {
+		return row{}, err
+	}
+	defer os.RemoveAll(dir)
+	w, err := build(bin, dir)
+	if w != nil {
+		defer w.Close()
+	}
+	if err != nil {
+		return row{}, err
+	}
+	l := &load{world: w}
+	l.start()
+	time.Sleep(length / 4)
+	if err := f.inject(w); err != nil {
+		return row{}, err
+	}
+	time.Sleep(length / 2)
+	if err := f.heal(w); err != nil {
+		return row{}, err
+	}
+	time.Sleep(length / 4)
+	l.stop()
+	return l.count(f.name)
+}
+
+// build starts a platform, two engines and three daemons, with proxies on all
+// links of the first daemon.
+func build(bin cluster.Binaries, dir string) (*world, error) {
+	c, err := cluster.New(bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	w := &world{Cluster: c}
+	if w.platform, err = c.Proxy(c.Platform); err != nil {
+		return w, err
+	}
+	for i := range 2 {
+		if err := w.addEngine(i); err != nil {
+			return w, err
+		}
+	}
+	for i := range 3 {
+		if err := w.addDaemon(i); err != nil {
+			return w, err
+		}
+	}
+	return w, w.configure()
+}
+
+func (w *world) addEngine(i int) error {
+	profile := standin.VersionProfile{
+		Quality: map[string]float64{"": 1}, TokenTime: standin.Duration(8 * time.Millisecond), Tokens: words,
+	}
+	o := standin.EngineOptions{Instance: fmt.Sprintf("engine-%d", i), Slots: 16, Profiles: map[string]standin.VersionProfile{}}
+	for _, v := range []string{"notes-large@1", "clauses@1"} {
+		o.Profiles[v] = profile
+		o.Serving = append(o.Serving, v)
+	}
+	var failed error
+	e, err := w.Engine(o, "gbg-a", func(address string) string {
+		var link *cluster.Proxy
+		if link, failed = w.Proxy(address); failed != nil {
+			return address
+		}
+		w.links = append(w.links, link)
+		return link.Address()
+	})
+	w.engines = append(w.engines, e)
+	if err == nil {
+		err = failed
+	}
+	return err
+}
+
+func (w *world) addDaemon(i int) error {
+	address, err := cluster.FreeAddress()
+	if err != nil {
+		return err
+	}
+	link, err := w.Proxy(address)
+	if err != nil {
+		return err
+	}
+	w.peers = append(w.peers, link)
+	d, err := w.StartDaemon(fmt.Sprintf("gbg-%c", 'a'+i), func(s *settings.Settings) {
+		s.PeerListen, s.PeerAddress = address, link.Address()
+		if i == 0 {
+			s.Platform = w.platform.Address()
+		}
+	})
+	if err == nil {
+		d.PeerAddress = link.Address()
+	}
+	return err
+}
+
+func (w *world) configure() error {
+	text, err := os.ReadFile(filepath.Join("examples", "base.jsonc"))
+	if err != nil {
+		return err
+	}
+	err = cluster.Post(w.Daemons[1].OperatorURL+"/v1/config/apply", config.ApplyRequest{ChangeID: "base", Text: string(text)}, nil)
+	if err != nil {
+		return err
+	}
+	return w.Settle(w.Daemons, 2)
+}
+
+// outcome is the last word that a caller had on a request.
+type outcome struct {
+	prompt string
+	keyed  bool
+	reply  cluster.Reply
+	err    error
+	// toldNotRun is set when the last answer said ran: no.
+	toldNotRun bool
+}
+
+// load is callers that ask without pause.
+type load struct {
+	*world
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+func (l *load) start() {
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	for i := range callers {
+		l.group.Go(func() {
+			for n := 0; l.ctx.Err() == nil; n++ {
+				o := l.ask(i, n)
+				l.mu.Lock()
+				l.outcomes = append(l.outcomes, o)
+				l.mu.Unlock()
+			}
+		})
+	}
+}
+
+func (l *load) stop() {
+	l.cancel()
+	l.group.Wait()
+}
+
+// tries is how often a caller repeats a request, at one daemon after the other
+// and with the same key.
+const tries = 4
+
+func (l *load) ask(i, n int) outcome {
+	o := outcome{prompt: fmt.Sprintf("request %d %d", i, n), keyed: n%2 == 0}
+	a := cluster.Ask{
+		APIKey: "example-key-visrad", Model: "clauses", Prompt: o.prompt, Stream: n%3 != 0, DeadlineMS: "8000",
+	}
+	if o.keyed {
+		a.Model, a.Kind, a.Key = "notes-large", "clearance", l.key(i, n)
+	}
+	for try := range tries {
+		d := l.Daemons[(i+n+try)%len(l.Daemons)]
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		o.reply, o.err = a.Send(ctx, d.CallerURL, nil)
+		cancel()
+		o.toldNotRun = o.err == nil && o.reply.Err != nil && o.reply.Err.Ran == fault.RanNo
+		if o.err == nil && o.reply.Whole() {
+			return o
+		}
+		if !o.keyed && !o.toldNotRun {
+			return o
+		}
+		pause := 50 * time.Millisecond
+		if o.reply.Err != nil {
+			pause = min(max(pause, o.reply.Err.RetryAfter), time.Second)
+		}
+		time.Sleep(pause)
+	}
+	return o
+}
+
+// key makes a key with the prefix of a daemon; some callers use none.
+func (l *load) key(i, n int) string {
+	own := fmt.Sprintf("key-%d-%d", i, n)
+	if i%4 == 3 {
+		return own
+	}
+	var found struct {
+		Entries []caller.Entry `json:"entries"`
+	}
+	if cluster.Get(l.Daemons[1].CallerURL+"/v1/entries", &found) != nil || len(found.Entries) == 0 {
+		return own
+	}
+	return found.Entries[(i+n)%len(found.Entries)].KeyPrefix + "." + own
+}
+
+// count compares what callers were told with what engines and ledger say, once
+// nothing runs any more.
+func (l *load) count(name string) (row, error) {
+	started, finishedIDs, finished, err := l.engineCounts()
+	if err != nil {
+		return row{}, err
+	}
+	r := row{Fault: name, Asked: len(l.outcomes)}
+	for _, o := range l.outcomes {
+		r.add(o, started, finished)
+	}
+	return r, l.countBills(&r, finishedIDs)
+}
+
+func (r *row) add(o outcome, started, finished map[string]int) {
+	switch {
+	case o.err == nil && o.reply.Whole():
+		r.Whole++
+		if finished[o.prompt] == 0 {
+			r.Lost++
+		}
+		if len(strings.Fields(o.reply.Text)) != words {
+			r.Cut++
+		}
+	case o.toldNotRun:
+		r.NotRun++
+		if started[o.prompt] > 0 && o.keyed {
+			r.Misreported++
+		}
+	default:
+		r.Unknown++
+	}
+	if o.keyed && started[o.prompt] > 1 {
+		r.Doubled++
+	}
+}
+
+// engineCounts adds up what the engines did, once they are idle. finished
+// counts by prompt: an engine that was killed has taken its counts with it.
+func (l *load) engineCounts() (started, finishedIDs, finished map[string]int, err error) {
+	err = cluster.Eventually(func() error {
+		started, finishedIDs, finished = map[string]int{}, map[string]int{}, map[string]int{}
+		for _, e := range l.engines {
+			var c standin.EngineCounts
+			if err := cluster.Get("http://"+e.Address+"/standin/counts", &c); err != nil {
+				return err
+			}
+			if c.Running > 0 {
+				return fmt.Errorf("%d attempts run", c.Running)
+			}
+			for p, n := range c.Prompts {
+				started[p] += n
+			}
+			for p, n := range c.FinishedPrompts {
+				finished[p] += n
+			}
+			for id, n := range c.Finished {
+				finishedIDs[id] += n
+			}
+		}
+		return nil
+	})
+	return started, finishedIDs, finished, err
+}
+
+// countBills waits until the ledger does not change any more.
+func (l *load) countBills(r *row, finishedIDs map[string]int) error {
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		bills := map[string]int{}
+		var rows []ledger.Entry
+		if err := cluster.Get(l.Daemons[1].OperatorURL+"/v1/ledger", &rows); err != nil {
+			return err
+		}
+		r.BillsMissing, r.BillsDoubled = 0, 0
+		for _, b := range rows {
+			if bills[b.RequestID]++; bills[b.RequestID] == 2 {
+				r.BillsDoubled++
+			}
+		}
+		for id := range finishedIDs {
+			if bills[id] == 0 {
+				r.BillsMissing++
+			}
+		}
+		if r.BillsMissing == 0 || time.Now().After(deadline) {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -192,11 +192,15 @@
 		s.engineFault(f)
 		a := clearance(fmt.Sprintf("refused %d", i), keyOf(t, s.Daemons[0], fmt.Sprintf("refused-%d", i)))
 		a.DeadlineMS = "2000"
-		reply := send(t, s.Daemons[0], a)
-		require.NotNil(t, reply.Err)
-		require.Equal(t, fault.RanNo, reply.Err.Ran)
-		require.Positive(t, reply.Err.RetryAfter, "the caller is told when to come back")
-		require.Zero(t, s.runs(a.Prompt))
+		for _, a.Stream = range []bool{false, true} {
+			reply := send(t, s.Daemons[0], a)
+			require.NotNil(t, reply.Err)
+			require.Equal(t, 503, reply.Status, "an error must not look like an answer")
+			require.Equal(t, fault.RanNo, reply.Err.Ran)
+			require.Positive(t, reply.Err.RetryAfter, "the caller is told when to come back")
+			require.NotEmpty(t, reply.Header.Get("Retry-After"))
+			require.Zero(t, s.runs(a.Prompt))
+		}
 		s.engineFault(standin.EngineFaults{})
 		requireAnswered(t, s.Daemons[1], a)
 		require.Equal(t, 1, s.runs(a.Prompt))
