--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -57,6 +57,7 @@
 			return fmt.Errorf("%s: %w", f.name, err)
 		}
 		rows = append(rows, r)
+		fmt.Fprintf(os.Stderr, "%s: done\n", f.name)
 	}
 	print(rows)
 	if o.JSON != "" {
