--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A server takes a call on a kept connection, runs it, and closes the
+// connection without an answer. net/http would send the call again by itself
+// when it carries an Idempotency-Key; a reply draft would go out twice.
+func TestCallsAreNotRepeatedBehindOurBack(t *testing.T) {
+	for _, body := range []string{"", "draft"} {
+		var calls atomic.Int32
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		go serveOnceThenClose(listener, &calls)
+		c := NewClient(time.Second)
+		call := func(path string) error {
+			var in io.Reader
+			if body != "" {
+				in = strings.NewReader(body)
+			}
+			req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+path, in)
+			require.NoError(t, err)
+			req.Header.Set("Idempotency-Key", "k")
+			resp, err := c.Do(req, false)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+			return err
+		}
+		require.NoError(t, call("/first"))
+		err = call("/second")
+		require.Error(t, err)
+		require.False(t, NotRun(err), "it may have been run, and was")
+		require.Equal(t, int32(1), calls.Load())
+	}
+}
+
+// serveOnceThenClose answers the first request of each connection and closes
+// it after reading the second, which it counts.
+func serveOnceThenClose(l net.Listener, second *atomic.Int32) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			buffer := make([]byte, 64<<10)
+			for {
+				n, err := conn.Read(buffer)
+				if err != nil {
+					return
+				}
+				if strings.Contains(string(buffer[:n]), "/second") {
+					second.Add(1)
+					return
+				}
+				if n > 0 && strings.Contains(string(buffer[:n]), "/first") {
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}
+		}()
+	}
+}
+
+func TestNotSentIsNotRun(t *testing.T) {
+	c := NewClient(time.Second)
+	_, err := c.Start(context.Background(), "127.0.0.1:1", Attempt{ID: "a"})
+	require.True(t, NotRun(err))
+}
+
+// Events arrive in any order within the window, any number of times, and mixed
+// with those of another attempt. What comes out is the answer, in order.
+func TestAssembler(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, reorderWindow).Draw(t, "events")
+		var sent []Event
+		for i := range n {
+			for range rapid.IntRange(1, 2).Draw(t, "copies") {
+				sent = append(sent, Event{Attempt: "a", Offset: i})
+			}
+			if rapid.Bool().Draw(t, "foreign") {
+				sent = append(sent, Event{Attempt: "b", Offset: i})
+			}
+		}
+		a := assembler{attempt: "a", waiting: map[int]Event{}}
+		var out []Event
+		for _, e := range rapid.Permutation(sent).Draw(t, "order") {
+			if !a.push(e) {
+				t.Fatal("the window was left")
+			}
+			for {
+				e, ok := a.pop()
+				if !ok {
+					break
+				}
+				out = append(out, e)
+			}
+		}
+		if len(out) != n {
+			t.Fatalf("%d events of %d", len(out), n)
+		}
+		for i, e := range out {
+			if e.Offset != i || e.Attempt != "a" {
+				t.Fatalf("event %d is %+v", i, e)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/test/measure/cost.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/rating"
+	"github.com/hornbeamsill/hornbeamsill/internal/route"
+)
+
+// Model of the cost measurement.
+const (
+	costRequests = 40_000
+	// costRated is the share of answers that get rated, and costDelay how many
+	// requests later.
+	costRated = 0.2
+	costDelay = 500
+	// exploreShare is the router's own setting.
+	exploreShare = 0.02
+	costSeeds    = 5
+)
+
+// costModel is a version with its true qualities by kind.
+type costModel struct {
+	ref     config.VersionRef
+	cost    float64
+	version config.Version
+	quality map[string]float64
+}
+
+// costKind is a kind of request with its target.
+type costKind struct {
+	name    string
+	target  float64
+	cascade bool
+}
+
+func costWorld() ([]costModel, []costKind) {
+	model := func(name string, cost, prior float64, tag, summary, clause, clearance float64) costModel {
+		return costModel{
+			ref: config.VersionRef{Model: name, Version: "1"}, cost: cost,
+			version: config.Version{Prior: map[string]config.Prior{"default": {Mean: prior, Weight: 20}}},
+			quality: map[string]float64{"tag": tag, "summary": summary, "clause": clause, "clearance": clearance},
+		}
+	}
+	models := []costModel{
+		model("tiny", 1, 0.7, 0.93, 0.72, 0.60, 0.40),
+		model("small", 4, 0.8, 0.95, 0.86, 0.80, 0.65),
+		model("medium", 12, 0.88, 0.96, 0.93, 0.90, 0.85),
+		model("large", 40, 0.95, 0.97, 0.96, 0.96, 0.97),
+	}
+	kinds := []costKind{{"tag", 0.9, true}, {"summary", 0.85, true}, {"clause", 0.88, true}, {"clearance", 0.95, false}}
+	return models, kinds
+}
+
+var costJudge = route.Judge{TrueAccept: 0.95, FalseAccept: 0.1, Cost: 0.5}
+
+// chooser picks a plan for a kind.
+type chooser func(k costKind, candidates []route.Candidate, random *rand.Rand) route.Plan
+
+func costPlans(k costKind, candidates []route.Candidate) ([]route.Plan, route.Request) {
+	req := route.Request{Target: k.target, Cascade: k.cascade, Remaining: time.Hour}
+	return route.Plans(candidates, costJudge, req), req
+}
+
+func routed(explore float64) chooser {
+	return func(k costKind, candidates []route.Candidate, random *rand.Rand) route.Plan {
+		plans, req := costPlans(k, candidates)
+		pick, _ := route.Pick(plans, req.Target)
+		return route.Explore(pick, plans, req.Target, explore, random)
+	}
+}
+
+// certain gives the candidates their true quality, as an oracle knows it.
+func certain(models []costModel, kind string) []route.Candidate {
+	const sure = 1e6
+	var out []route.Candidate
+	for _, m := range models {
+		q := m.quality[kind]
+		out = append(out, route.Candidate{Version: m.ref, Cost: m.cost, Quality: route.NewQuality(q, sure, 0, 0)})
+	}
+	return out
+}
+
+func fixedModel(at int) chooser {
+	return func(k costKind, candidates []route.Candidate, _ *rand.Rand) route.Plan {
+		plans, _ := costPlans(costKind{target: k.target}, candidates)
+		return plans[at]
+	}
+}
+
+// costResult is what a policy achieved.
+type costResult struct {
+	cost float64
+	// met is the share of requests whose kind met its target over the run.
+	met  float64
+	good float64
+}
+
+// runCost plays one seed with a policy.
+func runCost(choose chooser, oracle bool, seed uint64) costResult {
+	models, kinds := costWorld()
+	random := rand.New(rand.NewPCG(seed, 1))
+	ratings := rating.NewTable()
+	var due []platform.Rating
+	good, asked := map[string]int{}, map[string]int{}
+	byRef := map[config.VersionRef]costModel{}
+	for _, m := range models {
+		byRef[m.ref] = m
+	}
+	var total float64
+	seq := int64(0)
+	for range costRequests {
+		k := kinds[random.IntN(len(kinds))]
+		var candidates []route.Candidate
+		if oracle {
+			candidates = certain(models, k.name)
+		} else {
+			for _, m := range models {
+				candidates = append(candidates, route.Candidate{
+					Version: m.ref, Cost: m.cost, Quality: ratings.Quality(m.version, rating.Key{Version: m.ref, Kind: k.name}),
+				})
+			}
+		}
+		plan := choose(k, candidates, random)
+		ok, cost, by := play(plan, byRef, k.name, random)
+		total += cost
+		asked[k.name]++
+		if ok {
+			good[k.name]++
+		}
+		for _, run := range by {
+			if random.Float64() < costRated {
+				seq++
+				due = append(due, platform.Rating{Seq: seq, Model: run.ref.Model, Version: "1", Kind: k.name, Good: run.good})
+			}
+		}
+		if len(due) > costDelay {
+			ratings.Add(due[:len(due)-costDelay])
+			due = due[len(due)-costDelay:]
+		}
+	}
+	result := costResult{cost: total / costRequests}
+	for _, k := range kinds {
+		share := float64(good[k.name]) / float64(asked[k.name])
+		result.good += float64(good[k.name]) / costRequests
+		// Half a point is the noise of 10,000 answers.
+		if share >= k.target-0.005 {
+			result.met += float64(asked[k.name]) / costRequests
+		}
+	}
+	return result
+}
+
+// modelRun is one model's answer.
+type modelRun struct {
+	ref  config.VersionRef
+	good bool
+}
+
+// play answers a request by a plan.
+func play(plan route.Plan, models map[config.VersionRef]costModel, kind string, random *rand.Rand) (bool, float64, []modelRun) {
+	first := models[plan.Steps[0]]
+	ok := random.Float64() < first.quality[kind]
+	runs := []modelRun{{first.ref, ok}}
+	if !plan.Cascade() {
+		return ok, first.cost, runs
+	}
+	accept := costJudge.FalseAccept
+	if ok {
+		accept = costJudge.TrueAccept
+	}
+	cost := first.cost + costJudge.Cost
+	if random.Float64() < accept {
+		return ok, cost, runs
+	}
+	second := models[plan.Steps[1]]
+	ok = random.Float64() < second.quality[kind]
+	return ok, cost + second.cost, append(runs, modelRun{second.ref, ok})
+}
+
+// staticTable is what operators would set from the priors: the cheapest model
+// whose prior mean meets the target.
+func staticTable(k costKind, candidates []route.Candidate, _ *rand.Rand) route.Plan {
+	models, _ := costWorld()
+	for i, m := range models {
+		if m.version.Prior["default"].Mean >= k.target {
+			return fixedModel(i)(k, candidates, nil)
+		}
+	}
+	return fixedModel(len(models)-1)(k, candidates, nil)
+}
+
+func measureCost() []table {
+	models, _ := costWorld()
+	policies := []struct {
+		name   string
+		choose chooser
+		oracle bool
+	}{
+		{"oracle (true qualities)", routed(0), true},
+		{"router: lower bound, cascades, 2% exploration", routed(exploreShare), false},
+		{"router without exploration", routed(0), false},
+		{"router without cascades", func(k costKind, c []route.Candidate, r *rand.Rand) route.Plan {
+			k.cascade = false
+			return routed(exploreShare)(k, c, r)
+		}, false},
+		{"static table from priors", staticTable, false},
+		{"always the dearest", fixedModel(len(models) - 1), false},
+		{"always the cheapest", fixedModel(0), false},
+	}
+	t := table{Name: "Cost at the quality target", Columns: []string{"policy", "cost per request", "requests of kinds that met their target", "good answers", "cost over oracle"}}
+	results := make([]costResult, len(policies))
+	for i, p := range policies {
+		for seed := range uint64(costSeeds) {
+			r := runCost(p.choose, p.oracle, seed)
+			results[i].cost += r.cost / costSeeds
+			results[i].met += r.met / costSeeds
+			results[i].good += r.good / costSeeds
+		}
+		t.add(p.name, results[i].cost, results[i].met, results[i].good, results[i].cost/results[0].cost)
+	}
+	return []table{t}
+}
--- /dev/null
+++ b/test/measure/latency.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/route"
+)
+
+// Model of the latency measurement, in milliseconds of virtual time.
+const (
+	latEngines = 12
+	latSlots   = 8
+	latDaemons = 6
+	latTokens  = 60
+	// latToken is a decoding step alone; each further attempt in the batch
+	// adds latBatch of it.
+	latToken = 10.0
+	latBatch = 0.05
+	// latPrefill is the time of a prompt that is not cached; a cached one
+	// takes a fifth.
+	latPrefill  = 200.0
+	latSessions = 120
+	latCached   = 12 // prompts that an engine keeps
+	latStep     = 5.0
+	latLength   = 90_000.0
+	latWarmup   = 15_000.0
+)
+
+// latJob is one request inside an engine.
+type latJob struct {
+	arrived, first, last float64
+	prefix               uint64
+	prefill              float64
+	tokens               float64
+	daemon               int
+}
+
+// latEngine batches continuously.
+type latEngine struct {
+	running, waiting []*latJob
+	cache            []uint64
+	slow             float64
+	dead             bool
+}
+
+func (e *latEngine) load() int { return len(e.running) + len(e.waiting) }
+
+// advance runs the engine for a step and reports finished jobs.
+func (e *latEngine) advance(now float64, done func(*latJob)) {
+	for len(e.waiting) > 0 && len(e.running) < latSlots {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		j.prefill = latPrefill * e.slow
+		if at := slices.Index(e.cache, j.prefix); at >= 0 {
+			j.prefill /= 5
+			e.cache = slices.Delete(e.cache, at, at+1)
+		}
+		e.cache = append(e.cache, j.prefix)
+		if len(e.cache) > latCached {
+			e.cache = e.cache[1:]
+		}
+		e.running = append(e.running, j)
+	}
+	step := latToken * e.slow * (1 + latBatch*float64(len(e.running)-1))
+	e.running = slices.DeleteFunc(e.running, func(j *latJob) bool {
+		if j.prefill > 0 {
+			j.prefill -= latStep
+			return false
+		}
+		if j.first == 0 {
+			j.first = now
+		}
+		j.tokens -= latStep / step
+		if j.tokens > 0 {
+			return false
+		}
+		j.last = now
+		done(j)
+		return true
+	})
+}
+
+// latDaemon sees the engines through reports and its own work.
+type latDaemon struct {
+	reported  []int
+	sentSince []int
+	next      int
+}
+
+// latPolicy picks an engine.
+type latPolicy func(d *latDaemon, prefix uint64, random *rand.Rand) int
+
+func latRandom(_ *latDaemon, _ uint64, random *rand.Rand) int { return random.IntN(latEngines) }
+
+func latRoundRobin(d *latDaemon, _ uint64, _ *rand.Rand) int {
+	d.next = (d.next + 1) % latEngines
+	return d.next
+}
+
+func latLeastReported(d *latDaemon, _ uint64, _ *rand.Rand) int {
+	best := 0
+	for i, n := range d.reported {
+		if n < d.reported[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// latRouter is route.Balance as the daemon calls it.
+func latRouter(bound float64) latPolicy {
+	return func(d *latDaemon, prefix uint64, random *rand.Rand) int {
+		loads := make([]route.Load, latEngines)
+		for i := range loads {
+			loads[i] = route.Load{ID: fmt.Sprintf("e%02d", i), Slots: latSlots, Estimate: route.EstimateLoad(d.reported[i], d.sentSince[i])}
+		}
+		const noLimit = 1e9
+		pick, _ := route.Balance(loads, prefix, bound, noLimit, random)
+		var at int
+		_, _ = fmt.Sscanf(pick.ID, "e%d", &at)
+		return at
+	}
+}
+
+// latCase is one circumstance.
+type latCase struct {
+	name string
+	load float64
+	lag  float64
+	// slow makes one engine ten times slower, lost kills one in the middle.
+	slow, lost bool
+}
+
+// latResult has times to the first token and between tokens.
+type latResult struct {
+	first, between *hdrhistogram.Histogram
+	failed, asked  int
+}
+
+// capacity is the jobs per millisecond that all engines can finish.
+func latCapacity() float64 {
+	perJob := latPrefill*0.6 + latTokens*latToken*(1+latBatch*(latSlots-1))
+	return latEngines * latSlots / perJob
+}
+
+func runLatency(c latCase, pick latPolicy, seed uint64) latResult {
+	random := rand.New(rand.NewPCG(seed, 4))
+	engines := make([]*latEngine, latEngines)
+	for i := range engines {
+		engines[i] = &latEngine{slow: 1}
+	}
+	if c.slow {
+		engines[0].slow = 10
+	}
+	daemons := make([]*latDaemon, latDaemons)
+	for i := range daemons {
+		daemons[i] = &latDaemon{reported: make([]int, latEngines), sentSince: make([]int, latEngines)}
+	}
+	out := latResult{first: hdrhistogram.New(1, 1e7, 3), between: hdrhistogram.New(1, 1e7, 3)}
+	record := func(j *latJob) {
+		if j.arrived > latWarmup {
+			_ = out.first.RecordValue(int64(j.first - j.arrived))
+			_ = out.between.RecordValue(int64(1000 * (j.last - j.first) / latTokens))
+		}
+	}
+	nextArrival, nextReport := 0.0, 0.0
+	for now := 0.0; now < latLength; now += latStep {
+		if now >= nextReport {
+			nextReport = now + c.lag
+			for i, e := range engines {
+				for _, d := range daemons {
+					d.reported[i], d.sentSince[i] = e.load(), 0
+				}
+			}
+		}
+		if c.lost && now >= latLength/2 && !engines[1].dead {
+			engines[1].dead = true
+			out.failed += engines[1].load()
+			engines[1].running, engines[1].waiting = nil, nil
+		}
+		for nextArrival <= now {
+			nextArrival += random.ExpFloat64() / (latCapacity() * c.load)
+			d := random.IntN(latDaemons)
+			j := &latJob{arrived: now, prefix: random.Uint64N(latSessions), tokens: latTokens, daemon: d}
+			at := latSend(daemons[d], engines, j.prefix, pick, random)
+			out.asked++
+			engines[at].waiting = append(engines[at].waiting, j)
+			daemons[d].sentSince[at]++
+		}
+		for _, e := range engines {
+			e.advance(now, record)
+		}
+	}
+	return out
+}
+
+// latSend picks until the engine is alive: a refused connection is noticed at
+// once and goes elsewhere, under every policy.
+func latSend(d *latDaemon, engines []*latEngine, prefix uint64, pick latPolicy, random *rand.Rand) int {
+	for range 3 {
+		at := pick(d, prefix, random)
+		if !engines[at].dead {
+			return at
+		}
+		d.reported[at] = 1 << 20
+	}
+	for {
+		if at := random.IntN(latEngines); !engines[at].dead {
+			return at
+		}
+	}
+}
+
+func measureLatency() []table {
+	t := table{
+		Name:    "Time to the first token and between tokens, in ms",
+		Columns: []string{"circumstance", "policy", "first p50", "first p95", "between p50", "between p95"},
+	}
+	policies := []struct {
+		name string
+		pick latPolicy
+	}{
+		{"router: two choices, affinity bound 1.25", latRouter(1.25)},
+		{"router without affinity", latRouter(-1e9)},
+		{"least reported", latLeastReported},
+		{"round robin", latRoundRobin},
+		{"random", latRandom},
+	}
+	for _, c := range []latCase{
+		{name: "50% load", load: 0.5, lag: 200},
+		{name: "80% load", load: 0.8, lag: 200},
+		{name: "95% load", load: 0.95, lag: 200},
+		{name: "80% load, reports 1 s late", load: 0.8, lag: 1000},
+		{name: "70% load, one engine ten times slower", load: 0.7, lag: 200, slow: true},
+		{name: "70% load, one engine lost", load: 0.7, lag: 200, lost: true},
+	} {
+		for _, p := range policies {
+			r := runLatency(c, p.pick, 1)
+			t.add(c.name, p.name, r.first.ValueAtQuantile(50), r.first.ValueAtQuantile(95),
+				float64(r.between.ValueAtQuantile(50))/1000, float64(r.between.ValueAtQuantile(95))/1000)
+		}
+	}
+	return []table{t}
+}
--- /dev/null
+++ b/test/measure/limits.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+)
+
+// Model of the limits measurement, in real time.
+const (
+	limSlots    = 16
+	limService  = 20 * time.Millisecond
+	limDeadline = 200 * time.Millisecond
+	limLength   = 3 * time.Second
+)
+
+// limCapacity is requests per second.
+var limCapacity = limSlots / limService.Seconds()
+
+// gate lets a request start when there is a slot.
+type gate interface {
+	// enter blocks until the request may start, or fails.
+	enter(w limit.Work) error
+	// leave gives the slot back.
+	leave()
+}
+
+// queueGate is the router's queue.
+type queueGate struct {
+	queue *limit.Queue
+	mu    sync.Mutex
+	used  int
+}
+
+func newQueueGate() gate { return &queueGate{queue: limit.NewQueue(clockwork.NewRealClock())} }
+
+func (g *queueGate) enter(w limit.Work) error {
+	ctx, cancel := context.WithDeadline(context.Background(), w.Deadline)
+	defer cancel()
+	return g.queue.Wait(ctx, w, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.used == limSlots {
+			return false
+		}
+		g.used++
+		return true
+	})
+}
+
+func (g *queueGate) leave() {
+	g.mu.Lock()
+	g.used--
+	g.mu.Unlock()
+	g.queue.Poke()
+}
+
+// fifoGate is the baseline: first come, first served, until the deadline.
+type fifoGate struct{ slots chan struct{} }
+
+func newFIFOGate() gate { return &fifoGate{slots: make(chan struct{}, limSlots)} }
+
+func (g *fifoGate) enter(w limit.Work) error {
+	select {
+	case g.slots <- struct{}{}:
+		return nil
+	case <-time.After(time.Until(w.Deadline)):
+		return errors.New("deadline")
+	}
+}
+
+func (g *fifoGate) leave() { <-g.slots }
+
+// limCount is what became of the requests of one class.
+type limCount struct {
+	offered, good, refused atomic.Int64
+	// waited is the time refused requests were kept, in microseconds.
+	waited atomic.Int64
+}
+
+// class is a part of the load.
+type class struct {
+	organisation string
+	priority     int
+	// rate is requests per second.
+	rate float64
+}
+
+// runLimits offers the classes to a gate and counts answers in time.
+func runLimits(g gate, classes []class) []*limCount {
+	counts := make([]*limCount, len(classes))
+	var all sync.WaitGroup
+	for i, c := range classes {
+		counts[i] = &limCount{}
+		all.Go(func() { offer(g, c, counts[i], uint64(i), &all) })
+	}
+	all.Wait()
+	return counts
+}
+
+func offer(g gate, c class, count *limCount, seed uint64, all *sync.WaitGroup) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	next := time.Now()
+	end := next.Add(limLength)
+	for next.Before(end) {
+		next = next.Add(time.Duration(random.ExpFloat64() / c.rate * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		count.offered.Add(1)
+		all.Go(func() { one(g, c, count) })
+	}
+}
+
+func one(g gate, c class, count *limCount) {
+	began := time.Now()
+	deadline := began.Add(limDeadline)
+	err := g.enter(limit.Work{Priority: c.priority, Organisation: c.organisation, Cost: 1, Deadline: deadline, Service: limService})
+	if err != nil {
+		count.refused.Add(1)
+		count.waited.Add(time.Since(began).Microseconds())
+		return
+	}
+	time.Sleep(limService)
+	g.leave()
+	if time.Now().Before(deadline) {
+		count.good.Add(1)
+	}
+}
+
+func measureLimits() []table {
+	return []table{goodput(), fairness(), brownout()}
+}
+
+func goodput() table {
+	t := table{
+		Name:    "Answers in time per second over capacity, by offered load",
+		Columns: []string{"offered over capacity", "policy", "all", "interactive", "normal", "batch", "refused after, ms"},
+	}
+	for _, load := range []float64{0.5, 1, 1.5, 2, 4} {
+		for _, p := range []struct {
+			name string
+			make func() gate
+		}{{"router's queue", newQueueGate}, {"first come, first served", newFIFOGate}} {
+			var classes []class
+			for priority := range 3 {
+				classes = append(classes, class{organisation: "o", priority: priority, rate: load * limCapacity / 3})
+			}
+			counts := runLimits(p.make(), classes)
+			per := func(c *limCount) float64 { return float64(c.good.Load()) / limLength.Seconds() / limCapacity }
+			refused, waited := int64(0), int64(0)
+			for _, c := range counts {
+				refused += c.refused.Load()
+				waited += c.waited.Load()
+			}
+			t.add(load, p.name, per(counts[0])+per(counts[1])+per(counts[2]), per(counts[2]), per(counts[1]), per(counts[0]),
+				float64(waited)/1000/float64(max(refused, 1)))
+		}
+	}
+	return t
+}
+
+func fairness() table {
+	t := table{
+		Name:    "One greedy organisation of ten at 2x capacity: share of the modest ones' requests answered in time",
+		Columns: []string{"policy", "modest (10% of their fair share each)", "greedy"},
+	}
+	for _, p := range []struct {
+		name string
+		make func() gate
+	}{{"router's queue", newQueueGate}, {"first come, first served", newFIFOGate}} {
+		classes := []class{{organisation: "greedy", rate: 2 * limCapacity}}
+		for i := range 9 {
+			classes = append(classes, class{organisation: string(rune('a' + i)), rate: 0.01 * limCapacity})
+		}
+		counts := runLimits(p.make(), classes)
+		good, offered := 0.0, 0.0
+		for _, c := range counts[1:] {
+			good += float64(c.good.Load())
+			offered += float64(c.offered.Load())
+		}
+		t.add(p.name, good/offered, float64(counts[0].good.Load())/float64(counts[0].offered.Load()))
+	}
+	return t
+}
+
+// brownout fails a share of attempts and counts what is sent.
+func brownout() table {
+	t := table{
+		Name:    "Attempts per request while upstreams fail",
+		Columns: []string{"share of attempts that fail", "budget 0.1 per success", "three retries always"},
+	}
+	for _, fail := range []float64{0.01, 0.1, 0.5, 1} {
+		t.add(fail, attempts(fail, limit.NewRetryBudget(0.1, 10), 8), attempts(fail, nil, 4))
+	}
+	return t
+}
+
+func attempts(fail float64, budget *limit.RetryBudget, most int) float64 {
+	const requests = 20_000
+	random := rand.New(rand.NewPCG(6, 6))
+	sent := 0
+	for range requests {
+		for range most {
+			sent++
+			if random.Float64() >= fail {
+				if budget != nil {
+					budget.Success()
+				}
+				break
+			}
+			if budget != nil && !budget.Take() {
+				break
+			}
+		}
+	}
+	return float64(sent) / requests
+}
