Exposure: a horizon for ratings; a latency model that counts the slow

Cause: only a part of all answers is ever rated, and the others counted against the budget for 5 minutes whatever the rater's delay, so a good version waited for credits. The latency model left out answers that never came.

Conclusion: the horizon is a policy setting with the old value as default.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -153,6 +153,7 @@
 		previous = share
 	}
 	c.require(len(r.Stages) == 0 || previous == 1, "/rollouts/stages", "the last share is 1")
+	c.require(r.RatingHorizonMS >= 0, "/rollouts/rating_horizon_ms", "must not be negative")
 	c.require(r.FalseWithdrawal >= 0 && r.FalseWithdrawal < 0.5, "/rollouts/false_withdrawal", "must be below 0.5")
 	c.require(r.FalseAcceptance >= 0 && r.FalseAcceptance < 0.5, "/rollouts/false_acceptance", "must be below 0.5")
 }
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -180,6 +180,15 @@
 	FalseAcceptance float64 `json:"false_acceptance,omitempty"`
 	// Tolerance is how far below the target a version counts as bad. Default 0.1.
 	Tolerance float64 `json:"tolerance,omitempty"`
+	// RatingHorizonMS is how long after an answer a rating is still expected,
+	// in milliseconds. Later the answer no longer counts as not rated yet.
+	// Default 300000.
+	RatingHorizonMS int64 `json:"rating_horizon_ms,omitempty"`
+}
+
+// RatingHorizon returns RatingHorizonMS as a duration.
+func (p RolloutPolicy) RatingHorizon() time.Duration {
+	return time.Duration(p.RatingHorizonMS) * time.Millisecond
 }
 
 // WithDefaults fills in defaults.
@@ -192,6 +201,7 @@
 	setDefault(&p.FalseWithdrawal, 0.01)
 	setDefault(&p.FalseAcceptance, 0.01)
 	setDefault(&p.Tolerance, 0.1)
+	setDefault(&p.RatingHorizonMS, 300_000)
 	return p
 }
 
--- a/internal/rollout/credit.go
+++ b/internal/rollout/credit.go
@@ -12,11 +12,6 @@
 // CreditTTL is how long a daemon may use a granted credit.
 const CreditTTL = 10 * time.Second
 
-// ratingHorizon is how long an answer counts as not rated yet. Only a part of
-// all answers is ever rated; without a horizon the others would use up the
-// budget for good.
-const ratingHorizon = 5 * time.Minute
-
 // grant is a number of credits given at a time.
 type grant struct {
 	at time.Time
@@ -25,7 +20,9 @@
 
 // Bank is the duty holder's account of the exposure of one version: answers
 // that were allowed and not rated yet stay under a budget that grows with
-// good ratings. It is not safe for concurrent use.
+// good ratings. Only a part of all answers is ever rated; those past the
+// policy's rating horizon no longer count, or they would use up the budget for
+// good. It is not safe for concurrent use.
 type Bank struct {
 	policy config.RolloutPolicy
 	grants []grant
@@ -70,7 +67,7 @@
 	b.rated = max(rated, b.rated)
 	for len(b.grants) > 0 {
 		first := &b.grants[0]
-		if now.Sub(first.at) > ratingHorizon {
+		if now.Sub(first.at) > b.policy.RatingHorizon() {
 			b.grants = b.grants[1:]
 			continue
 		}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -227,5 +227,5 @@
 	b.Grant(10, now)
 	require.Zero(t, b.Available(0, 0, now))
 	require.Equal(t, 4+4, b.Available(4, 0, now), "four rated, and four earned")
-	require.Zero(t, b.Available(4, 8, now.Add(ratingHorizon))-10, "all but the budget has passed the horizon")
+	require.Zero(t, b.Available(4, 8, now.Add(5*time.Minute))-10, "all but the budget has passed the horizon")
 }
--- a/test/measure/exposure.go
+++ b/test/measure/exposure.go
@@ -91,7 +91,7 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	clock := clockwork.NewFakeClock()
 	began := clock.Now()
-	policy := config.RolloutPolicy{}.WithDefaults()
+	policy := config.RolloutPolicy{RatingHorizonMS: (2 * s.delay).Milliseconds()}.WithDefaults()
 	test := rollout.NewTest(policy)
 	bank := rollout.NewBank(policy, 0, 0, began)
 	wallets := make([]*rollout.Exposure, exposureDaemons)
--- a/test/measure/latency.go
+++ b/test/measure/latency.go
@@ -35,8 +35,9 @@
 	arrived, first, last float64
 	prefix               uint64
 	prefill              float64
-	tokens               float64
+	tokens, length       float64
 	daemon               int
+	engine               int
 }
 
 // latEngine batches continuously.
@@ -89,6 +90,20 @@
 	reported  []int
 	sentSince []int
 	next      int
+	// token is the smoothed time between tokens of each engine; 0 is unknown.
+	token []float64
+}
+
+// observe learns from a finished job, as the daemon does.
+func (d *latDaemon) observe(j *latJob) {
+	if d.token == nil {
+		d.token = make([]float64, latEngines)
+	}
+	sample := (j.last - j.first) / j.length
+	if d.token[j.engine] == 0 {
+		d.token[j.engine] = sample
+	}
+	d.token[j.engine] += 0.1 * (sample - d.token[j.engine])
 }
 
 // latPolicy picks an engine.
@@ -162,9 +177,10 @@
 	}
 	out := latResult{first: hdrhistogram.New(1, 1e7, 3), between: hdrhistogram.New(1, 1e7, 3)}
 	record := func(j *latJob) {
+		daemons[j.daemon].observe(j)
 		if j.arrived > latWarmup {
 			_ = out.first.RecordValue(int64(j.first - j.arrived))
-			_ = out.between.RecordValue(int64(1000 * (j.last - j.first) / latTokens))
+			_ = out.between.RecordValue(int64(1000 * (j.last - j.first) / j.length))
 		}
 	}
 	nextArrival, nextReport := 0.0, 0.0
@@ -185,8 +201,11 @@
 		for nextArrival <= now {
 			nextArrival += random.ExpFloat64() / (latCapacity() * c.load)
 			d := random.IntN(latDaemons)
-			j := &latJob{arrived: now, prefix: random.Uint64N(latSessions), tokens: latTokens, daemon: d}
+			j := &latJob{arrived: now, prefix: random.Uint64N(latSessions), daemon: d}
+			j.length = max(1, random.ExpFloat64()*latTokens)
+			j.tokens = j.length
 			at := latSend(daemons[d], engines, j.prefix, pick, random)
+			j.engine = at
 			out.asked++
 			engines[at].waiting = append(engines[at].waiting, j)
 			daemons[d].sentSince[at]++
@@ -195,6 +214,14 @@
 			e.advance(now, record)
 		}
 	}
+	for _, e := range engines {
+		for _, j := range append(e.running, e.waiting...) {
+			// Without this the slowest answers would be missing.
+			if j.first == 0 && j.arrived > latWarmup {
+				_ = out.first.RecordValue(int64(latLength - j.arrived))
+			}
+		}
+	}
 	return out
 }
 
