--- /dev/null
+++ b/test/capacity/bytes.go
@@ -0,0 +1,247 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/daemon"
+	"github.com/hornbeamsill/hornbeamsill/internal/ident"
+	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/internal/standin"
+	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
+)
+
+// counter forwards TCP connections and counts their bytes, both ways.
+type counter struct {
+	listener net.Listener
+	bytes    atomic.Int64
+}
+
+func newCounter(target string) (*counter, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &counter{listener: l}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				in.Close()
+				return
+			}
+			go c.pipe(in, out)
+			go c.pipe(out, in)
+		}
+	}()
+	return c, nil
+}
+
+func (c *counter) pipe(to io.WriteCloser, from io.Reader) {
+	defer to.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		c.bytes.Add(int64(n))
+		if _, werr := to.Write(buffer[:n]); err != nil || werr != nil {
+			return
+		}
+	}
+}
+
+// per returns the bytes of one of n calls, after one to warm up.
+func (c *counter) per(n int, call func() error) (float64, error) {
+	if err := call(); err != nil {
+		return 0, err
+	}
+	before := c.bytes.Load()
+	for range n {
+		if err := call(); err != nil {
+			return 0, err
+		}
+	}
+	return float64(c.bytes.Load()-before) / float64(n), nil
+}
+
+// peerPair is a daemon that serves its peers and a counted way to it.
+type peerPair struct {
+	node    *daemon.Node
+	client  *peer.Client
+	counter *counter
+}
+
+func newPeerPair() (*peerPair, error) {
+	s := settings.Defaults()
+	node := daemon.NewNode(s, platform.NewMemory(), clock)
+	server, err := peer.Listen("127.0.0.1:0", nil, node)
+	if err != nil {
+		return nil, err
+	}
+	c, err := newCounter(server.Address())
+	if err != nil {
+		return nil, err
+	}
+	return &peerPair{node: node, client: peer.NewClient(nil), counter: c}, nil
+}
+
+func (p *peerPair) address() string { return p.counter.listener.Addr().String() }
+
+// sized measures the bytes of a call for each size.
+func sized(name, per string, sizes []int, prepare func(p *peerPair, n int) func() error) (slope, error) {
+	var failed error
+	s := measure(name, "B", per, sizes, func(n int) float64 {
+		p, err := newPeerPair()
+		if err != nil {
+			failed = err
+			return 0
+		}
+		b, err := p.counter.per(20, prepare(p, n))
+		if err != nil {
+			failed = err
+		}
+		return b
+	})
+	return s, failed
+}
+
+func byteSlopes() ([]slope, error) {
+	ctx := context.Background()
+	incarnation := ident.NewIncarnation()
+	kinds := []struct {
+		name, per string
+		sizes     []int
+		prepare   func(p *peerPair, n int) func() error
+	}{
+		{"heartbeat, both ways, with n pieces of news each way", "piece of news", []int{0, 4, 16}, func(p *peerPair, n int) func() error {
+			h := p.node.Heartbeat()
+			h.News = nil
+			for i := range n {
+				h.News = append(h.News, daemonEntry(i))
+			}
+			return func() error {
+				// News that the peer takes in is told on, in its answer.
+				_, err := p.client.Heartbeat(ctx, p.address(), h)
+				return err
+			}
+		}},
+		{"whole table of daemons", "daemon", []int{100, 400, 1300}, func(p *peerPair, n int) func() error {
+			for i := range n {
+				p.node.Registry().Learn([]member.Daemon{daemonEntry(i)})
+			}
+			return func() error { _, err := p.client.Members(ctx, p.address()); return err }
+		}},
+		{"copies of bills to one holder", "bill", []int{1, 16, 128}, func(p *peerPair, n int) func() error {
+			var bills []ledger.Bill
+			for i := range n {
+				bills = append(bills, billOf(incarnation, i, ledger.Open))
+			}
+			return func() error {
+				return p.client.Hold(ctx, p.address(), peer.HoldRequest{Owner: incarnation, Bills: bills})
+			}
+		}},
+		{"demand of organisations", "organisation", []int{1, 10, 100}, func(p *peerPair, n int) func() error {
+			var d []limit.Demand
+			for i := range n {
+				d = append(d, limit.Demand{Organisation: fmt.Sprintf("org-%d", i), Offered: 100, InFlight: 10})
+			}
+			return func() error {
+				_, err := p.client.Demand(ctx, p.address(), peer.DemandRequest{From: incarnation, Demands: d})
+				return err
+			}
+		}},
+		{"rating summary", "version and kind", []int{10, 40, 120}, func(p *peerPair, n int) func() error {
+			var ratings []platform.Rating
+			for i := range n {
+				ratings = append(ratings, platform.Rating{Seq: int64(i + 1), Model: fmt.Sprintf("model-%d", i%19), Version: "1", Kind: fmt.Sprintf("kind-%d", i/19), Good: true})
+			}
+			p.node.AddRatings(ratings)
+			return func() error { _, err := p.client.Ratings(ctx, p.address()); return err }
+		}},
+	}
+	var out []slope
+	for _, k := range kinds {
+		s, err := sized(k.name, k.per, k.sizes, k.prepare)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", k.name, err)
+		}
+		out = append(out, s)
+	}
+	rows := []slope{
+		measure("row of committed bills", "B", "bill", []int{10, 100, 500}, func(n int) float64 {
+			var bills []ledger.Bill
+			for i := range n {
+				b := billOf(incarnation, i, ledger.Answered)
+				bills = append(bills, b)
+			}
+			data, _ := json.Marshal(bills)
+			return float64(len(data))
+		}),
+		measure("delta of one changed overlay", "B", "organisation overridden", []int{1, 10, 100}, overlayDelta),
+	}
+	report, err := reportSlope()
+	return append(append(out, rows...), report), err
+}
+
+// overlayDelta is the size of what a daemon fetches after its overlay changed.
+func overlayDelta(n int) float64 {
+	text := `{"organisations":{`
+	for i := range n {
+		if i > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf(`"org-%d":{"limits":{"requests_per_second":%d}}`, i, i)
+	}
+	data, _ := json.Marshal(config.StoredDocument{Revision: 1, Generation: 1, Text: text + "}}", ChangeID: "x", At: time.Now()})
+	return float64(len(data))
+}
+
+// reportSlope is the size of a load report over HTTP.
+func reportSlope() (slope, error) {
+	var failed error
+	s := measure("load report over HTTP", "B", "version served", []int{1, 4, 16}, func(n int) float64 {
+		o := standin.EngineOptions{Instance: "engine-1", Profiles: map[string]standin.VersionProfile{}}
+		for i := range n {
+			v := fmt.Sprintf("model-%d@1", i)
+			o.Profiles[v] = standin.VersionProfile{}
+			o.Serving = append(o.Serving, v)
+		}
+		engine := standin.NewEngine(o)
+		defer engine.Close()
+		server, err := standin.Serve("127.0.0.1:0", engine.Handler())
+		if err != nil {
+			failed = err
+			return 0
+		}
+		defer server.Close()
+		c, err := newCounter(server.Address())
+		if err != nil {
+			failed = err
+			return 0
+		}
+		client := upstream.NewClient(time.Second)
+		b, err := c.per(20, func() error {
+			_, err := client.Load(context.Background(), c.listener.Addr().String())
+			return err
+		})
+		if err != nil {
+			failed = err
+		}
+		return b
+	})
+	return s, failed
+}
--- /dev/null
+++ b/test/capacity/process.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/internal/standin"
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+)
+
+// watch is how long processes are watched.
+const watch = 6 * time.Second
+
+// ticksPerSecond is the unit of processor time in /proc.
+const ticksPerSecond = 100
+
+// idle is what an idle cluster costs.
+type idle struct {
+	// core is the processor time of one daemon, in percent of a core.
+	core float64
+	// resident is the memory of one daemon, in MB.
+	resident float64
+	// reads and writes are the calls of all daemons to the platform a second.
+	reads, writes float64
+}
+
+// watchIdle runs daemons with their usual settings and no callers.
+func watchIdle(bin cluster.Binaries, daemons, upstreams int) (idle, error) {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return idle{}, err
+	}
+	defer os.RemoveAll(dir)
+	c, err := cluster.New(bin, dir)
+	if err != nil {
+		return idle{}, err
+	}
+	defer c.Close()
+	c.Settings.Timing = settings.Defaults().Timing
+	for i := range upstreams {
+		o := standin.EngineOptions{
+			Instance: fmt.Sprintf("engine-%d", i),
+			Profiles: map[string]standin.VersionProfile{"notes-large@1": {}}, Serving: []string{"notes-large@1"},
+		}
+		if _, err := c.Engine(o, "a", nil); err != nil {
+			return idle{}, err
+		}
+	}
+	for i := range daemons {
+		if _, err := c.StartDaemon(fmt.Sprintf("domain-%d", i), nil); err != nil {
+			return idle{}, err
+		}
+	}
+	text, err := os.ReadFile(filepath.Join("examples", "base.jsonc"))
+	if err != nil {
+		return idle{}, err
+	}
+	err = cluster.Post(c.Daemons[0].OperatorURL+"/v1/config/apply", config.ApplyRequest{ChangeID: "base", Text: string(text)}, nil)
+	if err != nil {
+		return idle{}, err
+	}
+	if err := c.Settle(c.Daemons, upstreams); err != nil {
+		return idle{}, err
+	}
+	return observe(c)
+}
+
+func observe(c *cluster.Cluster) (idle, error) {
+	type counts struct {
+		Reads  float64 `json:"reads"`
+		Writes float64 `json:"writes"`
+	}
+	var before, after counts
+	cpu := 0.0
+	if err := cluster.Get("http://"+c.Platform+"/standin/counts", &before); err != nil {
+		return idle{}, err
+	}
+	for _, d := range c.Daemons {
+		cpu -= processorTime(d.Pid())
+	}
+	time.Sleep(watch)
+	out := idle{}
+	for _, d := range c.Daemons {
+		cpu += processorTime(d.Pid())
+		out.resident += residentMB(d.Pid()) / float64(len(c.Daemons))
+	}
+	if err := cluster.Get("http://"+c.Platform+"/standin/counts", &after); err != nil {
+		return idle{}, err
+	}
+	out.core = 100 * cpu / watch.Seconds() / float64(len(c.Daemons))
+	out.reads = (after.Reads - before.Reads) / watch.Seconds()
+	out.writes = (after.Writes - before.Writes) / watch.Seconds()
+	return out, nil
+}
+
+// processorTime returns the seconds a process has used.
+func processorTime(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / ticksPerSecond
+}
+
+func residentMB(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+	return kb / 1024
+}
+
+func processSlopes() ([]slope, error) {
+	dir, err := os.MkdirTemp("", "capacity-bin")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := cluster.Build(dir)
+	if err != nil {
+		return nil, err
+	}
+	var failed error
+	runs := map[string]idle{}
+	point := func(daemons, upstreams int) idle {
+		key := fmt.Sprint(daemons, "/", upstreams)
+		if _, done := runs[key]; !done {
+			r, err := watchIdle(bin, daemons, upstreams)
+			if err != nil {
+				failed = err
+			}
+			runs[key] = r
+		}
+		return runs[key]
+	}
+	byDaemons := func(name, unit string, f func(idle) float64) slope {
+		return measure(name, unit, "daemon", []int{2, 4, 8}, func(n int) float64 { return f(point(n, 4)) })
+	}
+	byUpstreams := func(name, unit string, f func(idle) float64) slope {
+		return measure(name, unit, "upstream", []int{4, 16, 32}, func(n int) float64 { return f(point(2, n)) })
+	}
+	out := []slope{
+		byDaemons("idle daemon: processor, by daemons", "% of a core", func(i idle) float64 { return i.core }),
+		byDaemons("idle daemon: resident memory, by daemons", "MB", func(i idle) float64 { return i.resident }),
+		byDaemons("platform reads a second, by daemons", "reads/s", func(i idle) float64 { return i.reads }),
+		byDaemons("platform writes a second, by daemons", "writes/s", func(i idle) float64 { return i.writes }),
+		byUpstreams("idle daemon: processor, by upstreams", "% of a core", func(i idle) float64 { return i.core }),
+		byUpstreams("idle daemon: resident memory, by upstreams", "MB", func(i idle) float64 { return i.resident }),
+	}
+	return out, failed
+}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -408,3 +408,6 @@
 	}
 	return trace.Wrap(json.Unmarshal(body, out))
 }
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
