Daemons known: order kept instead of made for every question

Cause: choosing heartbeat targets, duty checks and above all the holders of each bill sorted all known daemons anew: 0.5 ms at 1,300 daemons, three times a request. Load reports and key reads did not slow down with size.

Conclusion: rendezvous order of holders is kept until the registry changes.

--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -52,7 +52,8 @@
 		func() { n.heartbeatLoop(ctx) },
 		func() { n.every(ctx, n.scaled(headReadsPerSecond, t.ConfigMS), n.pollConfig) },
 		func() { n.every(ctx, n.scaled(listReadsPerSecond, t.ListMS), n.pollList) },
-		func() { n.every(ctx, fixed(t.ReportMS), n.pollReports) },
+		func() { n.every(ctx, n.reportInterval, n.pollReports) },
+		func() { n.every(ctx, n.scaled(keyReadsPerSecond, keyMS), n.refreshKeys) },
 		func() { n.every(ctx, n.scaled(ratingReadsPerSecond, t.RatingMS), n.pollRatings) },
 		func() { n.every(ctx, fixed(t.RolloutMS), n.stepRollouts) },
 		func() { n.every(ctx, fixed(creditMS), n.refillCredits) },
@@ -73,6 +74,7 @@
 const (
 	creditMS       = 200
 	demandMS       = 1000
+	keyMS          = 5000
 	housekeepingMS = 5000
 	sealMS         = 1000
 )
@@ -179,6 +181,18 @@
 	return out
 }
 
+// reportBytes is the size of a load report over HTTP, both ways.
+const reportBytes = 430
+
+// reportInterval keeps the load reports of all upstreams within the bytes a
+// second allowed for them. The daemon's own work since a report, which the
+// estimate adds, makes up for longer intervals.
+func (n *Node) reportInterval() time.Duration {
+	bytes := float64(len(n.upstreams.All()) * reportBytes)
+	least := time.Duration(bytes / n.settings.Limits.ReportBytesPerSecond * float64(time.Second))
+	return max(least, settings.MS(n.settings.Timing.ReportMS))
+}
+
 // pollReports asks the upstreams for their load.
 func (n *Node) pollReports(ctx context.Context) {
 	var group errgroup.Group
@@ -228,12 +242,9 @@
 	}
 }
 
-// housekeeping drops what is not needed any more and renews the signing keys.
-func (n *Node) housekeeping(ctx context.Context) {
+// housekeeping drops what is not needed any more.
+func (n *Node) housekeeping(context.Context) {
 	n.answers.Sweep()
 	n.claims.Expire()
 	n.registry.Forget()
-	if err := n.keys.Refresh(ctx); err != nil {
-		slog.Debug("keys.refresh_failed", "error", err)
-	}
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -39,6 +39,7 @@
 	listReadsPerSecond   = 100
 	commitsPerSecond     = 150
 	ratingReadsPerSecond = 50
+	keyReadsPerSecond    = 20
 )
 
 // Node is one daemon.
--- a/internal/daemon/replicate.go
+++ b/internal/daemon/replicate.go
@@ -27,6 +27,10 @@
 	// seen is the set of holders of the last call, and epoch its number.
 	seen  []string
 	epoch uint64
+	// ranked are the holders in order as of the registry's epoch rankedAt. To
+	// rank all daemons for each bill would cost more than the bill.
+	ranked   []member.Daemon
+	rankedAt uint64
 }
 
 func newReplicator(registry *member.Registry, client *peer.Client) *replicator {
@@ -36,6 +40,21 @@
 // holders returns the live daemons in the order in which they hold this
 // daemon's bills: other failure domains first.
 func (r *replicator) holders() []member.Daemon {
+	epoch := r.registry.Epoch()
+	r.mu.Lock()
+	ranked, current := r.ranked, r.rankedAt == epoch
+	r.mu.Unlock()
+	if current {
+		return ranked
+	}
+	ranked = r.rank()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ranked, r.rankedAt = ranked, epoch
+	return ranked
+}
+
+func (r *replicator) rank() []member.Daemon {
 	self := r.registry.Self()
 	byID := map[string]member.Daemon{}
 	var far, near []string
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -92,6 +92,9 @@
 	random  *rand.Rand
 	epoch   uint64
 	digest  uint64
+	// sorted has every daemon by incarnation. It is replaced, never changed,
+	// when a daemon comes, goes or changes state.
+	sorted []Daemon
 }
 
 // NewRegistry returns a registry that knows only self.
@@ -169,10 +172,13 @@
 func (r *Registry) refresh() {
 	r.epoch++
 	r.digest = 0
+	r.sorted = make([]Daemon, 0, len(r.records))
 	for _, rec := range r.records {
 		d := rec.daemon
+		r.sorted = append(r.sorted, d)
 		r.digest ^= xxhash.Sum64String(d.Incarnation + d.State.String() + string(rune(d.Version)))
 	}
+	slices.SortFunc(r.sorted, func(a, b Daemon) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 }
 
 // Digest is equal at daemons that know the same.
@@ -230,13 +236,12 @@
 }
 
 func (r *Registry) list(keep func(Daemon) bool) []Daemon {
-	var out []Daemon
-	for _, rec := range r.records {
-		if keep(rec.daemon) {
-			out = append(out, rec.daemon)
+	out := make([]Daemon, 0, len(r.sorted))
+	for _, d := range r.sorted {
+		if keep(d) {
+			out = append(out, d)
 		}
 	}
-	slices.SortFunc(out, func(a, b Daemon) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	return out
 }
 
@@ -269,8 +274,16 @@
 func (r *Registry) Duty(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	live := Incarnations(r.list(func(d Daemon) bool { return d.State == Alive }))
-	return Best("duty/"+name, live) == r.self.Incarnation
+	best, top := "", uint64(0)
+	for _, d := range r.sorted {
+		if d.State != Alive {
+			continue
+		}
+		if w := weight("duty/"+name, d.Incarnation); best == "" || w > top {
+			best, top = d.Incarnation, w
+		}
+	}
+	return best == r.self.Incarnation
 }
 
 // Targets returns the daemons to send a heartbeat to: the next ones on a ring,
@@ -278,17 +291,37 @@
 func (r *Registry) Targets() []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	others := r.list(func(d Daemon) bool { return d.State != Left })
-	at := slices.IndexFunc(others, func(d Daemon) bool { return d.Incarnation == r.self.Incarnation })
-	if at >= 0 {
-		others = append(others[at+1:], others[:at]...)
+	at, _ := slices.BinarySearchFunc(r.sorted, r.self.Incarnation, func(d Daemon, id string) int {
+		return cmp.Compare(d.Incarnation, id)
+	})
+	n := len(r.sorted)
+	wanted := r.options.Watched + r.options.Random
+	var out []Daemon
+	for i := 1; i < n && len(out) < wanted; i++ {
+		if len(out) == r.options.Watched && n-i > wanted {
+			break
+		}
+		if d := r.sorted[(at+i)%n]; d.State != Left {
+			out = append(out, d)
+		}
 	}
-	if len(others) <= r.options.Watched+r.options.Random {
-		return others
+	return r.addRandom(out, wanted)
+}
+
+// addRandom fills targets up with daemons drawn at random.
+func (r *Registry) addRandom(targets []Daemon, wanted int) []Daemon {
+	const tries = 32
+	for range tries {
+		if len(targets) >= wanted || len(r.sorted) <= wanted {
+			break
+		}
+		d := r.sorted[r.random.IntN(len(r.sorted))]
+		known := slices.ContainsFunc(targets, func(t Daemon) bool { return t.Incarnation == d.Incarnation })
+		if d.State != Left && d.Incarnation != r.self.Incarnation && !known {
+			targets = append(targets, d)
+		}
 	}
-	rest := others[r.options.Watched:]
-	r.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	return others[:r.options.Watched+r.options.Random]
+	return targets
 }
 
 // News returns what to tell the next heartbeat's receiver. Each piece is
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,8 @@
 	AnswerBytes int `json:"answer_bytes"`
 	// UpstreamsSeen bounds how many upstreams the daemon uses. Default 64.
 	UpstreamsSeen int `json:"upstreams_seen"`
+	// ReportBytesPerSecond bounds the load reports asked for. Default 40000.
+	ReportBytesPerSecond float64 `json:"report_bytes_per_second"`
 }
 
 // Timing holds times in milliseconds.
@@ -132,6 +134,8 @@
 			MaxPendingBills: 100_000,
 			AnswerBytes:     64 << 20,
 			UpstreamsSeen:   64,
+
+			ReportBytesPerSecond: 40_000,
 		},
 		Timing: Timing{
 			HeartbeatMS: 500, SuspectAfter: 3, SealAfterMS: 10_000,
@@ -165,6 +169,8 @@
 		return trace.BadParameter("/platform: missing")
 	case s.Site == "":
 		return trace.BadParameter("/site: missing")
+	case s.Limits.ReportBytesPerSecond <= 0:
+		return trace.BadParameter("/limits/report_bytes_per_second: must be positive")
 	case s.Timing.HeartbeatMS <= 0:
 		return trace.BadParameter("/timing/heartbeat_ms: must be positive")
 	case s.Timing.FreshMS <= s.Timing.HeartbeatMS:
