Old bills move to the object store; expired rows are deleted

Cause: batches, homes of idempotency keys and change ids stayed in the table for good: 1.5 MB of bills a second at the size of docs/CAPACITY.md.

Now: a duty moves batches (all of a sealed log, all but the newest 50 of a live one) into one object in a conditional transaction, and deletes keys after 3 hours and change ids after 30 days. ledger list reads both places.

Measured (test with lost answers, the owner going on, a holder with old copies): every bill listed once before, during and after; 150 batches leave 50 rows and one object.

Ruled out: deleting the heads of sealed logs; an owner that wakes up would number its batches from 1 again and overwrite the index of the archive.

--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -149,3 +149,25 @@
 	_, err = r.Resolve(context.Background(), key, "other", "r3")
 	require.True(t, fault.Is(err, fault.KeyReused))
 }
+
+// The table would grow with every key without a prefix. Old ones are deleted,
+// those that may still be used are not.
+func TestSweepRows(t *testing.T) {
+	store := platform.NewMemory()
+	clock := clockwork.NewFakeClock()
+	r := NewResolver(incarnation(1), NewTable(incarnation(1), clock), store, nil, clock)
+	resolve := func(value string) {
+		_, err := r.Resolve(context.Background(), Key{Organisation: "o", Value: value}, "d", value)
+		require.NoError(t, err)
+	}
+	resolve("old")
+	clock.Advance(Lifetime + 2*Slack + time.Second)
+	resolve("new")
+	next, deleted, err := SweepRows(context.Background(), store, "", clock.Now())
+	require.NoError(t, err)
+	require.Empty(t, next)
+	require.Equal(t, 1, deleted)
+	rows, err := store.List(context.Background(), rowPrefix, "", 10)
+	require.NoError(t, err)
+	require.Len(t, rows, 1)
+}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -435,3 +435,15 @@
 	}
 	return out, nil
 }
+
+// changeRetention is how long the outcome of a change can be asked for.
+const changeRetention = 30 * 24 * time.Hour
+
+// SweepChanges deletes the rows of old change ids, one page a call; see
+// platform.Sweep. The revisions they made stay in the history.
+func (s *Store) SweepChanges(ctx context.Context, after string) (next string, deleted int, err error) {
+	return platform.Sweep(ctx, s.table, changeKey, after, func(row platform.Row) bool {
+		var c Change
+		return json.Unmarshal(row.Value, &c) == nil && s.now().Sub(c.At) > changeRetention
+	})
+}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
@@ -156,3 +157,25 @@
 		slog.Debug("ledger.seal_failed", "incarnation", owner, "error", err)
 	}
 }
+
+// tidy moves old bills to the object store and deletes rows that have expired,
+// as a duty of one daemon. Two daemons that both believe to have the duty do
+// no harm: every step is conditional on the rows it saw.
+func (n *Node) tidy(ctx context.Context) {
+	if !n.registry.Duty("tidy") {
+		return
+	}
+	moved, err := ledger.ArchiveDue(ctx, n.platform)
+	if err != nil {
+		slog.Debug("ledger.archive_failed", "error", err)
+	}
+	if moved > 0 {
+		slog.Info("ledger.archived", "batches", moved)
+	}
+	if n.claimCursor, _, err = claim.SweepRows(ctx, n.platform, n.claimCursor, n.clock.Now()); err != nil {
+		slog.Debug("claim.sweep_failed", "error", err)
+	}
+	if n.changeCursor, _, err = n.config.SweepChanges(ctx, n.changeCursor); err != nil {
+		slog.Debug("config.sweep_failed", "error", err)
+	}
+}
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -60,6 +60,7 @@
 		func() { n.every(ctx, fixed(demandMS), n.reportDemand) },
 		func() { n.every(ctx, fixed(housekeepingMS), n.housekeeping) },
 		func() { n.every(ctx, fixed(sealMS), n.sealDead) },
+		func() { n.every(ctx, fixed(t.TidyMS), n.tidy) },
 		func() { n.ledger.Run(ctx) },
 		func() { n.dispatcher.PokeLoop(ctx) },
 	}
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -66,7 +66,7 @@
 	return operator.New(operator.Deps{
 		Config:          n.config,
 		Follower:        n.follower,
-		Table:           n.platform,
+		Ledger:          n.platform,
 		Ratings:         n.ratings,
 		Keys:            n.keys,
 		Directory:       n,
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -81,6 +81,10 @@
 	missesMu sync.Mutex
 	misses   map[string]int
 
+	// claimCursor and changeCursor are where the sweeps of the table go on.
+	// Only the tidy loop uses them.
+	claimCursor, changeCursor string
+
 	// leaving is set when a planned stop begins, and refusing when new work
 	// is no longer taken.
 	leaving  atomic.Bool
--- a/internal/ledger/holdings.go
+++ b/internal/ledger/holdings.go
@@ -35,7 +35,7 @@
 // Lock order: mu is taken alone; sealing works on a copy.
 type Holdings struct {
 	self  string
-	table platform.Table
+	table Store
 	usage UsageReader
 	clock clockwork.Clock
 
@@ -44,7 +44,7 @@
 }
 
 // NewHoldings returns empty holdings.
-func NewHoldings(self string, table platform.Table, usage UsageReader, clock clockwork.Clock) *Holdings {
+func NewHoldings(self string, table Store, usage UsageReader, clock clockwork.Clock) *Holdings {
 	return &Holdings{self: self, table: table, usage: usage, clock: clock, owners: map[string]map[string]held{}}
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,7 +11,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 // Replicator copies uncommitted bills to peers.
@@ -78,7 +77,7 @@
 }
 
 // New returns the ledger of the daemon self.
-func New(self string, table platform.Table, peers Replicator, clock clockwork.Clock, options Options) *Ledger {
+func New(self string, table Store, peers Replicator, clock clockwork.Clock, options Options) *Ledger {
 	return &Ledger{
 		self:    self,
 		peers:   peers,
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -29,7 +29,7 @@
 	return Bill{RequestID: id, State: state, Upstream: "u", OutputPrice: 2}
 }
 
-func listed(t *testing.T, store platform.Table) map[string]Entry {
+func listed(t *testing.T, store Store) map[string]Entry {
 	t.Helper()
 	rows, err := List(ctx, store, "")
 	require.NoError(t, err)
@@ -188,3 +188,52 @@
 	loop.Wait()
 	require.Len(t, listed(t, store), n)
 }
+
+// Old batches are moved to the object store while the owner goes on and a
+// holder seals; answers of the store are lost on the way. The ledger shows the
+// same bills throughout, each once.
+func TestArchivedBillsStayBilledOnce(t *testing.T) {
+	store := platform.NewMemory()
+	owner := NewLog(store, "a", "a")
+	n := 0
+	more := func(batches int) {
+		for range batches {
+			n++
+			require.NoError(t, owner.Append(ctx, []Bill{bill(fmt.Sprintf("a-%d", n), Answered)}, false))
+		}
+	}
+	more(archiveLeast + archiveKeep - 1)
+	moved, err := Archive(ctx, store, "a")
+	require.NoError(t, err)
+	require.Zero(t, moved, "not worth it yet")
+	more(1)
+	store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+		if p.Op == "commit" {
+			return platform.FaultLoseAnswer
+		}
+		return platform.FaultNone
+	})
+	_, err = Archive(ctx, store, "a")
+	require.Error(t, err)
+	store.SetFault(nil)
+	require.Len(t, listed(t, store), n)
+	rows, err := store.List(ctx, batchPrefix, "", 1000)
+	require.NoError(t, err)
+	require.Len(t, rows, archiveKeep)
+	more(archiveLeast)
+	moved, err = ArchiveDue(ctx, store)
+	require.NoError(t, err)
+	require.Equal(t, int64(archiveLeast), moved)
+	require.Len(t, listed(t, store), n)
+
+	// The holder's copies are older than what is left in the table.
+	holder := NewHoldings("h", store, engine{"a-1": {Attempts: 1, Finished: true}}, clockwork.NewFakeClock())
+	holder.Hold("a", 0, []Bill{bill("a-1", Open), bill("a-new", Answered)})
+	done, err := holder.Seal(ctx, "a")
+	require.NoError(t, err)
+	require.True(t, done)
+	require.Len(t, listed(t, store), n+1)
+	_, err = ArchiveDue(ctx, store)
+	require.NoError(t, err)
+	require.Len(t, listed(t, store), n+1)
+}
--- a/internal/ledger/log.go
+++ b/internal/ledger/log.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -30,6 +31,8 @@
 	// Sealed is set by a holder once the incarnation was found dead and
 	// nothing was missing any more.
 	Sealed bool `json:"sealed,omitempty"`
+	// ArchivedTo is the newest batch that was moved to an object.
+	ArchivedTo int64 `json:"archived_to,omitempty"`
 }
 
 // batch is one batch of bills.
@@ -87,10 +90,16 @@
 	return fmt.Sprintf("%s%s/%012d", batchPrefix, incarnation, n)
 }
 
+// Store is where logs are kept: batches in the table, older ones in objects.
+type Store interface {
+	platform.Table
+	platform.Objects
+}
+
 // Log appends to the log of one incarnation. It is not safe for concurrent
 // use.
 type Log struct {
-	table       platform.Table
+	table       Store
 	incarnation string
 	writer      string
 
@@ -106,7 +115,7 @@
 
 // NewLog returns a writer for incarnation's log. writer is the incarnation
 // that writes.
-func NewLog(table platform.Table, incarnation, writer string) *Log {
+func NewLog(table Store, incarnation, writer string) *Log {
 	return &Log{
 		table:       table,
 		incarnation: incarnation,
@@ -135,7 +144,12 @@
 	if h.OpenFrom > 0 && h.OpenFrom <= start && l.revision == 0 {
 		start = h.OpenFrom - 1
 	}
-	for n := start + 1; n <= h.Last; n++ {
+	if start < h.ArchivedTo {
+		if err := l.syncArchived(ctx, start); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for n := max(start, h.ArchivedTo) + 1; n <= h.Last; n++ {
 		var b batch
 		if _, err := platform.GetJSON(ctx, l.table, batchKey(l.incarnation, n), &b); err != nil {
 			return trace.Wrap(err)
@@ -146,6 +160,25 @@
 	return nil
 }
 
+// syncArchived reads the archived batches after batch start.
+func (l *Log) syncArchived(ctx context.Context, start int64) error {
+	rows, err := archives(ctx, l.table, archivePrefix+l.incarnation+"/")
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if row.To <= start {
+			continue
+		}
+		bills, err := readArchive(ctx, l.table, row.Object)
+		if err != nil {
+			return err
+		}
+		l.note(row.To, bills)
+	}
+	return nil
+}
+
 func (l *Log) note(n int64, bills []Bill) {
 	for _, b := range bills {
 		switch {
@@ -254,7 +287,7 @@
 }
 
 func (l *Log) next(pending []Bill, seal bool) head {
-	next := head{Last: l.known.Last + 1, Sealed: seal}
+	next := head{Last: l.known.Last + 1, Sealed: seal, ArchivedTo: l.known.ArchivedTo}
 	closing := map[string]bool{}
 	for _, b := range pending {
 		if b.Final() {
@@ -280,56 +313,92 @@
 // List reads all bills, final ones and those still open, over all logs. An
 // empty organisation is all organisations. A second settled bill of a request,
 // which would be a fault, is listed after the others and not hidden.
-func List(ctx context.Context, table platform.Table, organisation string) ([]Entry, error) {
+func List(ctx context.Context, store Store, organisation string) ([]Entry, error) {
+	l := lister{bills: map[string]Entry{}}
+	archived, err := archives(ctx, store, archivePrefix)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for _, row := range archived {
+		bills, err := readArchive(ctx, store, row.Object)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		l.add(row.To, bills)
+	}
+	if err := l.readTable(ctx, store); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return l.entries(organisation), nil
+}
+
+// lister collects bills in the order of their opening.
+type lister struct {
+	bills   map[string]Entry
+	order   []string
+	doubled []Entry
+}
+
+func (l *lister) readTable(ctx context.Context, table platform.Table) error {
 	const page = 200
-	bills := map[string]Entry{}
-	var order []string
-	var doubled []Entry
 	after := ""
 	for {
 		rows, err := table.List(ctx, batchPrefix, after, page)
 		if err != nil {
-			return nil, trace.Wrap(err)
+			return err
 		}
 		for _, row := range rows {
 			var b batch
 			if err := json.Unmarshal(row.Value, &b); err != nil {
-				return nil, trace.Wrap(err)
+				return err
 			}
-			var n int64
-			_, _ = fmt.Sscanf(row.Key[strings.LastIndexByte(row.Key, '/')+1:], "%d", &n)
-			for _, bill := range b.Bills {
-				have, seen := bills[bill.RequestID]
-				if !seen {
-					order = append(order, bill.RequestID)
-				}
-				if seen && have.Settled() && bill.Settled() {
-					doubled = append(doubled, Entry{Bill: bill, Batch: n})
-				}
-				if !seen || !have.Settled() && (bill.Final() || !have.Final()) {
-					bills[bill.RequestID] = Entry{Bill: bill, Batch: n}
-				}
+			n, err := strconv.ParseInt(row.Key[strings.LastIndexByte(row.Key, '/')+1:], 10, 64)
+			if err != nil {
+				return err
 			}
+			l.add(n, b.Bills)
 			after = row.Key
 		}
 		if len(rows) < page {
-			break
+			return nil
 		}
 	}
+}
+
+func (l *lister) add(batch int64, bills []Bill) {
+	for _, bill := range bills {
+		have, seen := l.bills[bill.RequestID]
+		entry := Entry{Bill: bill, Batch: batch}
+		switch {
+		case !seen:
+			l.order = append(l.order, bill.RequestID)
+			l.bills[bill.RequestID] = entry
+		case have.Settled() && bill.Settled():
+			l.doubled = append(l.doubled, entry)
+		case !have.Settled() && (bill.Final() || !have.Final()):
+			l.bills[bill.RequestID] = entry
+		}
+	}
+}
+
+func (l *lister) entries(organisation string) []Entry {
 	var out []Entry
-	for _, id := range order {
-		entry := bills[id]
-		wanted := organisation == "" || entry.Organisation == organisation
-		if wanted && entry.State != Void {
+	for _, id := range l.order {
+		entry := l.bills[id]
+		if entry.State != Void && wanted(entry, organisation) {
 			out = append(out, entry)
 		}
 	}
-	for _, entry := range doubled {
-		if organisation == "" || entry.Organisation == organisation {
+	for _, entry := range l.doubled {
+		if wanted(entry, organisation) {
 			out = append(out, entry)
 		}
 	}
-	return out, nil
+	return out
+}
+
+func wanted(e Entry, organisation string) bool {
+	return organisation == "" || e.Organisation == organisation
 }
 
 // heads returns the heads of all logs by incarnation.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -27,7 +27,7 @@
 type Deps struct {
 	Config    *config.Store
 	Follower  *config.Follower
-	Table     platform.Table
+	Ledger    ledger.Store
 	Ratings   *rating.Table
 	Keys      *session.Keyring
 	Directory caller.Directory
@@ -166,7 +166,7 @@
 }
 
 func (s *Server) ledger(c *gin.Context) {
-	entries, err := ledger.List(c, s.Table, c.Query("organisation"))
+	entries, err := ledger.List(c, s.Ledger, c.Query("organisation"))
 	if entries == nil {
 		entries = []ledger.Entry{}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,9 @@
 	LeaseMS int64 `json:"lease_ms"`
 	// CommitMS is the least time between commits of bills. Default 1000.
 	CommitMS int64 `json:"commit_ms"`
+	// TidyMS is the time between two rounds of moving old bills to the object
+	// store and deleting expired rows. Default 10000.
+	TidyMS int64 `json:"tidy_ms"`
 	// HoldMS bounds a copy of bills to the peers. Default 300.
 	HoldMS int64 `json:"hold_ms"`
 	// EntriesTTLMS is how long callers may keep a discovery answer. Default 10000.
@@ -141,7 +144,7 @@
 			HeartbeatMS: 500, SuspectAfter: 3, SealAfterMS: 10_000,
 			ConfigMS: 1000, FreshMS: 3000, RefuseMS: 15_000,
 			ListMS: 1000, ReportMS: 500, RatingMS: 1000, RolloutMS: 1000,
-			LeaseMS: 6000, CommitMS: 1000, HoldMS: 300, EntriesTTLMS: 10_000,
+			LeaseMS: 6000, CommitMS: 1000, TidyMS: 10_000, HoldMS: 300, EntriesTTLMS: 10_000,
 			AnswerRetentionMS: 300_000, AbandonMS: 10_000,
 			SessionMS: 24 * 3600 * 1000, StopMS: 600_000,
 		},
