--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
@@ -19,6 +21,8 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 )
 
+var tracer = otel.Tracer("github.com/hornbeamsill/hornbeamsill/internal/peer")
+
 // CallTimeout bounds the calls that have no deadline of their own.
 const CallTimeout = time.Second
 
@@ -98,6 +102,11 @@
 		ctx, cancel = context.WithTimeout(ctx, CallTimeout)
 		defer cancel()
 	}
+	if oteltrace.SpanContextFromContext(ctx).IsValid() {
+		// Only calls made for a request get a span, not the daemon's own.
+		_, span := tracer.Start(ctx, "peer "+method)
+		defer span.End()
+	}
 	conn, err := c.connect(ctx, address)
 	if err != nil {
 		return err
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -74,5 +74,6 @@
 		"path":    c.Request.URL.Path,
 		"query":   c.Request.URL.RawQuery,
 		"body":    string(body),
+		"trace":   c.GetHeader("Traceparent"),
 	})
 }
