--- /dev/null
+++ b/internal/daemon/entries_test.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+)
+
+// A caller of a large site is told of a few daemons, not of hundreds, never of
+// one that leaves or of another site; over many answers of all of them.
+func TestEntriesOfALargeSite(t *testing.T) {
+	s := settings.Defaults()
+	n := NewNode(s, platform.NewMemory(), clockwork.NewFakeClock())
+	var news []member.Daemon
+	for i := range 100 {
+		d := member.Daemon{Incarnation: fmt.Sprintf("d%d", i), Site: s.Site, CallerURL: fmt.Sprintf("http://d%d", i)}
+		switch {
+		case i%10 == 0:
+			d.State = member.Leaving
+		case i%10 == 1:
+			d.Site = "other"
+		}
+		news = append(news, d)
+	}
+	n.registry.Learn(news)
+	seen := map[string]bool{}
+	for range 200 {
+		entries, _ := n.Entries()
+		require.Len(t, entries, s.Limits.EntriesListed)
+		for _, e := range entries {
+			seen[e.Instance] = true
+			require.True(t, strings.HasPrefix(e.KeyPrefix, e.Instance+"-"))
+		}
+	}
+	require.Len(t, seen, 80)
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -294,6 +294,12 @@
 			KeyPrefix:     claim.Prefix(d.Incarnation, now),
 		})
 	}
+	// At a large site each answer names a few daemons, drawn anew, so that
+	// callers spread over all of them.
+	if most := n.settings.Limits.EntriesListed; len(out) > most {
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:most]
+	}
 	return out, settings.MS(n.settings.Timing.EntriesTTLMS)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,8 @@
 	AnswerBytes int `json:"answer_bytes"`
 	// UpstreamsSeen bounds how many upstreams the daemon uses. Default 64.
 	UpstreamsSeen int `json:"upstreams_seen"`
+	// EntriesListed bounds the daemons named in a discovery answer. Default 16.
+	EntriesListed int `json:"entries_listed"`
 	// ReportBytesPerSecond bounds the load reports asked for. Default 40000.
 	ReportBytesPerSecond float64 `json:"report_bytes_per_second"`
 }
@@ -68,8 +70,8 @@
 	ConfigMS int64 `json:"config_ms"`
 	// FreshMS is how long a confirmed configuration is relied on. Default 3000.
 	FreshMS int64 `json:"fresh_ms"`
-	// RefuseMS is how long after that proven versions are still served by a
-	// daemon cut off from store and peers. Default 15000.
+	// RefuseMS is how long after its last confirmation a daemon cut off from
+	// store and peers still serves proven versions. Default 15000.
 	RefuseMS int64 `json:"refuse_ms"`
 	// ListMS is the least time between reads of the instance list. Default 1000.
 	ListMS int64 `json:"list_ms"`
@@ -137,6 +139,7 @@
 			MaxPendingBills: 100_000,
 			AnswerBytes:     64 << 20,
 			UpstreamsSeen:   64,
+			EntriesListed:   16,
 
 			ReportBytesPerSecond: 40_000,
 		},
@@ -172,6 +175,8 @@
 		return trace.BadParameter("/platform: missing")
 	case s.Site == "":
 		return trace.BadParameter("/site: missing")
+	case s.Limits.EntriesListed <= 0:
+		return trace.BadParameter("/limits/entries_listed: must be positive")
 	case s.Limits.ReportBytesPerSecond <= 0:
 		return trace.BadParameter("/limits/report_bytes_per_second: must be positive")
 	case s.Timing.HeartbeatMS <= 0:
