--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -140,12 +140,7 @@
 	}, rand.New(rand.NewPCG(n.seed(), 1)))
 	n.config = config.NewStore(n.platform, n.clock.Now)
 	n.follower = config.NewFollower(s.Site, n.config, n.clock)
-	n.upstreams = member.NewUpstreams(n.clock, func() config.UpstreamPolicy {
-		if snapshot := n.follower.Current(); snapshot != nil {
-			return snapshot.Doc.Upstreams
-		}
-		return config.UpstreamPolicy{}
-	})
+	n.upstreams = member.NewUpstreams(n.clock, n.upstreamPolicy)
 	n.contact = newContact(n.clock)
 	n.keys = session.NewKeyring(n.platform, n.clock)
 	n.signer = session.NewSigner(n.keys, n.clock, settings.MS(s.Timing.SessionMS))
@@ -161,6 +156,14 @@
 	n.requests = ident.NewRequests(n.incarnation)
 }
 
+// upstreamPolicy returns the policy in force.
+func (n *Node) upstreamPolicy() config.UpstreamPolicy {
+	if snapshot := n.follower.Current(); snapshot != nil {
+		return snapshot.Doc.Upstreams
+	}
+	return config.UpstreamPolicy{}
+}
+
 // sharers is the number of daemons of this site that may serve callers, which
 // share its limits: those that are leaving or suspect still do.
 func (n *Node) sharers() int {
@@ -208,6 +211,7 @@
 		Signer:        n.signer,
 		Ratings:       n.ratings,
 		Exposure:      n.exposure,
+		Policy:        n.upstreamPolicy,
 		Seed:          n.seed(),
 		AbandonGrace:  settings.MS(t.AbandonMS),
 	})
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -144,11 +144,12 @@
 			Estimate: route.EstimateLoad(u.Report.Running+u.Report.Queued, u.SentSince),
 		})
 	}
+	bound := e.Policy().WithDefaults().AffinityBound
 	key := route.PrefixKey(e.req.Organisation, prompt(e.req))
 	var picked route.Load
 	var ok bool
 	e.withRandom(func(random *mathrand.Rand) {
-		picked, ok = route.Balance(loads, key, config.UpstreamPolicy{}.WithDefaults().AffinityBound, queueLimit, random)
+		picked, ok = route.Balance(loads, key, bound, queueLimit, random)
 	})
 	return byID[picked.ID], ok
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,7 +94,9 @@
 	Signer        *session.Signer
 	Ratings       *rating.Table
 	Exposure      *rollout.Exposure
-	Seed          uint64
+	// Policy returns the policy in force for upstreams.
+	Policy func() config.UpstreamPolicy
+	Seed   uint64
 	// AbandonGrace is how long an answer that nobody reads goes on.
 	AbandonGrace time.Duration
 }
@@ -119,7 +121,7 @@
 func New(deps Deps) *Dispatcher {
 	return &Dispatcher{
 		Deps:    deps,
-		retries: limit.NewRetryBudget(config.UpstreamPolicy{}.WithDefaults().RetryRatio, retryBurst),
+		retries: limit.NewRetryBudget(retryBurst),
 		times:   newTimes(),
 		queues:  map[string]*limit.Queue{},
 		random:  rand.New(rand.NewPCG(deps.Seed, 2)),
@@ -240,7 +242,7 @@
 	defer cancel()
 	e.Billing.Close(closing, e.bill)
 	e.ran = fault.RanYes
-	e.retries.Success()
+	e.retries.Success(e.Policy().WithDefaults().RetryRatio)
 	e.out.Append(answer.Event{Delta: last.Delta, FinishReason: last.FinishReason, Usage: last.Usage}, e.Clock.Now())
 	return nil
 }
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -7,8 +7,6 @@
 // RetryBudget allows retries in proportion to successes, so that retries
 // cannot multiply the load of upstreams that are already failing.
 type RetryBudget struct {
-	// Ratio is the number of retries earned by one success.
-	ratio float64
 	// burst bounds the retries saved up.
 	burst float64
 
@@ -17,15 +15,15 @@
 }
 
 // NewRetryBudget returns a full budget.
-func NewRetryBudget(ratio, burst float64) *RetryBudget {
-	return &RetryBudget{ratio: ratio, burst: burst, saved: burst}
+func NewRetryBudget(burst float64) *RetryBudget {
+	return &RetryBudget{burst: burst, saved: burst}
 }
 
 // Success earns a part of a retry.
-func (b *RetryBudget) Success() {
+func (b *RetryBudget) Success(ratio float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(b.saved+b.ratio, b.burst)
+	b.saved = min(b.saved+ratio, b.burst)
 }
 
 // Take spends one retry, or reports that there is none.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -117,13 +117,13 @@
 }
 
 func TestRetryBudget(t *testing.T) {
-	b := NewRetryBudget(0.5, 2)
+	b := NewRetryBudget(2)
 	require.True(t, b.Take())
 	require.True(t, b.Take())
 	require.False(t, b.Take())
-	b.Success()
+	b.Success(0.5)
 	require.False(t, b.Take())
-	b.Success()
+	b.Success(0.5)
 	require.True(t, b.Take())
 }
 
--- a/test/measure/limits.go
+++ b/test/measure/limits.go
@@ -196,7 +196,7 @@
 		Columns: []string{"share of attempts that fail", "budget 0.1 per success", "three retries always"},
 	}
 	for _, fail := range []float64{0.01, 0.1, 0.5, 1} {
-		t.add(fail, attempts(fail, limit.NewRetryBudget(0.1, 10), 8), attempts(fail, nil, 4))
+		t.add(fail, attempts(fail, limit.NewRetryBudget(10), 8), attempts(fail, nil, 4))
 	}
 	return t
 }
@@ -210,7 +210,7 @@
 			sent++
 			if random.Float64() >= fail {
 				if budget != nil {
-					budget.Success()
+					budget.Success(0.1)
 				}
 				break
 			}
