Paused means paused in the process tests

Cause: SIGSTOP takes effect a little later; the home of a key answered one more call and the test that wanted it paused failed in 1 of 10 runs. Freeze waits until the process is stopped. Ruled out: the claim itself, which answered as it should.

--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
@@ -103,8 +105,22 @@
 	<-p.done
 }
 
-// Freeze stops the program with SIGSTOP; Wake lets it go on.
-func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+// Freeze stops the program with SIGSTOP and waits until it has stopped: the
+// signal alone leaves it time to answer one more call. Wake lets it go on.
+func (p *Process) Freeze() error {
+	p.Signal(syscall.SIGSTOP)
+	return Eventually(func() error {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+		if err != nil {
+			return err
+		}
+		const stopped = ") T "
+		if !strings.Contains(string(data), stopped) {
+			return trace.Errorf("%s has not stopped", p.Name)
+		}
+		return nil
+	})
+}
 
 // Wake undoes Freeze.
 func (p *Process) Wake() { p.Signal(syscall.SIGCONT) }
--- a/test/faults/faults.go
+++ b/test/faults/faults.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func freeze(w *world) error { w.Daemons[0].Freeze(); return nil }
+func freeze(w *world) error { return w.Daemons[0].Freeze() }
 func wake(w *world) error   { w.Daemons[0].Wake(); return nil }
 func kill(w *world) error   { w.Daemons[0].Kill(); return nil }
 
--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -86,7 +86,7 @@
 func TestHomePausedThenWoken(t *testing.T) {
 	s := newSite(t, 3, nil)
 	a := clearance("song 5", keyOf(t, s.Daemons[0], "five"))
-	s.Daemons[0].Freeze()
+	require.NoError(t, s.Daemons[0].Freeze())
 	requireRefused(t, s.Daemons[1], a, fault.KeyUnsettled, fault.RanUnknown)
 	require.Zero(t, s.runs("song 5"))
 	s.Daemons[0].Wake()
--- a/test/process/billing_test.go
+++ b/test/process/billing_test.go
@@ -126,7 +126,7 @@
 	for range replies {
 		<-started
 	}
-	s.Daemons[0].Freeze()
+	require.NoError(t, s.Daemons[0].Freeze())
 	require.NoError(t, cluster.Eventually(func() error {
 		if n := len(s.bills(s.Daemons[1])); n < len(replies) {
 			return fmt.Errorf("%d bills closed", n)
--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -138,7 +138,7 @@
 func TestPausedDaemonDoesNotUseAWithdrawnVersion(t *testing.T) {
 	s := newSite(t, 3, nil)
 	requireAnswered(t, s.Daemons[0], summary("before"))
-	s.Daemons[0].Freeze()
+	require.NoError(t, s.Daemons[0].Freeze())
 	var queued sync.WaitGroup
 	for i := range 10 {
 		queued.Go(func() {
