--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -131,22 +131,32 @@
 	return shares, err
 }
 
-// sealDead closes the bills of daemons that died: those that this daemon holds
-// copies of and, as a duty, those that only the table knows.
-func (n *Node) sealDead(ctx context.Context) {
-	grace := settings.MS(n.settings.Timing.SealAfterMS)
-	dead := map[string]bool{}
-	for _, id := range n.registry.Dead(grace) {
-		dead[id] = true
+// dead returns the daemons whose bills others have to close.
+func (n *Node) dead() map[string]bool {
+	out := map[string]bool{}
+	for _, id := range n.registry.Dead(settings.MS(n.settings.Timing.SealAfterMS)) {
+		out[id] = true
 	}
+	return out
+}
+
+// sealHeld closes the bills of dead daemons that this daemon holds copies of.
+func (n *Node) sealHeld(ctx context.Context) {
+	dead := n.dead()
 	for _, owner := range n.holdings.Owners() {
 		if _, known := n.registry.Get(owner); dead[owner] || !known {
 			n.seal(ctx, owner)
 		}
 	}
+}
+
+// sealAbandoned closes the bills of dead daemons that only the table knows, as
+// a duty of one daemon.
+func (n *Node) sealAbandoned(ctx context.Context) {
 	if !n.registry.Duty("ledger-sweep") {
 		return
 	}
+	dead := n.dead()
 	live := map[string]bool{}
 	for _, d := range n.registry.All() {
 		live[d.Incarnation] = !dead[d.Incarnation]
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -106,12 +106,35 @@
 			n.ratings.Install(summary)
 		}
 	}
-	if reply.Digest != n.registry.Digest() {
+	if reply.Digest != n.registry.Digest() && n.maySync() {
 		n.syncMembers(ctx, address)
 	}
 }
 
-// syncMembers exchanges whole tables with a peer that knows something else.
+const (
+	// tableEntryBytes is the size of a daemon in a whole table.
+	tableEntryBytes = 88
+	// syncBytesPerSecond bounds the exchange of whole tables. Digests differ
+	// whenever news is on its way, which reaches all daemons without it; the
+	// whole table is for what was missed.
+	syncBytesPerSecond = 250
+)
+
+// maySync reports whether it is time for a whole table, and notes it.
+func (n *Node) maySync() bool {
+	size := float64(len(n.registry.All()) * tableEntryBytes)
+	interval := time.Duration(size / syncBytesPerSecond * float64(time.Second))
+	n.syncedMu.Lock()
+	defer n.syncedMu.Unlock()
+	now := n.clock.Now()
+	if !n.synced.IsZero() && now.Sub(n.synced) < interval {
+		return false
+	}
+	n.synced = now
+	return true
+}
+
+// syncMembers takes the whole table of a peer that knows something else.
 func (n *Node) syncMembers(ctx context.Context, address string) {
 	if all, err := n.peers.Members(ctx, address); err == nil {
 		n.registry.Learn(all)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -42,6 +42,10 @@
 	keyReadsPerSecond    = 20
 )
 
+// headListsPerSecond, divided by the number of daemons, is how often one of them
+// lists the heads of all logs, whose number grows with the daemons.
+const headListsPerSecond = 100
+
 // creditAsksPerSecond bounds the questions to the duty holder of a roll-out by
 // all daemons together.
 const creditAsksPerSecond = 200
@@ -93,6 +97,10 @@
 	// Only the tidy loop uses them.
 	claimCursor, changeCursor string
 
+	// synced is when whole tables of daemons were last exchanged.
+	syncedMu sync.Mutex
+	synced   time.Time
+
 	// leaving is set when a planned stop begins, and refusing when new work
 	// is no longer taken.
 	leaving  atomic.Bool
--- a/test/capacity/project.go
+++ b/test/capacity/project.go
@@ -45,7 +45,7 @@
 	row("memory: copies of bills, commit every 8.7 s", by["bills held for peers: memory"].Each*2*perDaemon*(daemons/150+answerSeconds)/1e6, "MB")
 	heartbeat := by["heartbeat, both ways, with n pieces of news each way"]
 	news := eventsPerDay / day
-	row("heartbeats sent and received, 4 each every 2 s", 4*heartbeat.at(0), "B/s")
+	row("heartbeats sent and received, 4 each every 2 s", 4*heartbeat.Costs[0], "B/s")
 	row("news, 33 tellings of each", news*33*heartbeat.Each, "B/s")
 	row("load reports, 20 upstreams, report_bytes_per_second 900: every", by["load report over HTTP"].at(versionsServed)*upstreamsSeen/900, "s")
 	row("changes: an overlay of 10 overrides each, a quarter for this site", changesPerDay/day/4*by["delta of one changed overlay"].at(10), "B/s")
