--- a/internal/session/keyring.go
+++ b/internal/session/keyring.go
@@ -57,7 +57,8 @@
 		k.Install(set.Keys)
 		return nil
 	}
-	if err := k.add(ctx, 0); err != nil && !trace.IsCompareFailed(err) {
+	// Several daemons may start at once; the row is made by one of them.
+	if err := k.write(ctx, 0, keySet{}); err != nil && !trace.IsCompareFailed(err) {
 		return trace.Wrap(err)
 	}
 	// Whoever made the first key, the row says which it is.
@@ -71,26 +72,26 @@
 // Rotate adds a key and drops those older than retention. Tokens signed with
 // the earlier keys stay good until then.
 func (k *Keyring) Rotate(ctx context.Context, retention time.Duration) error {
-	return trace.Wrap(k.add(ctx, retention))
-}
-
-func (k *Keyring) add(ctx context.Context, retention time.Duration) error {
 	var set keySet
 	revision, err := platform.GetJSON(ctx, k.table, keysRow, &set)
 	if err != nil {
-		return err
+		return trace.Wrap(err)
 	}
-	now := k.clock.Now()
-	if retention > 0 {
-		last := len(set.Keys) - 1
+	if n := len(set.Keys); n > 0 {
+		newest := set.Keys[n-1].ID
 		set.Keys = slices.DeleteFunc(set.Keys, func(key Key) bool {
-			return now.Sub(key.Created) > retention && key.ID != set.Keys[last].ID
+			return k.clock.Since(key.Created) > retention && key.ID != newest
 		})
 	}
+	return trace.Wrap(k.write(ctx, revision, set))
+}
+
+// write adds a new key to set and writes it in place of the row at revision.
+func (k *Keyring) write(ctx context.Context, revision int64, set keySet) error {
 	secret := make([]byte, secretLen)
 	_, _ = rand.Read(secret)
-	set.Keys = append(set.Keys, Key{ID: rand.Text()[:12], Secret: secret, Created: now})
-	_, err = k.table.Commit(ctx, platform.Txn{
+	set.Keys = append(set.Keys, Key{ID: rand.Text()[:12], Secret: secret, Created: k.clock.Now()})
+	_, err := k.table.Commit(ctx, platform.Txn{
 		Checks: []platform.Check{{Key: keysRow, Revision: revision}},
 		Puts:   []platform.Put{platform.PutJSON(keysRow, set)},
 	})
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,96 @@
+package session
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+)
+
+var ctx = context.Background()
+
+// Many daemons start at once on an empty table. There is one key, not one for
+// each of them, and all know it.
+func TestOneFirstKey(t *testing.T) {
+	store := platform.NewMemory()
+	rings := make([]*Keyring, 8)
+	var all sync.WaitGroup
+	for i := range rings {
+		rings[i] = NewKeyring(store, clockwork.NewFakeClock())
+		all.Go(func() { _ = rings[i].Refresh(ctx) })
+		all.Go(func() { _ = rings[i].Refresh(ctx) })
+	}
+	all.Wait()
+	for _, r := range rings {
+		require.Len(t, r.Keys(), 1)
+		require.Equal(t, rings[0].Keys(), r.Keys())
+	}
+}
+
+// A token is checked: its signature, key, use, and end.
+func TestTokens(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := platform.NewMemory()
+	ring := NewKeyring(store, clock)
+	require.NoError(t, ring.Refresh(ctx))
+	signer := NewSigner(ring, clock, time.Hour)
+	session := Session{Organisation: "o", Version: config.VersionRef{Model: "m", Version: "1"}, Started: clock.Now().Truncate(time.Second)}
+	token, err := signer.SignSession(session)
+	require.NoError(t, err)
+	got, err := signer.ParseSession(token)
+	require.NoError(t, err)
+	require.True(t, session.Started.Equal(got.Started))
+	require.Equal(t, session.Version, got.Version)
+	_, err = signer.ParseResume(token)
+	require.Error(t, err, "a session token is no resume token")
+	resume, err := signer.SignResume(Resume{RequestID: "r"})
+	require.NoError(t, err)
+	_, err = signer.ParseSession(resume)
+	require.Error(t, err)
+	_, err = signer.ParseSession(token[:len(token)-2] + "xx")
+	require.Error(t, err)
+
+	other := NewKeyring(platform.NewMemory(), clock)
+	require.NoError(t, other.Refresh(ctx))
+	_, err = NewSigner(other, clock, time.Hour).ParseSession(token)
+	require.Error(t, err, "signed by somebody else")
+
+	clock.Advance(time.Hour + 2*time.Minute)
+	_, err = signer.ParseSession(token)
+	require.Error(t, err, "ended")
+}
+
+// A key is rotated. Daemons that have not read it yet must not meet tokens
+// signed with it; old tokens stay good until the old key is dropped.
+func TestRotation(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := platform.NewMemory()
+	ring := NewKeyring(store, clock)
+	require.NoError(t, ring.Refresh(ctx))
+	clock.Advance(SpreadTime)
+	first, err := ring.Signing()
+	require.NoError(t, err)
+	require.NoError(t, ring.Rotate(ctx, time.Hour))
+	require.NoError(t, ring.Refresh(ctx))
+	signing, err := ring.Signing()
+	require.NoError(t, err)
+	require.Equal(t, first, signing, "the new key has not spread yet")
+	clock.Advance(SpreadTime)
+	signing, err = ring.Signing()
+	require.NoError(t, err)
+	require.NotEqual(t, first.ID, signing.ID)
+	_, known := ring.Lookup(first.ID)
+	require.True(t, known)
+	clock.Advance(2 * time.Hour)
+	require.NoError(t, ring.Rotate(ctx, time.Hour))
+	require.NoError(t, ring.Refresh(ctx))
+	_, known = ring.Lookup(first.ID)
+	require.False(t, known)
+	require.Len(t, ring.Keys(), 2, "the newest before, and the new one")
+}
