Daemons are offered to callers when they are ready, by themselves

Cause: others named a daemon to callers as soon as its first heartbeat came, before it knew any upstream; its first request was refused. Ruled out: its own discovery answer, which waited for readiness already.

Now the URL for callers is told with the first heartbeat after readiness. A test holds a daemon at each step of its start.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -17,12 +16,6 @@
 // String returns "model@version".
 func (r VersionRef) String() string { return r.Model + "@" + r.Version }
 
-// ParseRef splits "model@version".
-func ParseRef(s string) (VersionRef, bool) {
-	model, version, ok := strings.Cut(s, "@")
-	return VersionRef{Model: model, Version: version}, ok && model != "" && version != ""
-}
-
 // Rollout is the live state of a version that is or was rolled out, or was
 // withdrawn by an operator. It overrides the state in the documents, except
 // that a withdrawn version stays withdrawn.
--- a/internal/daemon/entries_test.go
+++ b/internal/daemon/entries_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,11 +9,35 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/caller"
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 )
 
+// A daemon starts and is known to the others at once. It is offered to callers
+// only when it can serve them; a planned restart would show as errors.
+func TestOfferedWhenReady(t *testing.T) {
+	memory := platform.NewMemory()
+	n := NewNode(settings.Defaults(), memory, clockwork.NewFakeClock())
+	n.callerURL = "http://here"
+	other := NewNode(settings.Defaults(), memory, clockwork.NewFakeClock())
+	tell := func() []caller.Entry {
+		n.offer()
+		other.registry.Learn([]member.Daemon{n.registry.Self()})
+		entries, _ := other.Entries()
+		return entries
+	}
+	require.Empty(t, tell())
+	_, err := n.config.Apply(context.Background(), config.ApplyRequest{ChangeID: "1", Text: `{}`})
+	require.NoError(t, err)
+	n.pollConfig(context.Background())
+	require.Empty(t, tell(), "no upstream is known yet")
+	n.pollList(context.Background())
+	require.Len(t, tell(), 1)
+}
+
 // A caller of a large site is told of a few daemons, not of hundreds, never of
 // one that leaves or of another site; over many answers of all of them.
 func TestEntriesOfALargeSite(t *testing.T) {
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -26,6 +26,7 @@
 // heartbeatRound sends one heartbeat to each target and to each address whose
 // daemon is not known yet.
 func (n *Node) heartbeatRound(ctx context.Context) {
+	n.offer()
 	targets := n.registry.Targets()
 	n.contact.setTargets(member.Incarnations(targets))
 	var round sync.WaitGroup
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -164,6 +164,7 @@
 	if !n.reported.Load() {
 		n.pollReports(ctx)
 		n.reported.Store(true)
+		n.Kick()
 	}
 }
 
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -153,11 +153,12 @@
 	if s.TLS.Enabled() {
 		scheme = "https://"
 	}
+	p.node.callerURL = s.CallerURL
+	if p.node.callerURL == "" {
+		p.node.callerURL = scheme + p.callerAddress
+	}
 	p.node.registry.SetSelf(func(d *member.Daemon) {
-		d.CallerURL, d.PeerAddress = s.CallerURL, s.PeerAddress
-		if d.CallerURL == "" {
-			d.CallerURL = scheme + p.callerAddress
-		}
+		d.PeerAddress = s.PeerAddress
 		if d.PeerAddress == "" {
 			d.PeerAddress = p.peers.Address()
 		}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -87,6 +87,8 @@
 	listMu sync.Mutex
 	list   []platform.Instance
 	seeds  map[string]bool
+	// callerURL is told to others once this daemon is ready.
+	callerURL string
 	// reported is set once the upstreams have been asked for their load.
 	reported atomic.Bool
 	// misses counts unanswered heartbeats by incarnation.
@@ -332,6 +334,22 @@
 	return nil
 }
 
+// offer lets others name this daemon to callers once it is ready.
+//
+// Others know a daemon as soon as it sends heartbeats. If they offered it to
+// callers at once, its first requests would be refused, since it knows no
+// upstream yet; callers would see errors at every planned restart.
+func (n *Node) offer() {
+	if n.registry.Self().CallerURL != "" || n.Ready() != nil {
+		return
+	}
+	n.registry.SetSelf(func(d *member.Daemon) {
+		d.CallerURL = n.callerURL
+		// A higher version makes the news replace what others know.
+		d.Version++
+	})
+}
+
 // Refusing implements caller.Directory.
 func (n *Node) Refusing() error {
 	if n.refusing.Load() {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -169,7 +169,6 @@
 	chat := e.req.Chat
 	chat.Model = ref.String()
 	chat.Stream = true
-	e.attempts++
 	sent := e.Clock.Now()
 	stream, err := e.Engines.Start(ctx, u.Instance.Address, upstream.Attempt{
 		ID: id, RequestID: e.req.ID, Kind: e.req.KindName, Priority: e.req.Kind.Priority.Level(), Chat: chat,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -137,10 +137,8 @@
 	// opened is true once the bill is recorded.
 	opened bool
 	// ran is what is known about the work upstream.
-	ran fault.Ran
-	// attempts counts the attempts sent.
-	attempts int
-	started  time.Time
+	ran     fault.Ran
+	started time.Time
 }
 
 // Run runs a request to its end and always ends the answer. It reports what
@@ -151,25 +149,30 @@
 	ctx, span := tracer.Start(ctx, "dispatch")
 	defer span.End()
 	span.SetAttributes(attribute.String("request", req.ID), attribute.String("organisation", req.Organisation), attribute.String("kind", req.KindName))
-	e := &execution{
+	e := d.newExecution(req, out)
+	if err := e.run(ctx); err != nil {
+		span.SetStatus(codes.Error, err.Error())
+		e.fail(ctx, err)
+	}
+	return e.ran
+}
+
+func (d *Dispatcher) newExecution(req Request, out *answer.Answer) *execution {
+	now := d.Clock.Now()
+	return &execution{
 		Dispatcher: d,
 		req:        req,
 		out:        out,
 		ran:        fault.RanNo,
-		started:    d.Clock.Now(),
+		started:    now,
 		bill: ledger.Bill{
 			RequestID:    req.ID,
 			Organisation: req.Organisation,
 			Site:         d.Site,
 			Kind:         req.KindName,
-			Opened:       d.Clock.Now(),
+			Opened:       now,
 		},
 	}
-	if err := e.run(ctx); err != nil {
-		span.SetStatus(codes.Error, err.Error())
-		e.fail(ctx, err)
-	}
-	return e.ran
 }
 
 // maxPlans bounds how often a plan is made again because a version was
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -61,20 +61,14 @@
 	ctx, span := tracer.Start(ctx, "service")
 	defer span.End()
 	span.SetAttributes(attribute.String("request", req.ID), attribute.String("service", req.Name))
-	e := &execution{
-		Dispatcher: d,
-		req:        Request{ID: req.ID, Organisation: req.Organisation, Deadline: req.Deadline, Kind: config.Kind{Idempotent: req.repeatable(), Priority: req.Service.Priority}, NotRun: req.NotRun},
-		out:        out,
-		ran:        fault.RanNo,
-		started:    d.Clock.Now(),
-		bill: ledger.Bill{
-			RequestID:    req.ID,
-			Organisation: req.Organisation,
-			Site:         d.Site,
-			Service:      req.Name,
-			Opened:       d.Clock.Now(),
-		},
-	}
+	e := d.newExecution(Request{
+		ID:           req.ID,
+		Organisation: req.Organisation,
+		Deadline:     req.Deadline,
+		Kind:         config.Kind{Idempotent: req.repeatable(), Priority: req.Service.Priority},
+		NotRun:       req.NotRun,
+	}, out)
+	e.bill.Service = req.Name
 	if err := e.callService(ctx, req); err != nil {
 		e.fail(ctx, err)
 	}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -33,8 +33,6 @@
 	Stopped []config.VersionRef
 	// RatingSeq is the last rating counted.
 	RatingSeq int64
-	// Confirms reports whether every daemon known to the sender answers it.
-	Confirms bool
 }
 
 // ConfigRequest asks for what the asker lacks.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"net"
 	"net/http"
 
@@ -31,8 +30,5 @@
 // Close ends the server and its connections.
 func (s *Server) Close() { _ = s.http.Close() }
 
-// Shutdown waits for running calls until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
-
 // handled is a stand-in with an HTTP interface.
 type handled interface{ Handler() http.Handler }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -207,8 +207,8 @@
 // IgnoreOthers lets daemons see further ones beside those named.
 const IgnoreOthers SettleOption = 1
 
-// Settle waits until all daemons are ready, know each other, and see the
-// upstreams with their versions.
+// Settle waits until all daemons are ready, offer each other to callers, and see
+// the upstreams with their versions.
 func (c *Cluster) Settle(daemons []*Daemon, upstreams int, options ...SettleOption) error {
 	others := len(options) > 0 && options[0] == IgnoreOthers
 	return Eventually(func() error {
@@ -219,7 +219,7 @@
 			}
 			alive := 0
 			for _, other := range s.Daemons {
-				if other.State == "alive" {
+				if other.State == "alive" && other.CallerURL != "" {
 					alive++
 				}
 			}
