--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,7 +32,7 @@
 
 // globals are the options of every command.
 type globals struct {
-	Daemon string `long:"daemon" default:"http://127.0.0.1:8481" env:"HORNBEAMSILL_DAEMON" description:"operator listener of any daemon"`
+	Daemon string `long:"daemon" default:"127.0.0.1:8481" env:"HORNBEAMSILL_DAEMON" description:"operator listener of any daemon"`
 	Output string `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
 	Token  string `long:"token" env:"HORNBEAMSILL_TOKEN" description:"operator token"`
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -27,7 +28,7 @@
 		}
 		body = bytes.NewReader(data)
 	}
-	req, err := http.NewRequest(method, a.Daemon+path, body)
+	req, err := http.NewRequest(method, a.url()+path, body)
 	if err != nil {
 		return trace.BadParameter("--daemon: %v", err)
 	}
@@ -53,6 +54,14 @@
 	return trace.Wrap(json.Unmarshal(data, out))
 }
 
+// url returns the daemon's URL; an address without a scheme is HTTP.
+func (a *app) url() string {
+	if strings.Contains(a.Daemon, "://") {
+		return strings.TrimSuffix(a.Daemon, "/")
+	}
+	return "http://" + a.Daemon
+}
+
 // print writes v as JSON, or as the text that table writes.
 func (a *app) print(v any, table func(w io.Writer)) error {
 	if a.Output == "json" {
--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -248,6 +248,31 @@
 	}
 }
 
+// A version drains while a clerk works on it, and is withdrawn later. The
+// session goes on while it drains; nobody new gets it; after the withdrawal the
+// clerk is told, and not moved to another version.
+func TestSessionThroughTheStatesOfItsVersion(t *testing.T) {
+	s := newSite(t, 2, nil)
+	first := requireAnswered(t, s.Daemons[0], summary("begin"))
+	session := summary("go on")
+	session.Session = first.Header.Get(caller.HeaderSession)
+	for i, state := range []config.VersionState{config.Draining, config.Withdrawn} {
+		overlay := fmt.Sprintf(`{"models": {"clauses": {"versions": {"1": {"state": %q}}}}}`, state)
+		s.inForce(s.apply(s.Daemons[0], "gothenburg", int64(i+1), overlay), s.Daemons...)
+		for _, d := range s.Daemons {
+			pinned := cluster.Ask{APIKey: keyVisrad, Model: "clauses@1", Prompt: "new"}
+			requireRefused(t, d, pinned, fault.VersionWithdrawn, fault.RanNo)
+			requireRefused(t, d, summary("new"), fault.NoUpstream, fault.RanNo)
+			if state == config.Draining {
+				reply := requireAnswered(t, d, session)
+				require.Equal(t, "1", reply.Header.Get(caller.HeaderVersion))
+				continue
+			}
+			requireRefused(t, d, session, fault.SessionWithdrawn, fault.RanNo)
+		}
+	}
+}
+
 // Signing keys are rotated while a session goes on. The session keeps its
 // version at every daemon.
 func TestSessionOutlivesKeyRotation(t *testing.T) {
