A queue that refused everything after an outage

Cause: the time between grants learned while upstreams were out (30 s in the test) was kept when nobody waited any more. It refused every shorter deadline, so nobody waited, and it was never corrected. Found while reading the code.

Before: a request with 5 s is refused with 'room is expected in 30s' although a slot is free the next moment; after: it is answered.

Conclusion: an empty queue knows nothing about how fast room comes up.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -184,6 +184,33 @@
 	require.Equal(t, 5, q.Len())
 }
 
+// Upstreams were out for half a minute and came back. The queue still believed
+// that room comes up every half minute, and refused everything with a shorter
+// deadline; as nobody waited, it never learned better.
+func TestQueueForgetsAnOutage(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	q := NewQueue(clock)
+	room := 0
+	var waiting []chan error
+	for range 3 {
+		waiting = append(waiting, waiter(q, Work{Organisation: "a", Deadline: clock.Now().Add(time.Hour)}, &room))
+	}
+	for _, next := range waiting {
+		clock.Advance(30 * time.Second)
+		q.mu.Lock()
+		room = 1
+		q.mu.Unlock()
+		q.Poke()
+		require.NoError(t, <-next)
+	}
+	short := waiter(q, Work{Organisation: "a", Deadline: clock.Now().Add(5 * time.Second)}, &room)
+	q.mu.Lock()
+	room = 1
+	q.mu.Unlock()
+	q.Poke()
+	require.NoError(t, <-short)
+}
+
 // Urgent work pushes batch work back beyond its deadline. The batch work is
 // refused as soon as that is clear.
 func TestPushedBackWorkIsRefusedAtOnce(t *testing.T) {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -86,6 +86,9 @@
 	at := q.insert(t)
 	if wait := q.expected(at); !q.feasible(t, wait) {
 		q.remove(t)
+		if len(q.waiting) == 0 {
+			q.forget()
+		}
 		q.mu.Unlock()
 		return &RefusedError{RetryAfter: q.retryAfter(wait)}
 	}
@@ -198,10 +201,15 @@
 	q.lastGrant = now
 }
 
-// forget drops the fair-queueing state of organisations without work.
+// forget starts afresh once nobody waits: organisations without work have no
+// claim on the order, and how fast room came up says nothing about the next
+// time there is a queue. An interval kept from an outage would refuse every
+// short deadline, and with nobody let in to wait it would never be corrected.
 func (q *Queue) forget() {
 	clear(q.last)
 	q.virtual = 0
+	q.interval = 0
+	q.lastGrant = time.Time{}
 }
 
 // Len returns the number of waiting requests.
