--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -11,7 +11,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,6 +45,7 @@
 	Settings settings.Settings
 
 	procs   []*Process
+	mu      sync.Mutex
 	Daemons []*Daemon
 	proxies []*Proxy
 }
@@ -179,6 +182,8 @@
 	}
 	d.Process = p
 	c.procs = append(c.procs, p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.Daemons = append(c.Daemons, d)
 	return d, nil
 }
@@ -194,6 +199,14 @@
 	return l.Addr().String(), nil
 }
 
+// Started returns the daemons started so far. Load that runs while daemons are
+// started uses it in place of Daemons.
+func (c *Cluster) Started() []*Daemon {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.Daemons)
+}
+
 // Status asks a daemon for its status.
 func (d *Daemon) Status() (operator.Status, error) {
 	var s operator.Status
--- a/test/faults/trial.go
+++ b/test/faults/trial.go
@@ -224,7 +224,8 @@
 		a.Model, a.Kind, a.Key = "notes-large", "clearance", l.key(i, n)
 	}
 	for try := range tries {
-		d := l.Daemons[(i+n+try)%len(l.Daemons)]
+		daemons := l.Started()
+		d := daemons[(i+n+try)%len(daemons)]
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		o.reply, o.err = a.Send(ctx, d.CallerURL, nil)
 		cancel()
@@ -253,7 +254,7 @@
 	var found struct {
 		Entries []caller.Entry `json:"entries"`
 	}
-	if cluster.Get(l.Daemons[1].CallerURL+"/v1/entries", &found) != nil || len(found.Entries) == 0 {
+	if cluster.Get(l.Started()[1].CallerURL+"/v1/entries", &found) != nil || len(found.Entries) == 0 {
 		return own
 	}
 	return found.Entries[(i+n)%len(found.Entries)].KeyPrefix + "." + own
--- a/test/process/leaving_test.go
+++ b/test/process/leaving_test.go
@@ -122,6 +122,7 @@
 			o.Profiles[name] = p
 		}
 	})
+	first := caller.Entry{URL: s.Daemons[0].CallerURL}
 	ctx, stop := context.WithCancel(context.Background())
 	var load sync.WaitGroup
 	var mu sync.Mutex
@@ -129,7 +130,7 @@
 	asked := 0
 	for i := range 8 {
 		load.Go(func() {
-			d := directory{entries: []caller.Entry{{URL: s.Daemons[0].CallerURL}}}
+			d := directory{entries: []caller.Entry{first}}
 			for n := 0; ctx.Err() == nil; n++ {
 				d.refresh(t)
 				e := d.entries[(i+n)%len(d.entries)]
