--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -43,9 +43,7 @@
 func (s *site) versionRuns(ref string) int {
 	s.t.Helper()
 	n := 0
-	for _, e := range s.engines {
-		var c standin.EngineCounts
-		require.NoError(s.t, cluster.Get("http://"+e.Address+"/standin/counts", &c))
+	for _, c := range s.engineCounts() {
 		n += c.Versions[ref]
 	}
 	return n
--- a/test/process/helpers_test.go
+++ b/test/process/helpers_test.go
@@ -68,14 +68,22 @@
 func (s *site) runs(prompt string) int {
 	s.t.Helper()
 	n := 0
-	for _, e := range s.engines {
-		var c standin.EngineCounts
-		require.NoError(s.t, cluster.Get("http://"+e.Address+"/standin/counts", &c))
+	for _, c := range s.engineCounts() {
 		n += c.Prompts[prompt]
 	}
 	return n
 }
 
+// engineCounts returns what each engine really did.
+func (s *site) engineCounts() []standin.EngineCounts {
+	s.t.Helper()
+	out := make([]standin.EngineCounts, len(s.engines))
+	for i, e := range s.engines {
+		require.NoError(s.t, cluster.Get("http://"+e.Address+"/standin/counts", &out[i]))
+	}
+	return out
+}
+
 // engineFault sets the faults of every engine.
 func (s *site) engineFault(f standin.EngineFaults) {
 	s.t.Helper()
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -163,9 +163,7 @@
 func (s *site) counts() (started, finished map[string]int) {
 	s.t.Helper()
 	started, finished = map[string]int{}, map[string]int{}
-	for _, e := range s.engines {
-		var c standin.EngineCounts
-		require.NoError(s.t, cluster.Get("http://"+e.Address+"/standin/counts", &c))
+	for _, c := range s.engineCounts() {
 		for id, n := range c.Started {
 			started[id] += n
 		}
