--- a/cmd/hornbeamsill-standin/main.go
+++ b/cmd/hornbeamsill-standin/main.go
@@ -16,7 +16,7 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/standin"
 )
 
@@ -66,7 +66,7 @@
 func build(o options, name string) (http.Handler, error) {
 	switch name {
 	case "platform":
-		return standin.NewPlatform(platform.NewMemory(), standin.PlatformOptions{
+		return standin.NewPlatform(backing.NewMemory(), standin.PlatformOptions{
 			ListLag: o.Platform.ListLag, WeightsPerSecond: o.Platform.WeightsPerSecond,
 		}).Handler(), nil
 	case "engine":
--- a/internal/platform/client.go
+++ b/internal/backing/client.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/backing/platform.go
@@ -1,8 +1,8 @@
-// Package platform is the boundary to the platform's services: the
+// Package backing is the boundary to the platform's services: the
 // transactional table, the object store, the instance list, the ratings feed
 // and the weight store. Each has a narrow interface; Memory is the fake
 // beside them and Client speaks to the real services over HTTP.
-package platform
+package backing
 
 import (
 	"context"
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 var clock = clockwork.NewFakeClockAt(time.Unix(1_800_000_000, 0))
@@ -85,7 +85,7 @@
 		for i := range 4 {
 			n.tables = append(n.tables, NewTable(incarnation(i), clock))
 		}
-		store := platform.NewMemory()
+		store := backing.NewMemory()
 		key := Key{Organisation: "o", Value: Prefix(incarnation(0), clock.Now()) + ".x"}
 		if rapid.Bool().Draw(t, "without prefix") {
 			key.Value = "plain"
@@ -122,21 +122,21 @@
 // after it. The request is refused as not run; when the store is back the key
 // runs once.
 func TestLostAnswersOfTheStore(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	table := NewTable(incarnation(1), clock)
 	r := NewResolver(incarnation(1), table, store, nil, clock)
 	key := Key{Organisation: "o", Value: "plain"}
-	for _, action := range []platform.FaultAction{platform.FaultRefuse, platform.FaultLoseRequest, platform.FaultLoseAnswer} {
+	for _, action := range []backing.FaultAction{backing.FaultRefuse, backing.FaultLoseRequest, backing.FaultLoseAnswer} {
 		lost := false
-		store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+		store.SetFault(func(p backing.FaultPoint) backing.FaultAction {
 			if p.Op == "commit" {
 				lost = true
 				return action
 			}
 			if lost {
-				return platform.FaultRefuse
+				return backing.FaultRefuse
 			}
-			return platform.FaultNone
+			return backing.FaultNone
 		})
 		_, err := r.Resolve(context.Background(), key, "d", "r1")
 		require.True(t, fault.Is(err, fault.StoreUnavailable))
@@ -153,7 +153,7 @@
 // The table would grow with every key without a prefix. Old ones are deleted,
 // those that may still be used are not.
 func TestSweepRows(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	clock := clockwork.NewFakeClock()
 	r := NewResolver(incarnation(1), NewTable(incarnation(1), clock), store, nil, clock)
 	resolve := func(value string) {
--- a/internal/claim/resolver.go
+++ b/internal/claim/resolver.go
@@ -9,8 +9,8 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 const (
@@ -36,13 +36,13 @@
 type Resolver struct {
 	self  string
 	table *Table
-	store platform.Table
+	store backing.Table
 	asker Asker
 	clock clockwork.Clock
 }
 
 // NewResolver returns the resolver of the daemon self.
-func NewResolver(self string, table *Table, store platform.Table, asker Asker, clock clockwork.Clock) *Resolver {
+func NewResolver(self string, table *Table, store backing.Table, asker Asker, clock clockwork.Clock) *Resolver {
 	return &Resolver{self: self, table: table, store: store, asker: asker, clock: clock}
 }
 
@@ -128,7 +128,7 @@
 	sum := sha256.Sum256([]byte(key.Value))
 	row := rowPrefix + key.Organisation + "/" + hex.EncodeToString(sum[:])
 	var found homeRow
-	revision, err := platform.GetJSON(ctx, r.store, row, &found)
+	revision, err := backing.GetJSON(ctx, r.store, row, &found)
 	if err == nil && revision != 0 {
 		return Home{Incarnation: found.Home, Issued: found.Issued}, nil
 	}
@@ -136,17 +136,17 @@
 		return Home{}, storeOut(err)
 	}
 	mine := homeRow{Home: r.self, Issued: r.clock.Now()}
-	_, err = r.store.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: row}},
-		Puts:   []platform.Put{platform.PutJSON(row, mine)},
+	_, err = r.store.Commit(ctx, backing.Txn{
+		Checks: []backing.Check{{Key: row}},
+		Puts:   []backing.Put{backing.PutJSON(row, mine)},
 	})
 	if err == nil {
 		return Home{Incarnation: mine.Home, Issued: mine.Issued}, nil
 	}
-	if !trace.IsCompareFailed(err) && !platform.IsUnknownOutcome(err) {
+	if !trace.IsCompareFailed(err) && !backing.IsUnknownOutcome(err) {
 		return Home{}, storeOut(err)
 	}
-	revision, err = platform.GetJSON(ctx, r.store, row, &found)
+	revision, err = backing.GetJSON(ctx, r.store, row, &found)
 	if err != nil || revision == 0 {
 		return Home{}, storeOut(trace.ConnectionProblem(err, "the claim could not be read back"))
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -10,8 +10,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 var ctx = context.Background()
@@ -56,19 +56,19 @@
 // operator is told that the outcome is unknown, never that it failed; asking
 // again gives the truth, and the change does not take effect later.
 func TestChangeWithUnknownOutcome(t *testing.T) {
-	for _, action := range []platform.FaultAction{platform.FaultLoseAnswer, platform.FaultLoseRequest} {
-		memory := platform.NewMemory()
+	for _, action := range []backing.FaultAction{backing.FaultLoseAnswer, backing.FaultLoseRequest} {
+		memory := backing.NewMemory()
 		store := NewStore(memory, time.Now)
 		lost := false
-		memory.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+		memory.SetFault(func(p backing.FaultPoint) backing.FaultAction {
 			switch {
 			case p.Op == "commit" && !lost:
 				lost = true
 				return action
 			case lost:
-				return platform.FaultRefuse
+				return backing.FaultRefuse
 			default:
-				return platform.FaultNone
+				return backing.FaultNone
 			}
 		})
 		req := ApplyRequest{ChangeID: "c", Text: example(t, "base.jsonc")}
@@ -87,15 +87,15 @@
 // The write is still on its way when the operator is told that it was not
 // accepted. It must not take effect afterwards.
 func TestDelayedWriteDoesNotTakeEffectLater(t *testing.T) {
-	memory := platform.NewMemory()
+	memory := backing.NewMemory()
 	store := NewStore(memory, time.Now)
-	var delayed *platform.Txn
-	memory.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+	var delayed *backing.Txn
+	memory.SetFault(func(p backing.FaultPoint) backing.FaultAction {
 		if p.Op == "commit" && delayed == nil {
 			delayed = p.Txn
-			return platform.FaultLoseRequest
+			return backing.FaultLoseRequest
 		}
-		return platform.FaultNone
+		return backing.FaultNone
 	})
 	_, err := store.Apply(ctx, ApplyRequest{ChangeID: "c", Text: example(t, "base.jsonc")})
 	require.True(t, fault.Is(err, fault.StoreUnavailable))
@@ -110,7 +110,7 @@
 // A follower reads while changes are made; rows of different generations must
 // not be mixed, and nothing older than what is in force is installed.
 func TestFollowerNeverMixesOrGoesBack(t *testing.T) {
-	memory := platform.NewMemory()
+	memory := backing.NewMemory()
 	store := NewStore(memory, time.Now)
 	clock := clockwork.NewFakeClock()
 	follower := NewFollower("s", store, clock)
@@ -143,7 +143,7 @@
 // A daemon is paused. Its confirmation ages meanwhile, so that it asks before
 // it dispatches again.
 func TestConfirmationAgesFromTheQuestion(t *testing.T) {
-	memory := platform.NewMemory()
+	memory := backing.NewMemory()
 	store := NewStore(memory, time.Now)
 	clock := clockwork.NewFakeClock()
 	_, err := store.Apply(ctx, ApplyRequest{ChangeID: "c", Text: `{}`})
--- a/internal/config/rollouts.go
+++ b/internal/config/rollouts.go
@@ -5,15 +5,15 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 // WriteRollouts brings roll-out states into force in one generation. checks
 // are further conditions, such as a lease that must still be held. edit is
 // given the rows as they are and may be called again after a lost race; it
 // returns nil to write nothing.
-func (s *Store) WriteRollouts(ctx context.Context, refs []VersionRef, checks []platform.Check, edit func(now map[VersionRef]Rollout) ([]Rollout, error)) (int64, error) {
+func (s *Store) WriteRollouts(ctx context.Context, refs []VersionRef, checks []backing.Check, edit func(now map[VersionRef]Rollout) ([]Rollout, error)) (int64, error) {
 	for {
 		head, headRevision, err := s.Head(ctx)
 		if err != nil {
@@ -48,23 +48,23 @@
 	}
 }
 
-func (s *Store) rolloutTxn(head Head, headRevision int64, rows []Rollout) platform.Txn {
+func (s *Store) rolloutTxn(head Head, headRevision int64, rows []Rollout) backing.Txn {
 	next := head.Clone()
 	next.Generation++
-	txn := platform.Txn{Checks: []platform.Check{{Key: headKey, Revision: headRevision}}}
+	txn := backing.Txn{Checks: []backing.Check{{Key: headKey, Revision: headRevision}}}
 	for _, r := range rows {
 		r.Updated = s.now()
 		r.Generation = next.Generation
 		next.Rollouts[r.VersionRef.String()] = next.Generation
-		txn.Puts = append(txn.Puts, platform.PutJSON(rolloutKey+r.VersionRef.String(), r))
+		txn.Puts = append(txn.Puts, backing.PutJSON(rolloutKey+r.VersionRef.String(), r))
 	}
-	txn.Puts = append(txn.Puts, platform.PutJSON(headKey, next))
+	txn.Puts = append(txn.Puts, backing.PutJSON(headKey, next))
 	return txn
 }
 
 // rolloutOutcome reads back what became of a write whose answer was lost.
 func (s *Store) rolloutOutcome(ctx context.Context, wanted Rollout, cause error) error {
-	if !platform.IsUnknownOutcome(cause) {
+	if !backing.IsUnknownOutcome(cause) {
 		return unavailable(cause)
 	}
 	now, _, err := s.Rollout(ctx, wanted.VersionRef.String())
@@ -75,7 +75,7 @@
 }
 
 // checksHold tells a lost race on the head from a condition that failed.
-func (s *Store) checksHold(ctx context.Context, checks []platform.Check) error {
+func (s *Store) checksHold(ctx context.Context, checks []backing.Check) error {
 	for _, c := range checks {
 		row, err := s.table.Get(ctx, c.Key)
 		if err != nil && !trace.IsNotFound(err) {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -12,8 +12,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 // Keys of the rows that hold the configuration.
@@ -98,12 +98,12 @@
 
 // Store reads and writes the configuration in the table.
 type Store struct {
-	table platform.Table
+	table backing.Table
 	now   func() time.Time
 }
 
 // NewStore returns a store over table.
-func NewStore(table platform.Table, now func() time.Time) *Store {
+func NewStore(table backing.Table, now func() time.Time) *Store {
 	return &Store{table: table, now: now}
 }
 
@@ -111,21 +111,21 @@
 // writes.
 func (s *Store) Head(ctx context.Context) (Head, int64, error) {
 	head := Head{}
-	revision, err := platform.GetJSON(ctx, s.table, headKey, &head)
+	revision, err := backing.GetJSON(ctx, s.table, headKey, &head)
 	return head.Clone(), revision, err
 }
 
 // Document reads a document; one never written is empty.
 func (s *Store) Document(ctx context.Context, target string) (StoredDocument, error) {
 	var doc StoredDocument
-	_, err := platform.GetJSON(ctx, s.table, documentKey+target, &doc)
+	_, err := backing.GetJSON(ctx, s.table, documentKey+target, &doc)
 	return doc, err
 }
 
 // Rollout reads the live state of a version, if it has one.
 func (s *Store) Rollout(ctx context.Context, ref string) (Rollout, bool, error) {
 	var r Rollout
-	revision, err := platform.GetJSON(ctx, s.table, rolloutKey+ref, &r)
+	revision, err := backing.GetJSON(ctx, s.table, rolloutKey+ref, &r)
 	return r, revision != 0, err
 }
 
@@ -192,9 +192,9 @@
 	done, found, err := s.change(ctx, id)
 	if err == nil && !found {
 		abandoned := Change{ID: id, Abandoned: true, At: s.now()}
-		_, err = s.table.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{{Key: changeKey + id}},
-			Puts:   []platform.Put{platform.PutJSON(changeKey+id, abandoned)},
+		_, err = s.table.Commit(ctx, backing.Txn{
+			Checks: []backing.Check{{Key: changeKey + id}},
+			Puts:   []backing.Put{backing.PutJSON(changeKey+id, abandoned)},
 		})
 		if err == nil {
 			return Change{}, fault.New(fault.StoreUnavailable, "the change was not accepted; apply it again with a new change id")
@@ -219,32 +219,32 @@
 
 func (s *Store) change(ctx context.Context, id string) (Change, bool, error) {
 	var c Change
-	revision, err := platform.GetJSON(ctx, s.table, changeKey+id, &c)
+	revision, err := backing.GetJSON(ctx, s.table, changeKey+id, &c)
 	return c, revision != 0, err
 }
 
 func unavailable(err error) error {
-	if platform.IsUnavailable(err) {
+	if backing.IsUnavailable(err) {
 		return fault.New(fault.StoreUnavailable, "%v", err)
 	}
 	return trace.Wrap(err)
 }
 
-func (s *Store) documentTxn(head Head, headRevision int64, c Change, text string) platform.Txn {
+func (s *Store) documentTxn(head Head, headRevision int64, c Change, text string) backing.Txn {
 	next := head.Clone()
 	next.Generation = c.Generation
 	next.Documents[c.Target] = c.Revision
 	doc := StoredDocument{Revision: c.Revision, Generation: c.Generation, Text: text, ChangeID: c.ID, Author: c.Author, At: c.At}
-	return platform.Txn{
-		Checks: []platform.Check{
+	return backing.Txn{
+		Checks: []backing.Check{
 			{Key: headKey, Revision: headRevision},
 			{Key: changeKey + c.ID},
 		},
-		Puts: []platform.Put{
-			platform.PutJSON(headKey, next),
-			platform.PutJSON(documentKey+c.Target, doc),
-			platform.PutJSON(historyRow(c.Target, c.Revision), doc),
-			platform.PutJSON(changeKey+c.ID, c),
+		Puts: []backing.Put{
+			backing.PutJSON(headKey, next),
+			backing.PutJSON(documentKey+c.Target, doc),
+			backing.PutJSON(historyRow(c.Target, c.Revision), doc),
+			backing.PutJSON(changeKey+c.ID, c),
 		},
 	}
 }
@@ -268,7 +268,7 @@
 	var doc StoredDocument
 	if revision > 0 {
 		// A missing text only makes the difference less exact.
-		_, _ = platform.GetJSON(ctx, s.table, historyRow(target, revision), &doc)
+		_, _ = backing.GetJSON(ctx, s.table, historyRow(target, revision), &doc)
 	}
 	return []byte(doc.Text)
 }
@@ -361,9 +361,9 @@
 const changeRetention = 30 * 24 * time.Hour
 
 // SweepChanges deletes the rows of old change ids, one page a call; see
-// platform.Sweep. The revisions they made stay in the history.
+// backing.Sweep. The revisions they made stay in the history.
 func (s *Store) SweepChanges(ctx context.Context, after string) (next string, deleted int, err error) {
-	return platform.Sweep(ctx, s.table, changeKey, after, func(row platform.Row) bool {
+	return backing.Sweep(ctx, s.table, changeKey, after, func(row backing.Row) bool {
 		var c Change
 		return json.Unmarshal(row.Value, &c) == nil && s.now().Sub(c.At) > changeRetention
 	})
--- a/internal/daemon/entries_test.go
+++ b/internal/daemon/entries_test.go
@@ -9,17 +9,17 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 )
 
 // A daemon starts and is known to the others at once. It is offered to callers
 // only when it can serve them; a planned restart would show as errors.
 func TestOfferedWhenReady(t *testing.T) {
-	memory := platform.NewMemory()
+	memory := backing.NewMemory()
 	n := NewNode(settings.Defaults(), memory, clockwork.NewFakeClock())
 	n.callerURL = "http://here"
 	other := NewNode(settings.Defaults(), memory, clockwork.NewFakeClock())
@@ -42,7 +42,7 @@
 // one that leaves or of another site; over many answers of all of them.
 func TestEntriesOfALargeSite(t *testing.T) {
 	s := settings.Defaults()
-	n := NewNode(s, platform.NewMemory(), clockwork.NewFakeClock())
+	n := NewNode(s, backing.NewMemory(), clockwork.NewFakeClock())
 	var news []member.Daemon
 	for i := range 100 {
 		d := member.Daemon{Incarnation: fmt.Sprintf("d%d", i), Site: s.Site, CallerURL: fmt.Sprintf("http://d%d", i)}
--- a/internal/daemon/export.go
+++ b/internal/daemon/export.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 // Registry returns the table of daemons, for measurements.
@@ -13,4 +13,4 @@
 func (n *Node) Heartbeat() peer.Heartbeat { return n.heartbeat() }
 
 // AddRatings counts ratings as if they had been read, for measurements.
-func (n *Node) AddRatings(ratings []platform.Rating) { n.ratings.Add(ratings) }
+func (n *Node) AddRatings(ratings []backing.Rating) { n.ratings.Add(ratings) }
--- a/internal/daemon/fresh_test.go
+++ b/internal/daemon/fresh_test.go
@@ -9,9 +9,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 // stale is a daemon whose configuration was confirmed ten seconds ago, with
@@ -26,7 +26,7 @@
 func newStale(t *testing.T) *stale {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
-	store := config.NewStore(platform.NewMemory(), clock.Now)
+	store := config.NewStore(backing.NewMemory(), clock.Now)
 	_, err := store.Apply(context.Background(), config.ApplyRequest{ChangeID: "1", Text: `{}`})
 	require.NoError(t, err)
 	follower := config.NewFollower("s", store, clock)
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
@@ -133,7 +133,7 @@
 }
 
 // OnInstances implements peer.Handler.
-func (n *Node) OnInstances() []platform.Instance {
+func (n *Node) OnInstances() []backing.Instance {
 	n.listMu.Lock()
 	defer n.listMu.Unlock()
 	return n.list
--- a/internal/daemon/loops.go
+++ b/internal/daemon/loops.go
@@ -11,9 +11,9 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 )
 
@@ -42,7 +42,7 @@
 // scaled is an interval that keeps all daemons together under a rate.
 func (n *Node) scaled(perSecond float64, floorMS int64) func() time.Duration {
 	return func() time.Duration {
-		return platform.Interval(len(n.registry.Live()), perSecond, settings.MS(floorMS))
+		return backing.Interval(len(n.registry.Live()), perSecond, settings.MS(floorMS))
 	}
 }
 
@@ -155,7 +155,7 @@
 	n.listMu.Lock()
 	n.list = list
 	for _, i := range list {
-		if i.Role == platform.RoleEntry {
+		if i.Role == backing.RoleEntry {
 			n.seeds[i.Address] = true
 		}
 	}
@@ -168,7 +168,7 @@
 	}
 }
 
-func (n *Node) listFromPeers(ctx context.Context) ([]platform.Instance, error) {
+func (n *Node) listFromPeers(ctx context.Context) ([]backing.Instance, error) {
 	err := trace.ConnectionProblem(nil, "no peer has a list of instances")
 	for _, d := range n.registry.Live() {
 		if d.Incarnation == n.incarnation {
@@ -184,13 +184,13 @@
 // visible bounds the upstreams that this daemon uses: those of its own failure
 // domain first, in the order of rendezvous hashing, so that the subsets of all
 // daemons cover the upstreams evenly.
-func (n *Node) visible(list []platform.Instance) []platform.Instance {
+func (n *Node) visible(list []backing.Instance) []backing.Instance {
 	limit := n.settings.Limits.UpstreamsSeen
-	byID := map[string]platform.Instance{}
+	byID := map[string]backing.Instance{}
 	var near, far []string
 	for _, i := range list {
 		switch {
-		case i.Role == platform.RoleEntry:
+		case i.Role == backing.RoleEntry:
 			continue
 		case i.FailureDomain == n.settings.FailureDomain:
 			near = append(near, i.ID)
@@ -200,7 +200,7 @@
 		byID[i.ID] = i
 	}
 	ranked := append(member.Rank("see/"+n.incarnation, near), member.Rank("see/"+n.incarnation, far)...)
-	var out []platform.Instance
+	var out []backing.Instance
 	for _, id := range ranked[:min(limit, len(ranked))] {
 		out = append(out, byID[id])
 	}
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -17,11 +17,11 @@
 	"go.uber.org/fx"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/operator"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/telemetry"
 )
@@ -31,7 +31,7 @@
 var Module = fx.Module("daemon",
 	fx.Provide(
 		clockwork.NewRealClock,
-		func(s settings.Settings) platform.Platform { return platform.NewClient(s.Platform) },
+		func(s settings.Settings) backing.Platform { return backing.NewClient(s.Platform) },
 		NewNode,
 		newCaller,
 		newOperator,
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
@@ -25,7 +26,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/rollout"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
@@ -55,7 +55,7 @@
 	settings    settings.Settings
 	clock       clockwork.Clock
 	incarnation string
-	platform    platform.Platform
+	platform    backing.Platform
 
 	registry   *member.Registry
 	upstreams  *member.Upstreams
@@ -85,7 +85,7 @@
 	// list is the last list of instances, and seeds the peer addresses in it
 	// and in the settings.
 	listMu sync.Mutex
-	list   []platform.Instance
+	list   []backing.Instance
 	seeds  map[string]bool
 	// callerURL is told to others once this daemon is ready.
 	callerURL string
@@ -113,7 +113,7 @@
 }
 
 // NewNode builds a daemon. It does nothing until its loops run.
-func NewNode(s settings.Settings, p platform.Platform, clock clockwork.Clock) *Node {
+func NewNode(s settings.Settings, p backing.Platform, clock clockwork.Clock) *Node {
 	n := &Node{
 		settings:    s,
 		clock:       clock,
@@ -202,7 +202,7 @@
 		&asker{self: n.incarnation, registry: n.registry, client: n.peers, claims: n.claims}, n.clock)
 	n.ledger = ledger.New(n.incarnation, n.platform, newReplicator(n.registry, n.peers), n.clock, ledger.Options{
 		CommitInterval: func() time.Duration {
-			return platform.Interval(len(n.registry.Live()), commitsPerSecond, settings.MS(t.CommitMS))
+			return backing.Interval(len(n.registry.Live()), commitsPerSecond, settings.MS(t.CommitMS))
 		},
 		MaxPending:  n.settings.Limits.MaxPendingBills,
 		HoldTimeout: settings.MS(t.HoldMS),
@@ -264,7 +264,7 @@
 // engineList returns the engines for the roll-out duty.
 func (n *Node) engineList() []rollout.Engine {
 	var out []rollout.Engine
-	for _, u := range n.upstreams.Usable(platform.RoleEngine) {
+	for _, u := range n.upstreams.Usable(backing.RoleEngine) {
 		e := rollout.Engine{ID: u.Instance.ID, Address: u.Instance.Address, Serves: map[config.VersionRef]bool{}}
 		for _, v := range u.Report.Versions {
 			e.Serves[config.VersionRef{Model: v.Model, Version: v.Version}] = true
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -19,8 +19,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 )
 
@@ -84,7 +84,7 @@
 	require.NoError(t, err)
 	_, misled, err := loadTLS(ours.settings(theirs))
 	require.NoError(t, err)
-	node := NewNode(settings.Defaults(), platform.NewMemory(), clockwork.NewFakeClock())
+	node := NewNode(settings.Defaults(), backing.NewMemory(), clockwork.NewFakeClock())
 	listener, err := peer.Listen("127.0.0.1:0", server, node)
 	require.NoError(t, err)
 	defer listener.Close()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -12,12 +12,12 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
@@ -119,7 +119,7 @@
 }
 
 func (e *execution) servedOutside(ref config.VersionRef, excluded map[string]bool) bool {
-	for _, u := range e.Upstreams.Usable(platform.RoleEngine) {
+	for _, u := range e.Upstreams.Usable(backing.RoleEngine) {
 		if u.Serves(ref) && !excluded[u.Instance.ID] {
 			return true
 		}
@@ -129,7 +129,7 @@
 
 // choose picks an upstream for ref, or none while all are full.
 func (e *execution) choose(ref config.VersionRef, excluded map[string]bool) (member.Upstream, bool) {
-	usable := e.Upstreams.Usable(platform.RoleEngine)
+	usable := e.Upstreams.Usable(backing.RoleEngine)
 	var loads []route.Load
 	byID := map[string]member.Upstream{}
 	for _, u := range usable {
--- a/internal/dispatch/cascade.go
+++ b/internal/dispatch/cascade.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"strings"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
@@ -58,7 +58,7 @@
 
 // accepted asks the judge. A judge that does not answer accepts nothing.
 func (e *execution) accepted(ctx context.Context, ref config.VersionRef, text string) bool {
-	judgement, err := e.Judge.Judge(ctx, platform.JudgeRequest{
+	judgement, err := e.Judge.Judge(ctx, backing.JudgeRequest{
 		RequestID: e.req.ID,
 		Kind:      e.req.KindName,
 		Model:     ref.Model,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,12 +17,12 @@
 	"go.opentelemetry.io/otel/codes"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/rollout"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
@@ -70,7 +70,7 @@
 
 // Judge judges answers inside a cascade.
 type Judge interface {
-	Judge(ctx context.Context, req platform.JudgeRequest) (platform.Judgement, error)
+	Judge(ctx context.Context, req backing.JudgeRequest) (backing.Judgement, error)
 }
 
 // Engines starts and resumes attempts; *upstream.Client is one.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 )
@@ -189,7 +189,7 @@
 
 // served reports whether a usable upstream serves a version.
 func (d *Dispatcher) served(ref config.VersionRef) bool {
-	for _, u := range d.Upstreams.Usable(platform.RoleEngine) {
+	for _, u := range d.Upstreams.Usable(backing.RoleEngine) {
 		if u.Serves(ref) {
 			return true
 		}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -14,12 +14,12 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
@@ -128,7 +128,7 @@
 
 func (e *execution) serviceLoads(name string, excluded map[string]bool) []route.Load {
 	var loads []route.Load
-	for _, u := range e.Upstreams.Usable(platform.RoleService) {
+	for _, u := range e.Upstreams.Usable(backing.RoleService) {
 		if u.Instance.Service != name || excluded[u.Instance.ID] {
 			continue
 		}
@@ -147,7 +147,7 @@
 }
 
 func (d *Dispatcher) upstreamByID(id string) member.Upstream {
-	for _, u := range d.Upstreams.Usable(platform.RoleService) {
+	for _, u := range d.Upstreams.Usable(backing.RoleService) {
 		if u.Instance.ID == id {
 			return u
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 const keyPrefix = "lease/"
@@ -31,7 +31,7 @@
 	name     string
 	self     string
 	duration time.Duration
-	table    platform.Table
+	table    backing.Table
 	clock    clockwork.Clock
 
 	held     row
@@ -45,7 +45,7 @@
 
 // New returns a lease on the duty name for the daemon self. It lapses when it
 // is not renewed for duration.
-func New(name, self string, duration time.Duration, table platform.Table, clock clockwork.Clock) *Lease {
+func New(name, self string, duration time.Duration, table backing.Table, clock clockwork.Clock) *Lease {
 	return &Lease{name: name, self: self, duration: duration, table: table, clock: clock}
 }
 
@@ -60,7 +60,7 @@
 // differ.
 func (l *Lease) Renew(ctx context.Context) (bool, error) {
 	var now row
-	revision, err := platform.GetJSON(ctx, l.table, l.Key(), &now)
+	revision, err := backing.GetJSON(ctx, l.table, l.Key(), &now)
 	if err != nil {
 		return l.Held(), trace.Wrap(err)
 	}
@@ -81,9 +81,9 @@
 
 func (l *Lease) write(ctx context.Context, revision int64, next row) (bool, error) {
 	sent := l.clock.Now()
-	written, err := l.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: l.Key(), Revision: revision}},
-		Puts:   []platform.Put{platform.PutJSON(l.Key(), next)},
+	written, err := l.table.Commit(ctx, backing.Txn{
+		Checks: []backing.Check{{Key: l.Key(), Revision: revision}},
+		Puts:   []backing.Put{backing.PutJSON(l.Key(), next)},
 	})
 	if trace.IsCompareFailed(err) {
 		return false, nil
@@ -92,7 +92,7 @@
 		// If the write took effect, the next Renew finds the row with this
 		// holder. Until then only the time of the last confirmed renewal
 		// counts.
-		if platform.IsUnknownOutcome(err) && next.Fence != l.held.Fence {
+		if backing.IsUnknownOutcome(err) && next.Fence != l.held.Fence {
 			l.held.Fence = next.Fence
 			l.renewed = time.Time{}
 		}
@@ -117,8 +117,8 @@
 // A holder can be paused between looking at its clock and writing. Its write
 // then arrives after another daemon took over; since the take-over changed the
 // row, the condition fails and nothing is overwritten.
-func (l *Lease) Check() platform.Check {
-	return platform.Check{Key: l.Key(), Revision: l.revision}
+func (l *Lease) Check() backing.Check {
+	return backing.Check{Key: l.Key(), Revision: l.revision}
 }
 
 // Release gives the lease up so that another daemon can take it at once.
@@ -127,9 +127,9 @@
 		return nil
 	}
 	l.renewed = time.Time{}
-	_, err := l.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: l.Key(), Revision: l.revision}},
-		Puts:   []platform.Put{platform.PutJSON(l.Key(), row{Fence: l.held.Fence})},
+	_, err := l.table.Commit(ctx, backing.Txn{
+		Checks: []backing.Check{{Key: l.Key(), Revision: l.revision}},
+		Puts:   []backing.Put{backing.PutJSON(l.Key(), row{Fence: l.held.Fence})},
 	})
 	if trace.IsCompareFailed(err) {
 		return nil
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 const duration = 9 * time.Second
@@ -26,7 +26,7 @@
 // fail, and its fencing number must be the lower one.
 func TestHolderPausedPastItsLease(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	a, b := New("duty", "a", duration, store, clock), New("duty", "b", duration, store, clock)
 	require.True(t, renew(t, a))
 	require.False(t, renew(t, b))
@@ -37,9 +37,9 @@
 	require.True(t, renew(t, b))
 	require.False(t, a.Held())
 	require.Greater(t, b.Fence(), a.Fence())
-	_, err := store.Commit(context.Background(), platform.Txn{
-		Checks: []platform.Check{a.Check()},
-		Puts:   []platform.Put{platform.PutJSON("x", 1)},
+	_, err := store.Commit(context.Background(), backing.Txn{
+		Checks: []backing.Check{a.Check()},
+		Puts:   []backing.Put{backing.PutJSON("x", 1)},
 	})
 	require.True(t, trace.IsCompareFailed(err))
 	require.False(t, renew(t, a))
@@ -49,7 +49,7 @@
 // know how old the row is, and waits a whole duration.
 func TestContenderWaitsAWholeDuration(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	a := New("duty", "a", duration, store, clock)
 	require.True(t, renew(t, a))
 	clock.Advance(time.Hour)
@@ -63,13 +63,13 @@
 // confirmed renewal lasts, and finds its lease again when the store answers.
 func TestLostAnswerToARenewal(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	a := New("duty", "a", duration, store, clock)
-	store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+	store.SetFault(func(p backing.FaultPoint) backing.FaultAction {
 		if p.Op == "commit" {
-			return platform.FaultLoseAnswer
+			return backing.FaultLoseAnswer
 		}
-		return platform.FaultNone
+		return backing.FaultNone
 	})
 	_, err := a.Renew(context.Background())
 	require.Error(t, err)
@@ -82,7 +82,7 @@
 
 func TestReleaseLetsOthersInAtOnce(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	a, b := New("duty", "a", duration, store, clock), New("duty", "b", duration, store, clock)
 	require.True(t, renew(t, a))
 	require.NoError(t, a.Release(context.Background()))
--- a/internal/ledger/archive.go
+++ b/internal/ledger/archive.go
@@ -10,7 +10,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 const (
@@ -42,9 +42,9 @@
 // the index row in their place, on the condition that the log has not changed;
 // an archiver that was paused, or one of two, finds its condition failed, and
 // bills are always in exactly one of the two places.
-func Archive(ctx context.Context, p platform.Platform, incarnation string) (int64, error) {
+func Archive(ctx context.Context, p backing.Platform, incarnation string) (int64, error) {
 	var h head
-	revision, err := platform.GetJSON(ctx, p, headPrefix+incarnation, &h)
+	revision, err := backing.GetJSON(ctx, p, headPrefix+incarnation, &h)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
@@ -55,7 +55,7 @@
 	var bills []Bill
 	for n := from; n <= to; n++ {
 		var b batch
-		if _, err := platform.GetJSON(ctx, p, batchKey(incarnation, n), &b); err != nil {
+		if _, err := backing.GetJSON(ctx, p, batchKey(incarnation, n), &b); err != nil {
 			return 0, trace.Wrap(err)
 		}
 		bills = append(bills, b.Bills...)
@@ -65,11 +65,11 @@
 		return 0, trace.Wrap(err)
 	}
 	h.ArchivedTo = to
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: headPrefix + incarnation, Revision: revision}},
-		Puts: []platform.Put{
-			platform.PutJSON(headPrefix+incarnation, h),
-			platform.PutJSON(archiveKey(incarnation, from), row),
+	txn := backing.Txn{
+		Checks: []backing.Check{{Key: headPrefix + incarnation, Revision: revision}},
+		Puts: []backing.Put{
+			backing.PutJSON(headPrefix+incarnation, h),
+			backing.PutJSON(archiveKey(incarnation, from), row),
 		},
 	}
 	for n := from; n <= to; n++ {
@@ -96,7 +96,7 @@
 	return from, to, to-from+1 >= least
 }
 
-func writeArchive(ctx context.Context, objects platform.Objects, name string, bills []Bill) error {
+func writeArchive(ctx context.Context, objects backing.Objects, name string, bills []Bill) error {
 	var data bytes.Buffer
 	w := gzip.NewWriter(&data)
 	if err := json.NewEncoder(w).Encode(bills); err != nil {
@@ -108,7 +108,7 @@
 	return trace.Wrap(objects.PutObject(ctx, name, data.Bytes()))
 }
 
-func readArchive(ctx context.Context, objects platform.Objects, name string) ([]Bill, error) {
+func readArchive(ctx context.Context, objects backing.Objects, name string) ([]Bill, error) {
 	data, err := objects.GetObject(ctx, name)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -126,7 +126,7 @@
 }
 
 // archives lists the index rows below a prefix of their keys.
-func archives(ctx context.Context, table platform.Table, prefix string) ([]archiveRow, error) {
+func archives(ctx context.Context, table backing.Table, prefix string) ([]archiveRow, error) {
 	const most = 1 << 20
 	rows, err := table.List(ctx, prefix, "", most)
 	if err != nil {
@@ -143,7 +143,7 @@
 
 // ArchiveDue moves old batches of every log that has enough of them. Logs that
 // change meanwhile are left for the next time.
-func ArchiveDue(ctx context.Context, p platform.Platform) (int64, error) {
+func ArchiveDue(ctx context.Context, p backing.Platform) (int64, error) {
 	all, err := heads(ctx, p)
 	if err != nil {
 		return 0, err
--- a/internal/ledger/holdings.go
+++ b/internal/ledger/holdings.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -223,7 +223,7 @@
 
 // Abandoned returns the incarnations whose logs are not sealed and that are
 // not among the live ones.
-func Abandoned(ctx context.Context, table platform.Table, live map[string]bool) ([]string, error) {
+func Abandoned(ctx context.Context, table backing.Table, live map[string]bool) ([]string, error) {
 	all, err := heads(ctx, table)
 	if err != nil {
 		return nil, err
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -45,7 +45,7 @@
 // taken for dead and, as the engine ran nothing, the bill is voided. Then it
 // wakes and sends the request after all: its own bill must still count.
 func TestVoidedWhilePausedThenRun(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	holder := NewHoldings("h", store, engine{}, clockwork.NewFakeClock())
 	holder.Hold("a", 0, []Bill{bill("a-1", Open)})
 	done, err := holder.Seal(ctx, "a")
@@ -61,7 +61,7 @@
 // holder cannot learn what ran and presumes a failure; the daemon wakes and
 // knows better.
 func TestPresumedBillIsReplacedOnce(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	holder := NewHoldings("h", store, engine{}, clockwork.NewFakeClock())
 	call := Bill{RequestID: "a-1", State: Open, Service: "folders", Upstream: "u"}
 	holder.Hold("a", 0, []Bill{call})
@@ -79,7 +79,7 @@
 // Work still runs at the engine when its daemon is found dead. The bill waits
 // for the engine's count instead of being closed with nothing.
 func TestSealWaitsForRunningWork(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	usage := engine{"a-1": {Attempts: 1, Running: true}}
 	holder := NewHoldings("h", store, usage, clockwork.NewFakeClock())
 	holder.Hold("a", 0, []Bill{bill("a-1", Open)})
@@ -100,13 +100,13 @@
 // one bill.
 func TestEachRequestIsBilledOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := platform.NewMemory()
-		store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+		store := backing.NewMemory()
+		store.SetFault(func(p backing.FaultPoint) backing.FaultAction {
 			if p.Op != "commit" {
-				return platform.FaultNone
+				return backing.FaultNone
 			}
-			return rapid.SampledFrom([]platform.FaultAction{
-				platform.FaultNone, platform.FaultNone, platform.FaultRefuse, platform.FaultLoseAnswer, platform.FaultLoseRequest,
+			return rapid.SampledFrom([]backing.FaultAction{
+				backing.FaultNone, backing.FaultNone, backing.FaultRefuse, backing.FaultLoseAnswer, backing.FaultLoseRequest,
 			}).Draw(t, "fault")
 		})
 		usage := engine{}
@@ -164,7 +164,7 @@
 // commit has picked up the same bill. A publisher was billed twice: the second
 // writer did not look whether the first had written the bill meanwhile.
 func TestTwoCommitsAtOnceBillOnce(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	l := New("a", store, alone{}, clockwork.NewRealClock(), Options{
 		CommitInterval: func() time.Duration { return time.Microsecond }, MaxPending: 1000, HoldTimeout: time.Second,
 	})
@@ -193,7 +193,7 @@
 // holder seals; answers of the store are lost on the way. The ledger shows the
 // same bills throughout, each once.
 func TestArchivedBillsStayBilledOnce(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	owner := NewLog(store, "a", "a")
 	n := 0
 	more := func(batches int) {
@@ -207,11 +207,11 @@
 	require.NoError(t, err)
 	require.Zero(t, moved, "not worth it yet")
 	more(1)
-	store.SetFault(func(p platform.FaultPoint) platform.FaultAction {
+	store.SetFault(func(p backing.FaultPoint) backing.FaultAction {
 		if p.Op == "commit" {
-			return platform.FaultLoseAnswer
+			return backing.FaultLoseAnswer
 		}
-		return platform.FaultNone
+		return backing.FaultNone
 	})
 	_, err = Archive(ctx, store, "a")
 	require.Error(t, err)
--- a/internal/ledger/list.go
+++ b/internal/ledger/list.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 // Entry is a bill with its place in a log.
@@ -46,7 +46,7 @@
 	doubled []Entry
 }
 
-func (l *lister) readTable(ctx context.Context, table platform.Table) error {
+func (l *lister) readTable(ctx context.Context, table backing.Table) error {
 	const page = 200
 	after := ""
 	for {
--- a/internal/ledger/log.go
+++ b/internal/ledger/log.go
@@ -10,7 +10,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 const (
@@ -91,8 +91,8 @@
 
 // Store is where logs are kept: batches in the table, older ones in objects.
 type Store interface {
-	platform.Table
-	platform.Objects
+	backing.Table
+	backing.Objects
 }
 
 // Log appends to the log of one incarnation. It is not safe for concurrent
@@ -135,7 +135,7 @@
 // Sync reads the batches that others wrote.
 func (l *Log) Sync(ctx context.Context) error {
 	var h head
-	revision, err := platform.GetJSON(ctx, l.table, headPrefix+l.incarnation, &h)
+	revision, err := backing.GetJSON(ctx, l.table, headPrefix+l.incarnation, &h)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -150,7 +150,7 @@
 	}
 	for n := max(start, h.ArchivedTo) + 1; n <= h.Last; n++ {
 		var b batch
-		if _, err := platform.GetJSON(ctx, l.table, batchKey(l.incarnation, n), &b); err != nil {
+		if _, err := backing.GetJSON(ctx, l.table, batchKey(l.incarnation, n), &b); err != nil {
 			return trace.Wrap(err)
 		}
 		l.note(n, b.Bills)
@@ -205,7 +205,7 @@
 	}
 	for n := range batches {
 		var b batch
-		if _, err := platform.GetJSON(ctx, l.table, batchKey(l.incarnation, n), &b); err != nil {
+		if _, err := backing.GetJSON(ctx, l.table, batchKey(l.incarnation, n), &b); err != nil {
 			return nil, trace.Wrap(err)
 		}
 		for _, bill := range b.Bills {
@@ -231,11 +231,11 @@
 			return nil
 		}
 		next := l.next(pending, seal)
-		txn := platform.Txn{
-			Checks: []platform.Check{{Key: headPrefix + l.incarnation, Revision: l.revision}},
-			Puts: []platform.Put{
-				platform.PutJSON(headPrefix+l.incarnation, next),
-				platform.PutJSON(batchKey(l.incarnation, next.Last), batch{Writer: l.writer, Bills: pending}),
+		txn := backing.Txn{
+			Checks: []backing.Check{{Key: headPrefix + l.incarnation, Revision: l.revision}},
+			Puts: []backing.Put{
+				backing.PutJSON(headPrefix+l.incarnation, next),
+				backing.PutJSON(batchKey(l.incarnation, next.Last), batch{Writer: l.writer, Bills: pending}),
 			},
 		}
 		revision, err := l.table.Commit(ctx, txn)
@@ -245,7 +245,7 @@
 			l.forget(pending)
 			return nil
 		}
-		if !trace.IsCompareFailed(err) && !platform.IsUnknownOutcome(err) {
+		if !trace.IsCompareFailed(err) && !backing.IsUnknownOutcome(err) {
 			return trace.Wrap(err)
 		}
 		before := l.revision
@@ -304,7 +304,7 @@
 }
 
 // heads returns the heads of all logs by incarnation.
-func heads(ctx context.Context, table platform.Table) (map[string]head, error) {
+func heads(ctx context.Context, table backing.Table) (map[string]head, error) {
 	rows, err := table.List(ctx, headPrefix, "", 1<<20)
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -9,8 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -119,14 +119,14 @@
 
 func upstreams(clock clockwork.Clock, n int) *Upstreams {
 	t := NewUpstreams(clock, func() config.UpstreamPolicy { return config.UpstreamPolicy{} })
-	t.SetList(list(n, platform.StateLive))
+	t.SetList(list(n, backing.StateLive))
 	return t
 }
 
-func list(n int, state platform.InstanceState) []platform.Instance {
-	var out []platform.Instance
+func list(n int, state backing.InstanceState) []backing.Instance {
+	var out []backing.Instance
 	for i := range n {
-		out = append(out, platform.Instance{ID: fmt.Sprintf("u%d", i), Role: platform.RoleEngine, State: state})
+		out = append(out, backing.Instance{ID: fmt.Sprintf("u%d", i), Role: backing.RoleEngine, State: state})
 	}
 	return out
 }
@@ -137,8 +137,8 @@
 	clock := clockwork.NewFakeClock()
 	u := upstreams(clock, 2)
 	u.SetReport("u0", upstream.LoadReport{Leaving: true}, clock.Now())
-	u.SetList(list(2, platform.StateLive))
-	require.Len(t, u.Usable(platform.RoleEngine), 1)
+	u.SetList(list(2, backing.StateLive))
+	require.Len(t, u.Usable(backing.RoleEngine), 1)
 	require.Equal(t, []string{"u0"}, u.Leaving())
 }
 
@@ -152,11 +152,11 @@
 			u.Failed(fmt.Sprintf("u%d", i))
 		}
 	}
-	require.Len(t, u.Usable(platform.RoleEngine), 2)
+	require.Len(t, u.Usable(backing.RoleEngine), 2)
 	clock.Advance(2 * time.Second)
-	require.Len(t, u.Usable(platform.RoleEngine), 4)
+	require.Len(t, u.Usable(backing.RoleEngine), 4)
 	u.Failed("u0")
-	require.Len(t, u.Usable(platform.RoleEngine), 3, "one more failure ejects it again")
+	require.Len(t, u.Usable(backing.RoleEngine), 3, "one more failure ejects it again")
 }
 
 // A report is old when it arrives. Work sent after its figures were true is
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -8,14 +8,14 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
 // Upstream is a model engine or plain service as this daemon sees it.
 type Upstream struct {
-	Instance platform.Instance
+	Instance backing.Instance
 	// Report is the newest load report, and ReportedAt when its figures were
 	// true.
 	Report     upstream.LoadReport
@@ -82,14 +82,14 @@
 
 // SetList takes the platform's list. An upstream that left the list is
 // dropped once nothing of this daemon runs on it.
-func (t *Upstreams) SetList(instances []platform.Instance) {
+func (t *Upstreams) SetList(instances []backing.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, u := range t.table {
 		u.listed = false
 	}
 	for _, i := range instances {
-		if i.Role == platform.RoleEntry {
+		if i.Role == backing.RoleEntry {
 			continue
 		}
 		u, ok := t.table[i.ID]
@@ -99,7 +99,7 @@
 		}
 		u.Instance = i
 		u.listed = true
-		if i.State == platform.StateLeaving {
+		if i.State == backing.StateLeaving {
 			u.leavingUntil = t.clock.Now().Add(leavingMemory)
 		}
 	}
@@ -238,7 +238,7 @@
 
 // Usable returns copies of the upstreams that may get new work: listed, not
 // leaving, not ejected. Sorted by id.
-func (t *Upstreams) Usable(role platform.InstanceRole) []Upstream {
+func (t *Upstreams) Usable(role backing.InstanceRole) []Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -13,11 +13,11 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/rollout"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
@@ -96,7 +96,7 @@
 	if f := fault.From(err); f.Kind != fault.Internal {
 		return f
 	}
-	if platform.IsUnavailable(err) {
+	if backing.IsUnavailable(err) {
 		return fault.New(fault.StoreUnavailable, "%v", err)
 	}
 	return err
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,11 +13,11 @@
 	"go.opentelemetry.io/otel"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 )
@@ -208,6 +208,6 @@
 }
 
 // Instances fetches the last list of instances that a peer has.
-func (c *Client) Instances(ctx context.Context, address string) ([]platform.Instance, error) {
-	return fetch[[]platform.Instance](ctx, c, address, "Instances", Empty{})
+func (c *Client) Instances(ctx context.Context, address string) ([]backing.Instance, error) {
+	return fetch[[]backing.Instance](ctx, c, address, "Instances", Empty{})
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,11 +8,11 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 )
@@ -160,7 +160,7 @@
 }
 
 // Instances returns the last list of instances.
-func (s *service) Instances(_ Empty, out *[]platform.Instance) error {
+func (s *service) Instances(_ Empty, out *[]backing.Instance) error {
 	*out = s.handler.OnInstances()
 	return nil
 }
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -3,12 +3,12 @@
 
 import (
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 )
@@ -119,5 +119,5 @@
 	OnRatings() rating.Summary
 	OnKeys() []session.Key
 	OnHandover(r HandoverRequest)
-	OnInstances() []platform.Instance
+	OnInstances() []backing.Instance
 }
--- a/internal/rating/rating.go
+++ b/internal/rating/rating.go
@@ -8,8 +8,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 )
 
@@ -99,7 +99,7 @@
 }
 
 // Add counts ratings that follow the ones counted.
-func (t *Table) Add(ratings []platform.Rating) {
+func (t *Table) Add(ratings []backing.Rating) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range ratings {
@@ -166,9 +166,9 @@
 }
 
 // Restore starts from the checkpoint, if it is newer.
-func (t *Table) Restore(ctx context.Context, table platform.Table) error {
+func (t *Table) Restore(ctx context.Context, table backing.Table) error {
 	var s Summary
-	if _, err := platform.GetJSON(ctx, table, checkpointKey, &s); err != nil {
+	if _, err := backing.GetJSON(ctx, table, checkpointKey, &s); err != nil {
 		return trace.Wrap(err)
 	}
 	t.Install(s)
@@ -179,7 +179,7 @@
 }
 
 // Read counts the ratings that are new in the feed and reports how many.
-func (t *Table) Read(ctx context.Context, feed platform.Ratings) (int, error) {
+func (t *Table) Read(ctx context.Context, feed backing.Ratings) (int, error) {
 	total := 0
 	for {
 		ratings, err := feed.ReadRatings(ctx, t.Seq(), pageSize)
@@ -196,7 +196,7 @@
 
 // Checkpoint writes the summary now and then, so that a daemon that starts
 // need not read the feed from its beginning.
-func (t *Table) Checkpoint(ctx context.Context, table platform.Table) error {
+func (t *Table) Checkpoint(ctx context.Context, table backing.Table) error {
 	t.mu.Lock()
 	due := t.seq-t.saved >= checkpointEvery
 	t.mu.Unlock()
@@ -204,15 +204,15 @@
 		return nil
 	}
 	var stored Summary
-	revision, err := platform.GetJSON(ctx, table, checkpointKey, &stored)
+	revision, err := backing.GetJSON(ctx, table, checkpointKey, &stored)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	s := t.Summary()
 	if s.Seq > stored.Seq {
-		_, err = table.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{{Key: checkpointKey, Revision: revision}},
-			Puts:   []platform.Put{platform.PutJSON(checkpointKey, s)},
+		_, err = table.Commit(ctx, backing.Txn{
+			Checks: []backing.Check{{Key: checkpointKey, Revision: revision}},
+			Puts:   []backing.Put{backing.PutJSON(checkpointKey, s)},
 		})
 		if err != nil && !trace.IsCompareFailed(err) {
 			return trace.Wrap(err)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -10,14 +10,14 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/lease"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
 // Check is a condition of a write.
-type Check = platform.Check
+type Check = backing.Check
 
 // creditsKey is the key of the row that counts the credits of a roll-out. It is
 // apart from the roll-out's own row, which comes into force everywhere with
@@ -52,7 +52,7 @@
 	Renew(ctx context.Context) (bool, error)
 	Held() bool
 	Fence() int64
-	Check() platform.Check
+	Check() backing.Check
 	Release(ctx context.Context) error
 }
 
@@ -71,7 +71,7 @@
 	// Duty reports whether this daemon is the one to try for a lease.
 	Duty func(name string) bool
 	// Table holds the counts of credits.
-	Table platform.Table
+	Table backing.Table
 }
 
 // duty is the work on one roll-out that this daemon holds the lease of.
@@ -170,7 +170,7 @@
 // not rated may be in use.
 func (c *Controller) takeOver(ctx context.Context, d *duty, snapshot *config.Snapshot, ref config.VersionRef) error {
 	var row creditsRow
-	revision, err := platform.GetJSON(ctx, c.deps.Table, creditsKey+ref.String(), &row)
+	revision, err := backing.GetJSON(ctx, c.deps.Table, creditsKey+ref.String(), &row)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -187,9 +187,9 @@
 // successor knows of all that may be in use.
 func (c *Controller) reserve(ctx context.Context, ref config.VersionRef, d *duty, n int) error {
 	key := creditsKey + ref.String()
-	revision, err := c.deps.Table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{d.lease.Check(), {Key: key, Revision: d.creditsRevision}},
-		Puts:   []platform.Put{platform.PutJSON(key, creditsRow{Reserved: d.reserved + n})},
+	revision, err := c.deps.Table.Commit(ctx, backing.Txn{
+		Checks: []backing.Check{d.lease.Check(), {Key: key, Revision: d.creditsRevision}},
+		Puts:   []backing.Put{backing.PutJSON(key, creditsRow{Reserved: d.reserved + n})},
 	})
 	if err != nil {
 		// Whether it was written is read anew with the next step.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -9,9 +9,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/lease"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -70,7 +70,7 @@
 type world struct {
 	t        *testing.T
 	clock    *clockwork.FakeClock
-	memory   *platform.Memory
+	memory   *backing.Memory
 	store    *config.Store
 	engine   *engine
 	evidence Evidence
@@ -80,7 +80,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, clock: clockwork.NewFakeClock(), memory: platform.NewMemory(), engine: &engine{}, duty: "a"}
+	w := &world{t: t, clock: clockwork.NewFakeClock(), memory: backing.NewMemory(), engine: &engine{}, duty: "a"}
 	w.store = config.NewStore(w.memory, w.clock.Now)
 	w.evidence.Target = 0.9
 	_, err := w.store.WriteRollouts(ctx, []config.VersionRef{ref}, nil, func(map[config.VersionRef]config.Rollout) ([]config.Rollout, error) {
--- a/internal/session/keyring.go
+++ b/internal/session/keyring.go
@@ -10,7 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 const (
@@ -35,7 +35,7 @@
 
 // Keyring holds the signing keys, which live in the table.
 type Keyring struct {
-	table platform.Table
+	table backing.Table
 	clock clockwork.Clock
 
 	mu   sync.Mutex
@@ -43,14 +43,14 @@
 }
 
 // NewKeyring returns an empty keyring; Refresh fills it.
-func NewKeyring(table platform.Table, clock clockwork.Clock) *Keyring {
+func NewKeyring(table backing.Table, clock clockwork.Clock) *Keyring {
 	return &Keyring{table: table, clock: clock}
 }
 
 // Refresh reads the keys and makes the first one when there is none.
 func (k *Keyring) Refresh(ctx context.Context) error {
 	var set keySet
-	if _, err := platform.GetJSON(ctx, k.table, keysRow, &set); err != nil {
+	if _, err := backing.GetJSON(ctx, k.table, keysRow, &set); err != nil {
 		return trace.Wrap(err)
 	}
 	if len(set.Keys) > 0 {
@@ -62,7 +62,7 @@
 		return trace.Wrap(err)
 	}
 	// Whoever made the first key, the row says which it is.
-	if _, err := platform.GetJSON(ctx, k.table, keysRow, &set); err != nil {
+	if _, err := backing.GetJSON(ctx, k.table, keysRow, &set); err != nil {
 		return trace.Wrap(err)
 	}
 	k.Install(set.Keys)
@@ -73,7 +73,7 @@
 // the earlier keys stay good until then.
 func (k *Keyring) Rotate(ctx context.Context, retention time.Duration) error {
 	var set keySet
-	revision, err := platform.GetJSON(ctx, k.table, keysRow, &set)
+	revision, err := backing.GetJSON(ctx, k.table, keysRow, &set)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -91,9 +91,9 @@
 	secret := make([]byte, secretLen)
 	_, _ = rand.Read(secret)
 	set.Keys = append(set.Keys, Key{ID: rand.Text()[:12], Secret: secret, Created: k.clock.Now()})
-	_, err := k.table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: keysRow, Revision: revision}},
-		Puts:   []platform.Put{platform.PutJSON(keysRow, set)},
+	_, err := k.table.Commit(ctx, backing.Txn{
+		Checks: []backing.Check{{Key: keysRow, Revision: revision}},
+		Puts:   []backing.Put{backing.PutJSON(keysRow, set)},
 	})
 	return err
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -9,8 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 var ctx = context.Background()
@@ -18,7 +18,7 @@
 // Many daemons start at once on an empty table. There is one key, not one for
 // each of them, and all know it.
 func TestOneFirstKey(t *testing.T) {
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	rings := make([]*Keyring, 8)
 	var all sync.WaitGroup
 	for i := range rings {
@@ -36,7 +36,7 @@
 // A token is checked: its signature, key, use, and end.
 func TestTokens(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	ring := NewKeyring(store, clock)
 	require.NoError(t, ring.Refresh(ctx))
 	signer := NewSigner(ring, clock, time.Hour)
@@ -56,7 +56,7 @@
 	_, err = signer.ParseSession(token[:len(token)-2] + "xx")
 	require.Error(t, err)
 
-	other := NewKeyring(platform.NewMemory(), clock)
+	other := NewKeyring(backing.NewMemory(), clock)
 	require.NoError(t, other.Refresh(ctx))
 	_, err = NewSigner(other, clock, time.Hour).ParseSession(token)
 	require.Error(t, err, "signed by somebody else")
@@ -70,7 +70,7 @@
 // signed with it; old tokens stay good until the old key is dropped.
 func TestRotation(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	store := platform.NewMemory()
+	store := backing.NewMemory()
 	ring := NewKeyring(store, clock)
 	require.NoError(t, ring.Refresh(ctx))
 	clock.Advance(SpreadTime)
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -103,7 +103,7 @@
 		return
 	}
 	model, version, _ := strings.Cut(r.attempt.Chat.Model, "@")
-	rating := platform.Rating{
+	rating := backing.Rating{
 		RequestID: r.attempt.RequestID,
 		Model:     model,
 		Version:   version,
--- a/internal/standin/dev.go
+++ b/internal/standin/dev.go
@@ -7,8 +7,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 )
 
 // DevConfig is the base document of --dev.
@@ -34,7 +34,7 @@
 
 // StartDev starts the stand-ins and brings DevConfig into force.
 func StartDev() (*Dev, error) {
-	d := &Dev{Platform: NewPlatform(platform.NewMemory(), PlatformOptions{})}
+	d := &Dev{Platform: NewPlatform(backing.NewMemory(), PlatformOptions{})}
 	address, err := d.serve(d.Platform)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -44,12 +44,12 @@
 		options.Rate = d.Platform.Memory.AddRating
 		engine := NewEngine(options)
 		d.Engines = append(d.Engines, engine)
-		if err := d.list(engine, platform.Instance{ID: options.Instance, Role: platform.RoleEngine, FailureDomain: "local"}); err != nil {
+		if err := d.list(engine, backing.Instance{ID: options.Instance, Role: backing.RoleEngine, FailureDomain: "local"}); err != nil {
 			return nil, err
 		}
 	}
 	d.Service = NewService("folders")
-	if err := d.list(d.Service, platform.Instance{ID: "folders-1", Role: platform.RoleService, Service: "folders", FailureDomain: "local"}); err != nil {
+	if err := d.list(d.Service, backing.Instance{ID: "folders-1", Role: backing.RoleService, Service: "folders", FailureDomain: "local"}); err != nil {
 		return nil, err
 	}
 	store := config.NewStore(d.Platform.Memory, time.Now)
@@ -67,12 +67,12 @@
 }
 
 // list serves an upstream and puts it on the platform's list.
-func (d *Dev) list(h handled, i platform.Instance) error {
+func (d *Dev) list(h handled, i backing.Instance) error {
 	address, err := d.serve(h)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	i.Address, i.State = address, platform.StateLive
+	i.Address, i.State = address, backing.StateLive
 	d.Platform.Memory.PutInstance(i)
 	return nil
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -71,7 +71,7 @@
 	// Platform is the address of the platform stand-in that takes ratings.
 	Platform string `json:"platform"`
 	// Rate takes the ratings when the platform runs in this process.
-	Rate func(platform.Rating) `json:"-"`
+	Rate func(backing.Rating) `json:"-"`
 }
 
 // run is one attempt inside the engine.
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -9,7 +9,7 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
 
@@ -231,8 +231,8 @@
 }
 
 // PostRating returns a function that sends ratings to a platform stand-in.
-func PostRating(address string) func(platform.Rating) {
-	return func(r platform.Rating) {
+func PostRating(address string) func(backing.Rating) {
+	return func(r backing.Rating) {
 		data, _ := json.Marshal(r)
 		resp, err := http.Post("http://"+address+"/standin/ratings", "application/json", bytes.NewReader(data))
 		if err == nil {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -16,7 +16,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 )
 
 // PlatformFault is what the stand-in does to calls.
@@ -39,9 +39,9 @@
 	WeightsPerSecond float64
 }
 
-// Platform serves a platform.Memory over HTTP.
+// Platform serves a backing.Memory over HTTP.
 type Platform struct {
-	Memory  *platform.Memory
+	Memory  *backing.Memory
 	options PlatformOptions
 	weights *rate.Limiter
 
@@ -56,11 +56,11 @@
 // listing is the instance list as it was at a moment.
 type listing struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []backing.Instance
 }
 
 // NewPlatform returns a platform stand-in over memory.
-func NewPlatform(memory *platform.Memory, options PlatformOptions) *Platform {
+func NewPlatform(memory *backing.Memory, options PlatformOptions) *Platform {
 	limit := rate.Inf
 	if options.WeightsPerSecond > 0 {
 		limit = rate.Limit(options.WeightsPerSecond)
@@ -145,7 +145,7 @@
 }
 
 func (p *Platform) commit(c *gin.Context) {
-	var txn platform.Txn
+	var txn backing.Txn
 	if !bind(c, &txn) {
 		return
 	}
@@ -193,13 +193,13 @@
 	limit, _ := strconv.Atoi(c.DefaultQuery("limit", "1000"))
 	ratings, err := p.Memory.ReadRatings(c, after, limit)
 	if ratings == nil {
-		ratings = []platform.Rating{}
+		ratings = []backing.Rating{}
 	}
 	reply(c, ratings, err)
 }
 
 func (p *Platform) judge(c *gin.Context) {
-	var req platform.JudgeRequest
+	var req backing.JudgeRequest
 	if !bind(c, &req) {
 		return
 	}
@@ -230,7 +230,7 @@
 }
 
 func (p *Platform) putInstance(c *gin.Context) {
-	var i platform.Instance
+	var i backing.Instance
 	if !bind(c, &i) {
 		return
 	}
@@ -244,7 +244,7 @@
 }
 
 func (p *Platform) addRating(c *gin.Context) {
-	var r platform.Rating
+	var r backing.Rating
 	if !bind(c, &r) {
 		return
 	}
--- a/test/capacity/bytes.go
+++ b/test/capacity/bytes.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/daemon"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
@@ -16,7 +17,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/standin"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
@@ -87,7 +87,7 @@
 
 func newPeerPair() (*peerPair, error) {
 	s := settings.Defaults()
-	node := daemon.NewNode(s, platform.NewMemory(), clock)
+	node := daemon.NewNode(s, backing.NewMemory(), clock)
 	server, err := peer.Listen("127.0.0.1:0", nil, node)
 	if err != nil {
 		return nil, err
@@ -165,9 +165,9 @@
 			}
 		}},
 		{"rating summary", "version and kind", []int{10, 40, 120}, func(p *peerPair, n int) func() error {
-			var ratings []platform.Rating
+			var ratings []backing.Rating
 			for i := range n {
-				ratings = append(ratings, platform.Rating{Seq: int64(i + 1), Model: fmt.Sprintf("model-%d", i%19), Version: "1", Kind: fmt.Sprintf("kind-%d", i/19), Good: true})
+				ratings = append(ratings, backing.Rating{Seq: int64(i + 1), Model: fmt.Sprintf("model-%d", i%19), Version: "1", Kind: fmt.Sprintf("kind-%d", i/19), Good: true})
 			}
 			p.node.AddRatings(ratings)
 			return func() error { _, err := p.client.Ratings(ctx, p.address()); return err }
--- a/test/capacity/memory.go
+++ b/test/capacity/memory.go
@@ -10,12 +10,12 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 	"github.com/hornbeamsill/hornbeamsill/internal/upstream"
 )
@@ -64,9 +64,9 @@
 
 func upstreamsOf(n int) *member.Upstreams {
 	u := member.NewUpstreams(clock, func() config.UpstreamPolicy { return config.UpstreamPolicy{} })
-	var list []platform.Instance
+	var list []backing.Instance
 	for i := range n {
-		list = append(list, platform.Instance{ID: fmt.Sprintf("engine-%d", i), Role: platform.RoleEngine, Address: "10.0.0.1:1", State: platform.StateLive})
+		list = append(list, backing.Instance{ID: fmt.Sprintf("engine-%d", i), Role: backing.RoleEngine, Address: "10.0.0.1:1", State: backing.StateLive})
 	}
 	u.SetList(list)
 	report := upstream.LoadReport{Slots: 16}
@@ -162,7 +162,7 @@
 			random := rand.New(rand.NewPCG(1, 1))
 			return took(500, func() {
 				var loads []route.Load
-				for _, x := range u.Usable(platform.RoleEngine) {
+				for _, x := range u.Usable(backing.RoleEngine) {
 					loads = append(loads, route.Load{ID: x.Instance.ID, Slots: 16})
 				}
 				route.Balance(loads, 7, 1.25, 1.5, random)
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -18,8 +18,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/operator"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/standin"
 )
@@ -121,20 +121,20 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return c.upstream(platform.Instance{ID: o.Instance, Role: platform.RoleEngine, FailureDomain: domain}, via, "engine", "--options", string(data))
+	return c.upstream(backing.Instance{ID: o.Instance, Role: backing.RoleEngine, FailureDomain: domain}, via, "engine", "--options", string(data))
 }
 
 // Service starts a plain service and lists it.
 func (c *Cluster) Service(id, name, domain string, via func(string) string) (*Upstream, error) {
-	return c.upstream(platform.Instance{ID: id, Role: platform.RoleService, Service: name, FailureDomain: domain}, via, "service", "--name", name)
+	return c.upstream(backing.Instance{ID: id, Role: backing.RoleService, Service: name, FailureDomain: domain}, via, "service", "--name", name)
 }
 
-func (c *Cluster) upstream(i platform.Instance, via func(string) string, args ...string) (*Upstream, error) {
+func (c *Cluster) upstream(i backing.Instance, via func(string) string, args ...string) (*Upstream, error) {
 	address, p, err := c.Standin(i.ID, args...)
 	if err != nil {
 		return nil, err
 	}
-	i.Address, i.State = address, platform.StateLive
+	i.Address, i.State = address, backing.StateLive
 	if via != nil {
 		i.Address = via(address)
 	}
@@ -142,7 +142,7 @@
 }
 
 // List puts an instance on the platform's list.
-func (c *Cluster) List(i platform.Instance) error {
+func (c *Cluster) List(i backing.Instance) error {
 	return Post("http://"+c.Platform+"/standin/instances", i, nil)
 }
 
@@ -238,7 +238,7 @@
 			}
 			ready := 0
 			for _, u := range s.Upstreams {
-				if u.Role != string(platform.RoleEngine) || len(u.Versions) > 0 {
+				if u.Role != string(backing.RoleEngine) || len(u.Versions) > 0 {
 					ready++
 				}
 			}
--- a/test/measure/cost.go
+++ b/test/measure/cost.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/route"
 )
@@ -104,7 +104,7 @@
 	models, kinds := costWorld()
 	random := rand.New(rand.NewPCG(seed, 1))
 	ratings := rating.NewTable()
-	var due []platform.Rating
+	var due []backing.Rating
 	good, asked := map[string]int{}, map[string]int{}
 	byRef := map[config.VersionRef]costModel{}
 	for _, m := range models {
@@ -134,7 +134,7 @@
 		for _, run := range by {
 			if random.Float64() < costRated {
 				seq++
-				due = append(due, platform.Rating{Seq: seq, Model: run.ref.Model, Version: "1", Kind: k.name, Good: run.good})
+				due = append(due, backing.Rating{Seq: seq, Model: run.ref.Model, Version: "1", Kind: k.name, Good: run.good})
 			}
 		}
 		if len(due) > costDelay {
--- a/test/process/leaving_test.go
+++ b/test/process/leaving_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/operator"
-	"github.com/hornbeamsill/hornbeamsill/internal/platform"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/standin"
 	"github.com/hornbeamsill/hornbeamsill/test/cluster"
@@ -54,7 +54,7 @@
 func TestUpstreamLeaves(t *testing.T) {
 	for name, leave := range map[string]func(s *site, e *cluster.Upstream) error{
 		"list": func(s *site, e *cluster.Upstream) error {
-			return s.List(platform.Instance{ID: e.ID, Role: platform.RoleEngine, Address: e.Address, State: platform.StateLeaving})
+			return s.List(backing.Instance{ID: e.ID, Role: backing.RoleEngine, Address: e.Address, State: backing.StateLeaving})
 		},
 		"report": func(_ *site, e *cluster.Upstream) error {
 			return cluster.Post("http://"+e.Address+"/standin/faults", standin.EngineFaults{Leaving: true}, nil)
