One client of the platform's store

The invented protocol for rows and objects is gone; the product's table and objects are kept through platform/, and the stand-in speaks the store's own protocol, so the process tests exercise the real client: conditions, lost answers, refusals.

--- a/internal/backing/platform.go
+++ b/internal/backing/platform.go
@@ -1,7 +1,8 @@
 // Package backing is the boundary to the platform's services: the
 // transactional table, the object store, the instance list, the ratings feed
 // and the weight store. Each has a narrow interface; Memory is the fake
-// beside them and Client speaks to the real services over HTTP.
+// beside them. The store is reached through the platform package, the list and
+// the ratings through Client.
 package backing
 
 import (
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -24,6 +24,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/telemetry"
+	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 // Module provides a Node and runs it between the start and stop of the app.
@@ -31,7 +32,7 @@
 var Module = fx.Module("daemon",
 	fx.Provide(
 		clockwork.NewRealClock,
-		func(s settings.Settings) backing.Platform { return backing.NewClient(s.Platform) },
+		newPlatform,
 		NewNode,
 		newCaller,
 		newOperator,
@@ -42,6 +43,16 @@
 	}),
 )
 
+// services are the platform's store and the services beside it.
+type services struct {
+	platform.Table
+	*backing.Client
+}
+
+func newPlatform(s settings.Settings) backing.Platform {
+	return services{Table: platform.Table{Store: platform.NewStore(s.Platform)}, Client: backing.NewClient(s.Platform)}
+}
+
 func newCaller(n *Node) *caller.Server {
 	return caller.New(caller.Deps{
 		Clock:      n.clock,
--- a/internal/standin/dev.go
+++ b/internal/standin/dev.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 // DevConfig is the base document of --dev.
@@ -52,7 +53,7 @@
 	if err := d.list(d.Service, backing.Instance{ID: "folders-1", Role: backing.RoleService, Service: "folders", FailureDomain: "local"}); err != nil {
 		return nil, err
 	}
-	store := config.NewStore(d.Platform.Memory, time.Now)
+	store := config.NewStore(platform.Table{Store: platform.NewStore(address)}, time.Now)
 	_, err = store.Apply(context.Background(), config.ApplyRequest{ChangeID: "dev", Text: DevConfig, Author: "dev"})
 	return d, trace.Wrap(err)
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,7 +6,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -17,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
+	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 )
 
 // PlatformFault is what the stand-in does to calls.
@@ -39,9 +39,11 @@
 	WeightsPerSecond float64
 }
 
-// Platform serves a backing.Memory over HTTP.
+// Platform serves the platform's store, and the list, the ratings and the judge
+// of a backing.Memory, over HTTP.
 type Platform struct {
 	Memory  *backing.Memory
+	Store   *platformtest.Store
 	options PlatformOptions
 	weights *rate.Limiter
 
@@ -67,6 +69,7 @@
 	}
 	return &Platform{
 		Memory:  memory,
+		Store:   platformtest.NewStore(),
 		options: options,
 		weights: rate.NewLimiter(limit, 1),
 		fault:   FaultNone,
@@ -77,14 +80,11 @@
 func (p *Platform) Handler() http.Handler {
 	r := newRouter()
 	api := r.Group("/v1", p.injectFault)
-	api.GET("/rows", p.getRows)
-	api.POST("/transactions", p.commit)
-	api.PUT("/objects/:name", p.putObject)
-	api.GET("/objects/:name", p.getObject)
 	api.GET("/instances", p.getInstances)
 	api.GET("/ratings", p.getRatings)
 	api.POST("/judgements", p.judge)
 	api.GET("/weights/:model/:version", p.getWeights)
+	r.NoRoute(p.injectFault, gin.WrapH(p.Store.Handler()))
 	r.POST("/standin/fault", p.setFault)
 	r.POST("/standin/instances", p.putInstance)
 	r.DELETE("/standin/instances/:id", p.removeInstance)
@@ -133,44 +133,6 @@
 // WriteHeader implements http.ResponseWriter.
 func (d *discardWriter) WriteHeader(int) {}
 
-func (p *Platform) getRows(c *gin.Context) {
-	if key := c.Query("key"); key != "" {
-		row, err := p.Memory.Get(c, key)
-		reply(c, row, err)
-		return
-	}
-	limit, _ := strconv.Atoi(c.DefaultQuery("limit", "100"))
-	rows, err := p.Memory.List(c, c.Query("prefix"), c.Query("after"), limit)
-	reply(c, rows, err)
-}
-
-func (p *Platform) commit(c *gin.Context) {
-	var txn backing.Txn
-	if !bind(c, &txn) {
-		return
-	}
-	revision, err := p.Memory.Commit(c, txn)
-	reply(c, gin.H{"revision": revision}, err)
-}
-
-func (p *Platform) putObject(c *gin.Context) {
-	data, err := io.ReadAll(c.Request.Body)
-	if err != nil {
-		c.AbortWithStatus(http.StatusBadRequest)
-		return
-	}
-	reply(c, gin.H{}, p.Memory.PutObject(c, c.Param("name"), data))
-}
-
-func (p *Platform) getObject(c *gin.Context) {
-	data, err := p.Memory.GetObject(c, c.Param("name"))
-	if err != nil {
-		reply(c, nil, err)
-		return
-	}
-	c.Data(http.StatusOK, "application/octet-stream", data)
-}
-
 // getInstances serves the list as it was ListLag ago.
 func (p *Platform) getInstances(c *gin.Context) {
 	current, err := p.Memory.ListInstances(c)
