Prompts are placed by the work sent lately, not by requests in flight

The work sent to each instance lately (own part of the prompt and a fifth of the shared one, by the model's relative cost) does, and stands for other daemons' work, as they send the same mix by the same rules.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -108,6 +108,22 @@
 	Engine bool
 }
 
+// RelativeCost is a model's cost as a part of that of the most expensive one; 1
+// where nothing is known.
+func (s *Service) RelativeCost(model string) float64 {
+	most, own := 0.0, 0.0
+	for _, m := range s.Models {
+		most = max(most, m.Cost)
+		if m.Name == model {
+			own = m.Cost
+		}
+	}
+	if own == 0 {
+		return 1
+	}
+	return own / most
+}
+
 // Organisation is a customer.
 type Organisation struct {
 	Name string
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -23,9 +23,7 @@
 	facts    AnswerFacts
 	cancel   context.CancelFunc
 	sentAt   time.Time
-	// unread is the prompt tokens counted as not read yet.
-	unread int
-	ended  bool
+	ended    bool
 }
 
 // refusedError is an instance's own word that it did not run the request.
@@ -46,7 +44,7 @@
 			if side(v.Instance.Version) {
 				out = append(out, place.Candidate{
 					ID: v.Instance.ID, Near: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
-					Load: v.Load, Unread: v.Unread, Ejected: v.Ejected,
+					Load: v.Load, Sent: v.Sent, Ejected: v.Ejected,
 				})
 			}
 		}
@@ -93,8 +91,8 @@
 	q.tried[instance.ID] = true
 	q.last = instance
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{request: q, instance: instance, cancel: cancel, sentAt: time.Now(), unread: q.facts.TokensIn}
-	q.Table.Begin(instance.ID, a.unread)
+	a := &attempt{request: q, instance: instance, cancel: cancel, sentAt: time.Now()}
+	q.Table.Begin(instance.ID, q.work())
 	var timer *time.Timer
 	if headTimeout > 0 {
 		timer = time.AfterFunc(headTimeout, cancel)
@@ -196,21 +194,12 @@
 	a.end(outcome)
 }
 
-// began notes that the answer has begun, so that the prompt has been read.
-func (a *attempt) began() {
-	if a.unread > 0 {
-		a.Table.Began(a.instance.ID, a.unread)
-		a.unread = 0
-	}
-}
-
 // end frees what the attempt holds and records how it went.
 func (a *attempt) end(outcome inventory.Outcome) {
 	if a.ended {
 		return
 	}
 	a.ended = true
-	a.began()
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -32,3 +32,18 @@
 	}
 	return escalate(a.facts.Confidence, time.Since(q.started), q.route.Objective) && q.Retries.Take(q.service.Name)
 }
+
+// sharedRead is the part of a prompt's shared tokens that an engine still has to
+// read on average: the rest it has kept from requests before.
+const sharedRead = 0.2
+
+// work estimates what the request asks of an engine, in prompt tokens of the
+// most expensive model. Models differ in time about as in cost.
+func (q *request) work() float64 {
+	tokens := float64(q.facts.TokensIn)
+	if n := len(q.facts.Prompt); n > 0 {
+		own := float64(q.facts.Prompt[n-1].Tokens)
+		tokens = own + sharedRead*(tokens-own)
+	}
+	return tokens * q.service.RelativeCost(q.model)
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -88,7 +88,6 @@
 			return nil, q.cutStream(a, err)
 		}
 		stall.Reset(q.stallTime())
-		a.began()
 		if !q.begun {
 			q.head(a.exchange.Status(), a.exchange.Header())
 			q.boundWrites()
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,9 @@
 	// reportHalfLife is how fast what an instance said of other daemons' work
 	// loses weight: requests last a few hundred ms.
 	reportHalfLife = 700 * time.Millisecond
+	// sentHalfLife is how fast work that was sent loses weight: a few times
+	// what an engine needs to read a long prompt.
+	sentHalfLife = 1500 * time.Millisecond
 )
 
 // entry is an instance with what is believed of it.
@@ -23,10 +27,11 @@
 	goneAt time.Time
 	health health
 
-	// inFlight counts this daemon's requests there; unread is the prompt
-	// tokens of those whose answer has not begun.
+	// inFlight counts this daemon's requests there; sent is the work that it
+	// sent lately, as of sentAt.
 	inFlight int
-	unread   int
+	sent     float64
+	sentAt   time.Time
 	// others is the work of other daemons there as of reportedAt.
 	others     float64
 	reportedAt time.Time
@@ -36,11 +41,12 @@
 type View struct {
 	Instance Instance
 	// Load is the number of requests believed to be there, InFlight this
-	// daemon's share of it, and Unread the prompt tokens that it still has to
-	// read for this daemon.
+	// daemon's share of it.
 	Load     float64
 	InFlight int
-	Unread   int
+	// Sent is the work that this daemon sent there lately. Other daemons send
+	// the same mix of requests by the same rules, so it stands for theirs.
+	Sent float64
 	// Ejected instances failed lately and get nothing while others can serve.
 	Ejected bool
 }
@@ -205,7 +211,7 @@
 			Instance: e.instance,
 			Load:     float64(e.inFlight) + e.othersNow(now),
 			InFlight: e.inFlight,
-			Unread:   e.unread,
+			Sent:     decayed(e.sent, now.Sub(e.sentAt), sentHalfLife),
 			Ejected:  e.health.ejected(now),
 		})
 	}
@@ -219,30 +225,27 @@
 }
 
 func (e *entry) othersNow(now time.Time) float64 {
-	age := now.Sub(e.reportedAt)
-	if e.others == 0 || age > 8*reportHalfLife {
+	return decayed(e.others, now.Sub(e.reportedAt), reportHalfLife)
+}
+
+// decayed is what is left of a value after some time.
+func decayed(value float64, age, halfLife time.Duration) float64 {
+	if value == 0 {
 		return 0
 	}
-	left := e.others
-	for ; age > reportHalfLife; age -= reportHalfLife {
-		left /= 2
-	}
-	return left
+	return value * math.Exp2(-float64(age)/float64(halfLife))
 }
 
-// Begin counts a request that is about to be sent to an instance.
-func (t *Table) Begin(id string, promptTokens int) {
+// Begin counts a request that is about to be sent to an instance, and its work.
+func (t *Table) Begin(id string, work float64) {
 	t.with(id, func(e *entry) {
+		now := t.clock.Now()
 		e.inFlight++
-		e.unread += promptTokens
+		e.sent = decayed(e.sent, now.Sub(e.sentAt), sentHalfLife) + work
+		e.sentAt = now
 	})
 }
 
-// Began notes that the answer to a request has begun.
-func (t *Table) Began(id string, promptTokens int) {
-	t.with(id, func(e *entry) { e.unread -= promptTokens })
-}
-
 // Report takes in what an instance says of its load.
 func (t *Table) Report(id string, l Load) {
 	t.with(id, func(e *entry) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -18,8 +18,9 @@
 	Slots int
 	// Load is the number of requests believed to be there.
 	Load float64
-	// Unread is the prompt tokens that it still has to read.
-	Unread int
+	// Sent is the work sent there lately, in prompt tokens of the largest
+	// model.
+	Sent float64
 	// Ejected instances failed lately.
 	Ejected bool
 }
@@ -29,17 +30,15 @@
 	// their failures. When more fail, the fault is likely not theirs, and the
 	// rest would break under the load of all.
 	maxEjected = 0.5
-	// affinityBound is how far above the mean load the instance that holds a
-	// prompt's parts may be before the next one in order is taken. At 1.3 an
-	// engine reads two thirds fewer prompt tokens than with least load alone,
-	// and none is far above the others.
+	// affinityBound is how far above the mean the work of the instance that
+	// holds a prompt's parts may be before the next one in order is taken.
 	affinityBound = 1.3
-	// affinitySlack is the load above the bound that a nearly idle service
-	// still accepts, in requests.
-	affinitySlack = 2
-	// unreadPerRequest makes prompt tokens and requests comparable: reading
-	// this many tokens takes an engine as long as a usual answer.
-	unreadPerRequest = 6000.0
+	// affinitySlack is the work above the bound that is accepted in any case:
+	// one long prompt.
+	affinitySlack = 4000
+	// workPerRequest makes work and requests comparable: reading this many
+	// tokens takes an engine as long as a usual answer.
+	workPerRequest = 6000.0
 )
 
 // Filter leaves out ejected instances, as long as enough others remain, and
@@ -61,8 +60,8 @@
 	return healthy
 }
 
-// load is a candidate's load in requests, prompt tokens included.
-func (c Candidate) load() float64 { return c.Load + float64(c.Unread)/unreadPerRequest }
+// load is a candidate's load in requests, work sent lately included.
+func (c Candidate) load() float64 { return c.Load + c.Sent/workPerRequest }
 
 // LeastLoaded picks the instance with the smallest load for its slots, in the
 // own failure domain where two are equal.
@@ -88,7 +87,7 @@
 
 // ByPrompt picks the instance that is likely to hold the parts of a prompt in
 // its memory. All daemons hash the same key to the same order of instances;
-// the first one whose load is not far above the mean is taken, so that a key
+// the first one whose work is not far above the mean is taken, so that a key
 // with much traffic spreads over the next ones in order.
 func ByPrompt(all []Candidate, key string, random *rand.Rand) (Candidate, bool) {
 	if key == "" || len(all) == 0 {
@@ -96,12 +95,12 @@
 	}
 	total := 0.0
 	for _, c := range all {
-		total += c.load()
+		total += c.Sent
 	}
 	bound := affinityBound*total/float64(len(all)) + affinitySlack
 	best, top := -1, uint64(0)
 	for i, c := range all {
-		if c.load() > bound {
+		if c.Sent > bound {
 			continue
 		}
 		if weight := xxhash.Sum64String(c.ID + "\x00" + key); best < 0 || weight > top {
