Two daemons of a group read the store and tell the others

Now two readers a group (the fleet up to 16 daemons, a failure domain above) pass on what says something new; a daemon that hears nothing fresh in time reads by itself. Configurations over 32 kB are not passed on: on links of 10 Mbit/s one of 400 kB for a dozen peers takes seconds and delays other news.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -64,12 +64,25 @@
 
 	// seeds are peer addresses from the settings.
 	seeds atomic.Pointer[[]string]
+	// started is when this daemon began to look for peers. Only the heartbeat
+	// loop uses it.
+	started time.Time
 	// callerAddress is where callers reach this daemon.
 	callerAddress string
 	// kick asks for a heartbeat round at once.
 	kick chan struct{}
 	// leaving is set when a planned stop begins.
 	leaving atomic.Bool
+	// fresh is how new the operator's rows are, and following is set while the
+	// store holds a question for newer ones.
+	fresh     freshness
+	following atomic.Bool
+	// behind is set when a peer told of operator's rows that this daemon has
+	// not got.
+	behind atomic.Bool
+	// lostHistory asks for all of the operator's rows. Only watchOperator uses
+	// it.
+	lostHistory bool
 	// contact is when the store last answered and when it last did not.
 	contact storeContact
 
@@ -82,7 +95,7 @@
 	n := &Node{
 		settings: s, clock: clock, store: store,
 		table: inventory.NewTable(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
-		peers: peer.NewClient(nil), kick: make(chan struct{}, 1), misses: map[string]int{},
+		started: clock.Now(), peers: peer.NewClient(nil), kick: make(chan struct{}, 1), misses: map[string]int{},
 	}
 	incarnation := ident.NewIncarnation()
 	n.registry = member.NewRegistry(member.Daemon{
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,6 +28,12 @@
 	storeSilence = 1200 * time.Millisecond
 	// announcePause is the time between tries to write this daemon's row.
 	announcePause = 2 * time.Second
+	// aloneTime is how long no peer must be known before the store is asked for
+	// some, and the time between two such questions.
+	aloneTime = 1500 * time.Millisecond
+	// kickPause gathers news that comes together into one round of heartbeats:
+	// when many daemons start at once each would otherwise set off many rounds.
+	kickPause = 30 * time.Millisecond
 )
 
 // daemonRow tells daemons that start later where to find this one.
@@ -37,18 +43,19 @@
 
 const daemonPrefix = "daemon/"
 
-// announce writes this daemon's row and reads those of the others, once.
+// announce writes this daemon's row once it is one of those that read the store
+// for the others: a few rows are enough to find everybody.
 func (n *Node) announce(ctx context.Context) {
 	table := platform.Table{Store: n.store}
-	for {
+	for n.pause(ctx, announcePause) {
+		if !n.reader() {
+			continue
+		}
 		err := n.announceOnce(ctx, table)
 		if err == nil {
 			return
 		}
 		slog.Warn("daemon.not_announced", "error", err)
-		if !n.pause(ctx, announcePause) {
-			return
-		}
 	}
 }
 
@@ -58,11 +65,14 @@
 	return err
 }
 
-// findPeers reads the rows of other daemons while none is known.
+// findPeers returns addresses to ask for peers: the seeds, and while no peer is
+// known for some time, the rows of other daemons.
 func (n *Node) findPeers(ctx context.Context) []string {
-	if len(n.registry.All()) > 1 {
+	alone := len(n.registry.All()) == 1
+	if !alone || n.clock.Since(n.started) < aloneTime {
 		return n.unknown(*n.seeds.Load())
 	}
+	n.started = n.clock.Now()
 	table := platform.Table{Store: n.store}
 	const most = 100
 	rows, err := table.List(ctx, daemonPrefix, "", most)
@@ -113,6 +123,7 @@
 		n.heartbeatRound(ctx)
 		select {
 		case <-n.kick:
+			n.pause(ctx, kickPause)
 		case <-n.clock.After(beatInterval):
 		case <-ctx.Done():
 		}
@@ -192,16 +203,9 @@
 		return
 	}
 	n.registry.Learn(b.Members)
-	if len(b.Manifest) > 0 {
-		c, err := platform.DecodeManifest(b.Manifest)
-		if err != nil {
-			slog.Error("config.unreadable", "peer", address, "error", err)
-		} else {
-			n.install(c, b.Manifest, address)
-		}
-	}
+	n.takeManifest(b.Manifest, address)
 	if b.Instances != nil && (n.table.Revision() == 0 || n.contact.silent(n.clock.Now(), storeSilence)) {
-		if n.table.Replace(*b.Instances, n.contact.doubted(n.clock.Now())) {
+		if n.table.Replace(*b.Instances, n.clock.Now().Add(b.Doubted)) {
 			slog.Info("instances.from_peer", "peer", address, "revision", b.Instances.Revision, "count", len(b.Instances.Instances))
 		}
 	}
@@ -214,6 +218,20 @@
 	n.offer()
 }
 
+// takeManifest puts the configuration of a peer in force; none is nothing new.
+func (n *Node) takeManifest(manifest []byte, source string) {
+	if len(manifest) == 0 {
+		return
+	}
+	c, err := platform.DecodeManifest(manifest)
+	if err != nil {
+		slog.Error("config.unreadable", "source", source, "error", err)
+		return
+	}
+	n.install(c, manifest, source)
+	n.offer()
+}
+
 func (n *Node) learnState(s shift.State, source string) {
 	if n.book.Learn(s) {
 		slog.Info("rollout.state", "service", s.Service, "to", s.To, "phase", string(s.Phase), "share", s.Share,
@@ -255,7 +273,7 @@
 	}
 	n.configMu.Unlock()
 	if s := n.table.Snapshot(); s.Revision > r.List {
-		b.Instances = &s
+		b.Instances, b.Doubted = &s, n.doubt()
 	}
 	return b
 }
--- /dev/null
+++ b/internal/entry/readers.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
+	"github.com/hornbeamsill/hornbeamsill/internal/shift"
+)
+
+// Few daemons read the store; they tell the others of their group. A daemon
+// that has heard nothing fresh for too long reads by itself, so that readers
+// that die, freeze or are turned away by the store delay nobody beyond the
+// bounds. With 88 daemons this takes about a tenth of the calls.
+const (
+	// wholeFleet is the number of daemons up to which they are one group;
+	// above, each failure domain is a group of its own, so that news crosses
+	// domains only through the store.
+	wholeFleet = 16
+	// readersPerGroup is two, so that one that fails is not even noticed.
+	readersPerGroup = 2
+	// lateNews is how much later than the readers' pace news may come before a
+	// daemon reads by itself.
+	lateNews = 400 * time.Millisecond
+	// checkInterval is how often a daemon looks whether it must read.
+	checkInterval = 150 * time.Millisecond
+	// toldManifest is the longest encoded configuration that readers pass on.
+	// A longer one is read by each daemon itself: some have links of 10 Mbit/s,
+	// on which one of 400 kB for a dozen peers takes four seconds and delays
+	// all other news.
+	toldManifest = 32 << 10
+)
+
+// freshness is when this daemon's knowledge of the operator's rows was known to
+// be the newest.
+//
+// Lock order: mu is taken alone.
+type freshness struct {
+	mu sync.Mutex
+	operatorView
+}
+
+// operatorView is a state of the operator's rows.
+type operatorView struct {
+	// at is when it was known to be the newest; zero before the first read. A
+	// store without rows has the revision 0, so that does not tell.
+	at time.Time
+	// read is the store's revision up to which the rows were read, and changed
+	// the one at which they last changed.
+	read, changed int64
+}
+
+// note takes in that the rows were read at a time up to a revision.
+func (f *freshness) note(at time.Time, read int64, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.at) {
+		f.at = at
+	}
+	f.read = max(f.read, read)
+	if changed {
+		f.changed = max(f.changed, read)
+	}
+}
+
+func (f *freshness) view() operatorView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.operatorView
+}
+
+// group reports whether a daemon is in this one's group.
+func (n *Node) group() func(member.Daemon) bool {
+	if len(n.registry.Live()) <= wholeFleet {
+		return func(member.Daemon) bool { return true }
+	}
+	return func(d member.Daemon) bool { return d.FailureDomain == n.settings.FailureDomain }
+}
+
+// reader reports whether this daemon is one of those that read the store.
+func (n *Node) reader() bool {
+	return !n.leaving.Load() && n.registry.First("reader", readersPerGroup, n.group())
+}
+
+// listPace is the time between two reads of the list.
+func (n *Node) listPace() time.Duration {
+	return time.Duration(listShare * float64(n.settings.DrainMS) * float64(time.Millisecond))
+}
+
+// mustReadList reports whether this daemon has to read the list itself.
+func (n *Node) mustReadList() bool {
+	return n.table.Revision() == 0 || n.reader() || n.table.Age() > n.listPace()+lateNews
+}
+
+// mustReadOperator reports whether this daemon has to read the operator's rows
+// itself.
+func (n *Node) mustReadOperator() bool {
+	view := n.fresh.view()
+	return view.at.IsZero() || n.behind.Load() || n.reader() || n.clock.Since(view.at) > n.listPace()+lateNews
+}
+
+// doubt is for how long entries missing from the list are kept.
+func (n *Node) doubt() time.Duration {
+	now := n.clock.Now()
+	return max(n.contact.doubted(now).Sub(now), 0)
+}
+
+// tellList passes on what a read of the list brought, from one revision to
+// another; without changes it tells that the list is as it was.
+func (n *Node) tellList(ctx context.Context, from, to int64, changes []inventory.Change) {
+	if n.reader() {
+		n.tell(ctx, peer.News{Changes: changes, Base: from, List: to, ListAge: n.table.Age(), Doubted: n.doubt()})
+	}
+}
+
+// tellOperator passes on what the operator wrote.
+func (n *Node) tellOperator(ctx context.Context, manifest []byte, orders []shift.Order) {
+	if !n.reader() {
+		return
+	}
+	if len(manifest) > toldManifest {
+		manifest = nil
+	}
+	n.tell(ctx, peer.News{Manifest: manifest, Orders: orders, List: noList})
+}
+
+// noList stands for the revision of a list in news that has none.
+const noList = -1
+
+// tell sends news to the daemons of the group.
+func (n *Node) tell(ctx context.Context, news peer.News) {
+	news.From = n.registry.Self().PeerAddress
+	view := n.fresh.view()
+	news.OperatorRead, news.OperatorChanged, news.OperatorAge = view.read, view.changed, n.clock.Since(view.at)
+	if n.following.Load() {
+		// A question that the store holds is answered when there is news.
+		news.OperatorAge = 0
+	}
+	inGroup := n.group()
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, d := range n.registry.Live() {
+		if d.PeerAddress == news.From || !inGroup(d) {
+			continue
+		}
+		all.Go(func() {
+			if err := n.peers.News(call, d.PeerAddress, news); err != nil {
+				slog.Debug("news.not_told", "peer", d.PeerAddress, "error", err)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// OnNews implements peer.RoutesHandler.
+func (n *Node) OnNews(news peer.News) {
+	n.takeManifest(news.Manifest, news.From)
+	for _, o := range news.Orders {
+		n.ordered(o, news.From)
+	}
+	if len(news.Manifest) > 0 || len(news.Orders) > 0 {
+		n.kickBeat()
+	}
+	view := n.fresh.view()
+	switch {
+	case view.at.IsZero():
+	case view.read >= news.OperatorChanged || len(news.Manifest) > 0:
+		n.fresh.note(n.clock.Now().Add(-news.OperatorAge), news.OperatorRead, len(news.Manifest) > 0)
+	default:
+		n.behind.Store(true)
+	}
+	if news.List == noList {
+		return
+	}
+	revision := n.table.Revision()
+	switch {
+	case revision == 0 || revision < news.Base:
+		// Something was missed; this daemon reads, or asks, for all of it.
+	case revision >= news.List:
+		n.table.Confirm(news.ListAge)
+	default:
+		// Whether a missing entry is doubted is for the reader to say: this
+		// daemon may have lost the store while others have not.
+		n.table.Apply(news.Changes, news.List, n.clock.Now().Add(news.Doubted))
+		n.table.Confirm(news.ListAge)
+	}
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -22,7 +22,7 @@
 	// which the list is read again. Heartbeats of the instances change the
 	// list all the time, so a question that waits for news would be answered
 	// at once; reading at a pace costs a tenth of the calls.
-	listShare = 0.4
+	listShare = 0.33
 	// retryPause is the first pause after the store did not answer; it doubles
 	// up to maxRetryPause, which is well inside the two seconds in which an
 	// accepted configuration must be in force once the store is back.
@@ -95,46 +95,73 @@
 
 // watchOperator follows what the operator writes.
 func (n *Node) watchOperator(ctx context.Context) {
-	revision := int64(0)
 	var wait backoff
 	for ctx.Err() == nil {
-		news, err := n.operatorNews(ctx, revision)
-		if ctx.Err() != nil {
-			return
-		}
-		n.contact.note(n.clock.Now(), err)
-		if errors.Is(err, platform.ErrCompacted) {
-			slog.Warn("store.history_gone", "table", "operator", "revision", revision)
-			revision = 0
+		if !n.mustReadOperator() {
+			n.pause(ctx, checkInterval)
 			continue
 		}
-		if err != nil {
+		err := n.readOperator(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
 			n.pause(ctx, wait.next())
-			continue
-		}
-		if revision == 0 {
-			// An order without its state looks like one that has just begun,
-			// which keeps everything on old instances: after a restart of all
-			// daemons those may be gone, and every request would be refused
-			// until the duty is taken.
-			err = n.readStates(ctx, news.Orders)
-			n.contact.note(n.clock.Now(), err)
-			if err != nil {
-				n.pause(ctx, wait.next())
-				continue
-			}
+		default:
+			wait.failures = 0
 		}
-		wait.failures = 0
-		revision = max(revision, news.Revision)
-		n.takeOperator(news)
 	}
 }
 
-func (n *Node) operatorNews(ctx context.Context, revision int64) (platform.OperatorNews, error) {
-	if revision == 0 {
-		return n.store.Operator(ctx)
+// readOperator reads what the operator wrote since the last time. A daemon that
+// reads for others lets the store hold the question until there is something.
+func (n *Node) readOperator(ctx context.Context) error {
+	view := n.fresh.view()
+	whole := n.lostHistory || view.at.IsZero()
+	var news platform.OperatorNews
+	var err error
+	if whole {
+		news, err = n.store.Operator(ctx)
+	} else {
+	hold := time.Duration(0)
+		if n.reader() {
+			hold = operatorWait
+			n.following.Store(true)
+		}
+		news, err = n.store.OperatorAfter(ctx, view.read, hold)
+		n.following.Store(false)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	n.contact.note(n.clock.Now(), err)
+	if errors.Is(err, platform.ErrCompacted) {
+		slog.Warn("store.history_gone", "table", "operator", "revision", view.read)
+		n.lostHistory = true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if whole {
+		// An order without its state looks like one that has just begun, which
+		// keeps everything on old instances: after a restart of all daemons
+		// those may be gone, and every request would be refused until the duty
+		// is taken.
+		if err := n.readStates(ctx, news.Orders); err != nil {
+			n.contact.note(n.clock.Now(), err)
+			return err
+		}
+	}
+	n.lostHistory = false
+	n.behind.Store(false)
+	changed := news.Catalog != nil || len(news.Orders) > 0
+	n.fresh.note(n.clock.Now(), news.Revision, changed)
+	n.takeOperator(news)
+	if changed {
+		n.tellOperator(ctx, news.Manifest, news.Orders)
 	}
-	return n.store.OperatorAfter(ctx, revision, operatorWait)
+	return nil
 }
 
 func (n *Node) takeOperator(news platform.OperatorNews) {
@@ -182,55 +209,72 @@
 
 // watchInstances follows the list of upstream instances.
 func (n *Node) watchInstances(ctx context.Context) {
-	pace := time.Duration(listShare * float64(n.settings.DrainMS) * float64(time.Millisecond))
-	revision := int64(0)
 	var wait backoff
+	lost := false
 	for ctx.Err() == nil {
-		var news platform.InstanceNews
-		var err error
-		if revision == 0 {
-			news, err = n.store.Instances(ctx)
-		} else {
-			news, err = n.store.InstancesAfter(ctx, revision, 0)
-		}
-		if ctx.Err() != nil {
-			return
+		if !n.mustReadList() {
+			n.pause(ctx, checkInterval)
+			continue
 		}
-		n.contact.note(n.clock.Now(), err)
+		err := n.readList(ctx, lost)
+		lost = errors.Is(err, platform.ErrCompacted)
 		switch {
-		case errors.Is(err, platform.ErrCompacted):
+		case ctx.Err() != nil:
+			return
+		case lost:
 			// A server may have left in what is gone: only the whole list
 			// tells.
-			slog.Warn("store.history_gone", "table", "instances", "revision", revision)
-			revision = 0
-			continue
+			slog.Warn("store.history_gone", "table", "instances", "revision", n.table.Revision())
 		case err != nil:
 			n.pause(ctx, wait.next())
-			continue
+		default:
+			wait.failures = 0
+			n.offer()
+			n.pause(ctx, n.listPace())
 		}
-		wait.failures = 0
-		n.takeInstances(news, revision == 0)
-		revision = news.Revision
-		n.offer()
-		n.pause(ctx, pace)
 	}
 }
 
-func (n *Node) takeInstances(news platform.InstanceNews, whole bool) {
+// readList reads the whole list, or what changed in it.
+func (n *Node) readList(ctx context.Context, whole bool) error {
+	base := n.table.Revision()
+	whole = whole || base == 0
+	var news platform.InstanceNews
+	var err error
+	if whole {
+		news, err = n.store.Instances(ctx)
+	} else {
+		news, err = n.store.InstancesAfter(ctx, base, 0)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	n.contact.note(n.clock.Now(), err)
+	if err != nil {
+		return err
+	}
 	for _, err := range news.Malformed {
 		slog.Error("instances.unreadable", "revision", news.Revision, "error", err)
 	}
 	doubted := n.contact.doubted(n.clock.Now())
-	if !whole {
-		n.table.Apply(news.Changes, news.Revision, doubted)
-		return
+	if whole {
+		n.table.Replace(snapshot(news), doubted)
+		slog.Info("instances.read", "count", len(news.Changes), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()))
+		return nil
 	}
+	changes, ok := n.table.Apply(news.Changes, news.Revision, doubted)
+	if ok {
+		n.tellList(ctx, base, news.Revision, changes)
+	}
+	return nil
+}
+
+func snapshot(news platform.InstanceNews) inventory.Snapshot {
 	s := inventory.Snapshot{Revision: news.Revision}
 	for _, c := range news.Changes {
 		if c.Instance != nil {
 			s.Instances = append(s.Instances, *c.Instance)
 		}
 	}
-	n.table.Replace(s, doubted)
-	slog.Info("instances.read", "count", len(s.Instances), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()))
+	return s
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -293,7 +293,8 @@
 		slog.Int("runs", q.runs),
 	}
 	if q.catalog != nil {
-		attrs = append(attrs, slog.Int64("config", q.catalog.Version), slog.Int64("list", q.Table.Revision()))
+		attrs = append(attrs, slog.Int64("config", q.catalog.Version), slog.Int64("list", q.Table.Revision()),
+			slog.Int64("list_age_ms", q.Table.Age().Milliseconds()))
 	}
 	if q.route != nil {
 		attrs = append(attrs, slog.String("route", q.route.Name))
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -73,16 +73,27 @@
 type Snapshot struct {
 	Revision  int64
 	Instances []Instance
+	// Doubted are those of Instances that the list does not have any more, by
+	// ID, with the time for which they are still kept.
+	Doubted map[string]time.Duration
 }
 
 // Snapshot returns the list as it is believed to be.
 func (t *Table) Snapshot() Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := Snapshot{Revision: t.revision}
-	for _, e := range t.entries {
-		if !e.gone {
-			s.Instances = append(s.Instances, e.instance)
+	now := t.clock.Now()
+	s := Snapshot{Revision: t.revision, Doubted: map[string]time.Duration{}}
+	for id, e := range t.entries {
+		if e.gone {
+			continue
+		}
+		s.Instances = append(s.Instances, e.instance)
+		if !e.goneAt.IsZero() {
+			// Told without its doubt, an entry would be taken for listed by
+			// others and come back from them: a server that has left would
+			// get requests for as long as daemons ask each other.
+			s.Doubted[id] = e.goneAt.Sub(now)
 		}
 	}
 	return s
@@ -115,6 +126,9 @@
 	for _, i := range s.Instances {
 		listed[i.ID] = true
 		t.set(i)
+		if left, doubted := s.Doubted[i.ID]; doubted {
+			t.entries[i.ID].goneAt = t.clock.Now().Add(left)
+		}
 	}
 	for id, e := range t.entries {
 		if !listed[id] {
@@ -126,22 +140,40 @@
 }
 
 // Apply takes in changes that lead from the present revision to a newer one.
-// Entries that are gone by them are kept until doubted, as in Replace.
-func (t *Table) Apply(changes []Change, revision int64, doubted time.Time) {
+// Entries that are gone by them are kept until doubted, as in Replace. It
+// returns the changes that say something new, since most entries of a list
+// change only in their heartbeat; ok is false, and nothing is taken in, when the
+// table is newer already.
+func (t *Table) Apply(changes []Change, revision int64, doubted time.Time) (news []Change, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if revision < t.revision {
-		return
+		return nil, false
 	}
 	for _, c := range changes {
-		switch e := t.entries[c.ID]; {
+		e := t.entries[c.ID]
+		switch {
 		case c.Instance != nil:
+			if e == nil || e.gone || !e.goneAt.IsZero() || e.instance != *c.Instance {
+				news = append(news, c)
+			}
 			t.set(*c.Instance)
 		case e != nil:
+			news = append(news, c)
 			t.miss(e, doubted)
 		}
 	}
 	t.advance(revision)
+	return news, true
+}
+
+// Confirm notes that the list was as it is believed to be age ago.
+func (t *Table) Confirm(age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at := t.clock.Now().Add(-age); at.After(t.readAt) {
+		t.readAt = at
+	}
 }
 
 func (t *Table) advance(revision int64) {
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -130,3 +130,37 @@
 	clock.Advance(time.Minute)
 	require.InDelta(t, 1, table.Usable("catalogue")[0].Load, 0.01)
 }
+
+// A daemon without the store keeps an entry in doubt and passes its list to a
+// peer. Passed on as listed, the entry came back from peer to peer, and a server
+// that had left got requests for seconds. It is passed on with its doubt.
+func TestDoubtIsPassedOn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	one, two := NewTable(clock), NewTable(clock)
+	one.Replace(Snapshot{Revision: 5, Instances: []Instance{instance("a"), instance("b")}}, time.Time{})
+	one.Apply([]Change{{ID: "a"}}, 6, clock.Now().Add(2*time.Second))
+	two.Replace(Snapshot{Revision: 5, Instances: []Instance{instance("a"), instance("b")}}, time.Time{})
+	clock.Advance(time.Second)
+	two.Replace(one.Snapshot(), clock.Now())
+	require.Equal(t, []string{"a", "b"}, ids(two.Usable("catalogue")))
+	clock.Advance(1100 * time.Millisecond)
+	two.Expire()
+	require.Equal(t, []string{"b"}, ids(two.Usable("catalogue")))
+}
+
+// Two daemons read the list and tell a third one. A read that was overtaken by
+// the other one's news is not passed on as if it had brought nothing: the third
+// daemon would go past changes that it never got.
+func TestOvertakenReadsAreNotTakenIn(t *testing.T) {
+	table := NewTable(clockwork.NewFakeClock())
+	table.Replace(Snapshot{Revision: 100}, time.Time{})
+	a := instance("a")
+	news, ok := table.Apply([]Change{{ID: "a", Instance: &a}}, 125, time.Time{})
+	require.True(t, ok)
+	require.Len(t, news, 1)
+	_, ok = table.Apply([]Change{{ID: "a", Instance: &a}}, 120, time.Time{})
+	require.False(t, ok)
+	news, ok = table.Apply([]Change{{ID: "a", Instance: &a}}, 130, time.Time{})
+	require.True(t, ok)
+	require.Empty(t, news, "a heartbeat is no news")
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -286,6 +286,23 @@
 	return best == r.self.Incarnation
 }
 
+// First reports whether this daemon is among the first n of the live daemons
+// that keep accepts, in an order that all daemons share and that moves little
+// when one comes or goes.
+func (r *Registry) First(name string, n int, keep func(Daemon) bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := weight(name, r.self.Incarnation)
+	before := 0
+	for _, d := range r.sorted {
+		other := d.State == Alive && d.Incarnation != r.self.Incarnation && keep(d)
+		if other && weight(name, d.Incarnation) > own {
+			before++
+		}
+	}
+	return before < n
+}
+
 // Targets returns the daemons to send a heartbeat to: the next ones on a ring,
 // whose failure this daemon is to notice, and a few random ones.
 func (r *Registry) Targets() []Daemon {
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
@@ -39,9 +40,34 @@
 	Manifest []byte
 	// Instances is set if the list is newer than asked for.
 	Instances *inventory.Snapshot
-	Orders    []shift.Order
-	States    []shift.State
-	Members   []member.Daemon
+	// Doubted is for how long others that the asker has are kept.
+	Doubted time.Duration
+	Orders  []shift.Order
+	States  []shift.State
+	Members []member.Daemon
+}
+
+// News is what a daemon that reads the store tells those that do not.
+type News struct {
+	From string
+	// Manifest is the encoded configuration when it has changed.
+	Manifest []byte
+	Orders   []shift.Order
+	// OperatorRead is the revision up to which the operator's rows were read,
+	// OperatorChanged the one at which they last changed, and OperatorAge how
+	// long ago that was known to be the newest.
+	OperatorRead    int64
+	OperatorChanged int64
+	OperatorAge     time.Duration
+	// Changes lead from the revision Base of the list to List, which was the
+	// newest ListAge ago.
+	Changes []inventory.Change
+	Base    int64
+	List    int64
+	ListAge time.Duration
+	// Doubted is for how long entries missing from the list are kept: its
+	// reader had no answer from the store until shortly before.
+	Doubted time.Duration
 }
 
 // EvidenceRequest asks for what a daemon has seen of a roll-out.
@@ -53,6 +79,7 @@
 	OnBeliefs(r BeliefsRequest) Beliefs
 	OnEvidence(r EvidenceRequest) shift.Evidence
 	OnState(s shift.State)
+	OnNews(n News)
 }
 
 // routesService adapts a RoutesHandler to the method shape of net/rpc.
@@ -82,6 +109,18 @@
 	return nil
 }
 
+// News takes in what a peer has read.
+func (s *routesService) News(in News, _ *Empty) error {
+	s.handler.OnNews(in)
+	return nil
+}
+
+// News tells a peer what was read.
+func (c *Client) News(ctx context.Context, address string, n News) error {
+	_, err := fetchFrom[Empty](ctx, c, address, routesName, "News", n)
+	return err
+}
+
 // Beat exchanges heartbeats with a peer.
 func (c *Client) Beat(ctx context.Context, address string, b Beat) (Beat, error) {
 	return fetchFrom[Beat](ctx, c, address, routesName, "Beat", b)
--- a/test/routes/failures_test.go
+++ b/test/routes/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -343,3 +344,42 @@
 	r := settings.Routes{FailureDomain: "hall-a"}
 	require.ErrorContains(t, r.Check(), "/routes/caller_listen")
 }
+
+// Two of three daemons read the store for all. Whichever two die, a change of
+// the configuration and of the list reaches the third one: it notices that news
+// is late and reads by itself.
+func TestReadersOfTheStoreDie(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain})
+	s.server(platformtest.ServerOptions{ID: "cat-2", Service: plain})
+	all := []*daemon{s.serving(), s.serving(), s.serving()}
+	s.entries(all[0], 3)
+	all[0].Kill()
+	all[2].Kill()
+	s.store.Declare(declaration(11))
+	s.servers["cat-1"].Register(s.store, wire.StateDraining)
+	s.logged(all[1], "msg=config.in_force", "version=11")
+	s.sendsAvoid(all[1], "cat-1")
+}
+
+// A configuration of a megabyte is not passed on between daemons, whose links
+// may be slow; each of them reads it, and it is in force everywhere.
+func TestLongConfiguration(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain})
+	all := []*daemon{s.serving(), s.serving(), s.serving()}
+	s.entries(all[0], 3)
+	m := declaration(12)
+	for i := range 4000 {
+		r := m.Routes[0]
+		r.Name, r.Prefix = fmt.Sprintf("route-%d", i), fmt.Sprintf("/added/%d/", i)
+		m.Routes = append(m.Routes, r)
+	}
+	s.store.Declare(m)
+	for _, d := range all {
+		s.logged(d, "msg=config.in_force", "version=12")
+		c := s.call("/added/3999/")
+		c.Method = http.MethodGet
+		s.whole(c, s.send(c, d), "cat-1")
+	}
+}
