--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -225,24 +225,31 @@
 // attempt may still run, and a reply would be sent twice. The budget keeps the
 // sends of all daemons together from multiplying the load of a failing service.
 func (q *request) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || time.Until(q.deadline) < leastTime {
-		return false
-	}
-	if upconn.NotSent(err) && q.ran == fault.RanNo {
-		return len(q.tried) < maxTried
-	}
+	q.noRetry = q.retryBar(ctx, err)
+	return q.noRetry == ""
+}
+
+// retryBar names what stands against another attempt; "" is nothing.
+func (q *request) retryBar(ctx context.Context, err error) string {
+	notSent := upconn.NotSent(err)
 	var refused *refusedError
-	ranHere := !errors.As(err, &refused) && !upconn.NotSent(err)
-	if q.ran != fault.RanNo && !q.route.Idempotent() {
-		return false
-	}
-	if ranHere && q.runs >= q.route.MaxAttempts {
-		return false
-	}
-	if len(q.tried) >= maxTried {
-		return false
+	ranHere := !errors.As(err, &refused) && !notSent
+	switch {
+	case ctx.Err() != nil || time.Until(q.deadline) < leastTime:
+		return "no_time"
+	case len(q.tried) >= maxTried:
+		return "tried_enough"
+	case notSent && q.ran == fault.RanNo:
+		// Nothing arrived, so nothing is added to the load of the service.
+		return ""
+	case q.ran != fault.RanNo && !q.route.Idempotent():
+		return "may_have_run"
+	case ranHere && q.runs >= q.route.MaxAttempts:
+		return "route_attempts"
+	case !q.Retries.Take(q.service.Name):
+		return "budget"
 	}
-	return q.Retries.Take(q.service.Name)
+	return ""
 }
 
 const (
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -90,6 +90,8 @@
 	begun     bool
 	firstByte time.Duration
 	lastEvent string
+	// noRetry is what stood against another attempt.
+	noRetry string
 }
 
 // ServeHTTP implements http.Handler.
@@ -308,7 +310,7 @@
 	level := slog.LevelInfo
 	if f != nil {
 		level = slog.LevelWarn
-		attrs = append(attrs, slog.String("kind", kind), slog.String("why", f.Message))
+		attrs = append(attrs, slog.String("kind", kind), slog.String("no_retry", q.noRetry), slog.String("why", f.Message))
 	}
 	slog.LogAttrs(context.Background(), level, "request.done", attrs...)
 }
