--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/internal/telemetry"
 )
 
 // reloadInterval is how often the settings file is looked at without a signal.
@@ -35,13 +36,17 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	flush, err := telemetry.SetupTraces(f.Trace, f.Routes.Instance)
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	if err := app.Start(context.Background()); err != nil {
 		return trace.Wrap(err)
 	}
 	node.followSettings(path, f, signals, hangups)
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
-	return trace.Wrap(app.Stop(ctx))
+	return trace.NewAggregate(app.Stop(ctx), flush(ctx))
 }
 
 // followSettings reloads the settings until a signal to stop.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/place"
@@ -24,6 +27,7 @@
 	cancel   context.CancelFunc
 	sentAt   time.Time
 	ended    bool
+	span     oteltrace.Span
 }
 
 // refusedError is an instance's own word that it did not run the request.
@@ -91,7 +95,9 @@
 	q.tried[instance.ID] = true
 	q.last = instance
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{request: q, instance: instance, cancel: cancel, sentAt: time.Now()}
+	ctx, span := tracer.Start(ctx, "attempt")
+	span.SetAttributes(attribute.String("instance", instance.ID), attribute.String("version", instance.Version), attribute.String("model", q.model))
+	a := &attempt{span: span, request: q, instance: instance, cancel: cancel, sentAt: time.Now()}
 	q.Table.Begin(instance.ID, q.work())
 	var timer *time.Timer
 	if headTimeout > 0 {
@@ -200,6 +206,7 @@
 		return
 	}
 	a.ended = true
+	a.span.End()
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
