--- a/test/cluster/proxy.go
+++ b/test/cluster/proxy.go
@@ -18,14 +18,22 @@
 
 // Proxy puts a proxy in front of an address.
 func (c *Cluster) Proxy(target string) (*Proxy, error) {
+	p, err := NewProxy(target)
+	if err != nil {
+		return nil, err
+	}
+	c.proxies = append(c.proxies, p)
+	return p, nil
+}
+
+// NewProxy puts a proxy that the caller closes in front of an address.
+func NewProxy(target string) (*Proxy, error) {
 	p := toxiproxy.NewProxy()
 	p.Listen, p.Upstream = "127.0.0.1:0", target
 	if err := p.Start(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	out := &Proxy{proxy: p}
-	c.proxies = append(c.proxies, out)
-	return out, nil
+	return &Proxy{proxy: p}, nil
 }
 
 // Address returns where the proxy listens.
--- /dev/null
+++ b/test/routes/soak_test.go
@@ -0,0 +1,315 @@
+package routes_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
+	"github.com/hornbeamsill/hornbeamsill/platform/wire"
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+)
+
+// The soak runs real daemons under a load of all kinds of requests while faults
+// come from outside, one after the other and overlapping, drawn from a seed. The
+// promises are checked from what callers get and what servers ran.
+//
+//	SOAK_SEEDS=50 SOAK_FIRST=100 SOAK_SECONDS=10 go test -run TestSoak -timeout 60m ./test/routes
+const (
+	soakDaemons = 3
+	soakWorkers = 8
+	// soakPause is the longest time between two faults.
+	soakPause = 400 * time.Millisecond
+	// soakKept is the longest time that a fault lasts.
+	soakKept = 2500 * time.Millisecond
+)
+
+// soakCases are seeds that failed once, with the cause.
+var soakCases = []uint64{}
+
+func envInt(name string, otherwise int) int {
+	n, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+func TestSoak(t *testing.T) {
+	seeds := append([]uint64{}, soakCases...)
+	for i := range envInt("SOAK_SEEDS", 2) {
+		seeds = append(seeds, uint64(envInt("SOAK_FIRST", 1)+i))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { newSoak(t, seed).run() })
+	}
+}
+
+// sent is a call with its reply.
+type sent struct {
+	call  platformtest.Call
+	reply platformtest.Reply
+}
+
+type soak struct {
+	*site
+	random *rand.Rand
+	// stores are the proxies between daemons and the store, by daemon.
+	stores  map[*daemon]*cluster.Proxy
+	version int64
+
+	mu   sync.Mutex
+	live []*daemon
+	log  []sent
+	// heals undo faults.
+	heals sync.WaitGroup
+	ended chan struct{}
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{
+		site: newSite(t), random: rand.New(rand.NewPCG(seed, 1)), stores: map[*daemon]*cluster.Proxy{},
+		version: 3, ended: make(chan struct{}),
+	}
+	for i := range 3 {
+		s.soakServer(platformtest.ServerOptions{ID: fmt.Sprint("cat-", i), Service: plain, Work: 5 * time.Millisecond}, seed)
+		s.soakServer(platformtest.ServerOptions{ID: fmt.Sprint("eng-", i), Service: engines, Events: 8, Work: 5 * time.Millisecond,
+			Confidence: map[string]int{"small": 80}}, seed)
+	}
+	for range soakDaemons {
+		s.startOne()
+	}
+	return s
+}
+
+// soakServer starts a server that treats a few requests badly, drawn by their id
+// so that a seed plays the same.
+func (s *soak) soakServer(o platformtest.ServerOptions, seed uint64) {
+	bad := []platformtest.Behaviour{
+		platformtest.Refuse, platformtest.Fail, platformtest.Reset, platformtest.Truncate,
+		platformtest.Extra, platformtest.NoLength, platformtest.Early,
+	}
+	if o.Events > 0 {
+		bad = []platformtest.Behaviour{platformtest.Refuse, platformtest.Fail, platformtest.Reset, platformtest.CutInside}
+	}
+	o.Behave = func(seen platformtest.Seen) platformtest.Behaviour {
+		draw := seed
+		for _, c := range o.ID + seen.ID + seen.Header.Get(wire.HeaderLastEvent) {
+			draw = draw*1099511628211 + uint64(c)
+		}
+		random := rand.New(rand.NewPCG(draw, 2))
+		if random.Float64() < 0.9 {
+			return platformtest.Answer
+		}
+		return bad[random.IntN(len(bad))]
+	}
+	s.server(o)
+}
+
+// startOne starts a daemon with a proxy of its own before the store.
+func (s *soak) startOne() {
+	proxy, err := cluster.NewProxy(s.address)
+	require.NoError(s.t, err)
+	s.t.Cleanup(proxy.Close)
+	s.mu.Lock()
+	var seeds []string
+	for _, d := range s.live {
+		seeds = append(seeds, d.peers)
+	}
+	s.mu.Unlock()
+	d := s.start(func(r *settings.Routes) {
+		r.Platform = proxy.Address()
+		r.Seeds = append([]string{}, seeds...)
+		r.StopS = 4
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stores[d] = proxy
+	s.live = append(s.live, d)
+}
+
+// pick draws a live daemon.
+func (s *soak) pick(random *rand.Rand) *daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live[random.IntN(len(s.live))]
+}
+
+// drop takes a daemon out of those that callers use.
+func (s *soak) drop(d *daemon) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.live {
+		if other == d && len(s.live) > 1 {
+			s.live = append(s.live[:i:i], s.live[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *soak) run() {
+	var load sync.WaitGroup
+	for i := range soakWorkers {
+		load.Go(func() { s.worker(rand.New(rand.NewPCG(uint64(i), 3))) })
+	}
+	end := time.Now().Add(time.Duration(envInt("SOAK_SECONDS", 6)) * time.Second)
+	for time.Now().Before(end) {
+		s.fault()
+		<-time.After(time.Duration(s.random.Int64N(int64(soakPause))))
+	}
+	s.heals.Wait()
+	s.recovers()
+	close(s.ended)
+	load.Wait()
+	s.check()
+}
+
+// worker sends requests of all kinds until the soak ends.
+func (s *soak) worker(random *rand.Rand) {
+	paths := []string{pathOnce, pathSafe, pathTurns}
+	for {
+		select {
+		case <-s.ended:
+			return
+		default:
+		}
+		c := s.call(paths[random.IntN(len(paths))])
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		reply := c.Send(ctx, s.client, s.pick(random).callers)
+		cancel()
+		s.mu.Lock()
+		s.log = append(s.log, sent{c, reply})
+		s.mu.Unlock()
+	}
+}
+
+// later undoes a fault after a while.
+func (s *soak) later(undo func()) {
+	kept := time.Duration(s.random.Int64N(int64(soakKept)))
+	s.heals.Go(func() {
+		<-time.After(kept)
+		undo()
+	})
+}
+
+// fault brings one fault about.
+func (s *soak) fault() {
+	d := s.pick(s.random)
+	store := s.stores[d]
+	switch s.random.IntN(11) {
+	case 0:
+		s.drop(d)
+		d.Kill()
+		s.startOne()
+	case 1:
+		d.stop()
+		s.later(func() { s.drop(d) })
+		s.startOne()
+	case 2:
+		if d.Freeze() == nil {
+			s.later(d.Wake)
+		}
+	case 3:
+		store.Cut()
+		s.later(func() { s.restore(store) })
+	case 4:
+		if store.Hold([]string{"upstream", "downstream"}[s.random.IntN(2)]) == nil {
+			s.later(store.Heal)
+		}
+	case 5:
+		if store.Slow("200") == nil {
+			s.later(store.Heal)
+		}
+	case 6:
+		s.store.SetFault([]platformtest.Fault{
+			platformtest.FaultRefuse, platformtest.FaultBusy, platformtest.FaultReset, platformtest.FaultSilent, platformtest.FaultLoseAnswer,
+		}[s.random.IntN(5)])
+		s.later(func() { s.store.SetFault(platformtest.FaultNone) })
+	case 7:
+		s.store.Compact()
+	case 8:
+		s.version += 1 + s.random.Int64N(3)
+		s.store.Declare(declaration(s.version))
+	case 9:
+		id := fmt.Sprint([]string{"cat-", "eng-"}[s.random.IntN(2)], s.random.IntN(3))
+		s.store.Remove(wire.TableInstances, id)
+		s.later(func() { s.servers[id].Register(s.store, wire.StateReady) })
+	case 10:
+		d.Signal(1)
+	}
+}
+
+func (s *soak) restore(p *cluster.Proxy) {
+	// A proxy whose daemon is gone may be closed already.
+	_ = p.Restore()
+}
+
+// recovers requires that every live daemon serves once all faults are over.
+func (s *soak) recovers() {
+	s.mu.Lock()
+	live := append([]*daemon{}, s.live...)
+	s.mu.Unlock()
+	for _, d := range live {
+		s.eventually(func() error {
+			c := s.call(pathSafe)
+			if r := s.send(c, d); r.Err != nil || r.Status != http.StatusOK {
+				return trace.Errorf("%s does not serve: %d %v\n%s", d.Name, r.Status, r.Err, d.Log())
+			}
+			return nil
+		})
+	}
+}
+
+// check compares what callers got with what servers ran.
+func (s *soak) check() {
+	runs := map[string]int{}
+	for _, server := range s.servers {
+		for _, seen := range server.Seen() {
+			if seen.Behaviour.Ran() {
+				runs[seen.ID]++
+			}
+			require.Equal(s.t, "visrad", seen.Organisation)
+		}
+	}
+	served := 0
+	for _, one := range s.log {
+		id, r := one.call.ID, one.reply
+		switch {
+		case r.Err != nil:
+		case r.Status == http.StatusOK:
+			served++
+			require.Equal(s.t, id, r.ID)
+			s.wholeAnswer(one)
+		case r.Status == http.StatusServiceUnavailable, r.Status == http.StatusTooManyRequests:
+			require.Zero(s.t, runs[id], "%s was told not to have run", id)
+		default:
+			require.GreaterOrEqual(s.t, r.Status, http.StatusInternalServerError, "%s is proper", id)
+		}
+		if one.call.Path == pathOnce {
+			require.LessOrEqual(s.t, runs[id], 1, "%s ran more than once", id)
+		}
+	}
+	s.t.Logf("%d requests, %d served", len(s.log), served)
+	require.Positive(s.t, served)
+}
+
+// wholeAnswer requires that a success is the whole answer of one server.
+func (s *soak) wholeAnswer(one sent) {
+	id := one.call.ID
+	if one.call.Path == pathTurns {
+		require.Equal(s.t, events(id, 8), one.reply.Body)
+		return
+	}
+	require.True(s.t, strings.HasPrefix(one.reply.Body, "answer to "+id+" by cat-"), one.reply.Body)
+}
