One dialer that notices silent connections; one start of process tests

Both stood twice: keep-alive probes and the time-out of unacknowledged bytes in the store's client and in the upstream pool, and the build of the programs in two test packages. No behaviour changes.

--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -17,21 +17,13 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 )
 
 const (
 	// dialTimeout is many times the longest way between failure domains (a few
 	// ms) and leaves time for another instance within an objective of 300 ms.
 	dialTimeout = 250 * time.Millisecond
-	// Keep-alive probes notice a server that went dark without a reset after
-	// 400 + 3*300 ms, under half of the two seconds after which callers
-	// abandon a silent stream.
-	probeIdle     = 400 * time.Millisecond
-	probeInterval = 300 * time.Millisecond
-	probeCount    = 3
-	// unackedTimeout closes a connection whose bytes are not acknowledged.
-	unackedTimeout = 1200 * time.Millisecond
 	// idleLimit is how long an unused connection is kept where the server
 	// names no time of its own.
 	idleLimit = 4 * time.Second
@@ -61,7 +53,7 @@
 //
 // Lock order: mu is taken alone.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 	dials  atomic.Int64
 
 	mu    sync.Mutex
@@ -70,24 +62,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{
-		hosts: map[string]*host{},
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-			},
-			Control: setUnackedTimeout,
-		},
-	}
-}
-
-func setUnackedTimeout(_, _ string, c syscall.RawConn) error {
-	var set error
-	err := c.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, set)
+	return &Pool{hosts: map[string]*host{}, dialer: dial.Dialer(dialTimeout)}
 }
 
 // Dials is the number of connections opened.
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -32,6 +33,21 @@
 	return Binaries{dir: dir}, nil
 }
 
+// RunTests builds the programs for the tests of a package, runs the tests and
+// returns the exit code.
+func RunTests(m *testing.M, binaries *Binaries) int {
+	dir, err := os.MkdirTemp("", "hornbeamsill")
+	if err == nil {
+		defer os.RemoveAll(dir)
+		*binaries, err = Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
 // Path returns the path of a program.
 func (b Binaries) Path(name string) string { return filepath.Join(b.dir, name) }
 
--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -27,19 +27,7 @@
 
 var binaries cluster.Binaries
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hornbeamsill")
-	if err == nil {
-		binaries, err = cluster.Build(dir)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(cluster.RunTests(m, &binaries)) }
 
 // Names of the declared installation.
 const (
