The pause of a session counts from the end of its last answer

Ruled out: daemons that did not answer for their evidence (none missing). Now open requests and the end of the last one count.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -28,6 +28,8 @@
 // how they did; *shift.Book is one.
 type Versions interface {
 	Rule(service, session string) shift.Rule
+	// Ended is called once for each Rule.
+	Ended(service, session string)
 	Observe(service string, o shift.Observation)
 }
 
@@ -130,6 +132,8 @@
 		return err
 	}
 	defer q.BodyBytes.Release(len(q.body))
+	q.rule = q.Versions.Rule(q.service.Name, q.session())
+	defer q.Versions.Ended(q.service.Name, q.session())
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	q.Retries.First(q.service.Name)
@@ -166,7 +170,6 @@
 	if q.service, ok = q.catalog.Service(route.Service(rand.Float64())); !ok {
 		return fault.New(fault.NoUpstream, "the route has no service")
 	}
-	q.rule = q.Versions.Rule(q.service.Name, q.session())
 	patience := route.Timeout
 	if q.facts.HasPatience {
 		patience = min(patience, q.facts.Patience)
--- a/internal/shift/book.go
+++ b/internal/shift/book.go
@@ -54,8 +54,16 @@
 
 	mu       sync.Mutex
 	services map[string]*rollout
-	// sessions is when each session was last seen, by service and hash.
-	sessions map[sessionKey]time.Time
+	// sessions are those under way, by service and hash.
+	sessions map[sessionKey]underWay
+}
+
+// underWay is a session with requests lately.
+type underWay struct {
+	// open is the number of its requests that have not ended, and last when
+	// one began or ended.
+	open int
+	last time.Time
 }
 
 type sessionKey struct {
@@ -68,7 +76,7 @@
 func NewBook(clock clockwork.Clock, pause time.Duration, inFlight func(string, func(string) bool) int) *Book {
 	return &Book{
 		clock: clock, pause: pause, inFlight: inFlight,
-		services: map[string]*rollout{}, sessions: map[sessionKey]time.Time{},
+		services: map[string]*rollout{}, sessions: map[sessionKey]underWay{},
 	}
 }
 
@@ -137,13 +145,13 @@
 }
 
 // Rule tells which versions a session's request may use, and notes that the
-// session is under way.
+// session is under way until Ended is called and for the longest pause after.
 func (b *Book) Rule(service, session string) Rule {
 	hash := Hash(session)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock.Now()
-	b.sessions[sessionKey{service, hash}] = now
+	key := sessionKey{service, hash}
+	b.sessions[key] = underWay{open: b.sessions[key].open + 1, last: b.clock.Now()}
 	r, ok := b.services[service]
 	if !ok {
 		return Rule{}
@@ -163,6 +171,18 @@
 	}
 }
 
+// Ended notes that a request of a session has ended. The pause between two
+// requests counts from there: a session whose last answer took longer than the
+// longest pause would otherwise be taken for a new one, and change its version.
+func (b *Book) Ended(service, session string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := sessionKey{service, Hash(session)}
+	if s, ok := b.sessions[key]; ok {
+		b.sessions[key] = underWay{open: s.open - 1, last: b.clock.Now()}
+	}
+}
+
 // Observe takes in how a request went.
 func (b *Book) Observe(service string, o Observation) {
 	b.mu.Lock()
@@ -211,8 +231,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	for key, at := range b.sessions {
-		if now.Sub(at) > b.pause {
+	for key, s := range b.sessions {
+		if s.open <= 0 && now.Sub(s.last) > b.pause {
 			delete(b.sessions, key)
 		}
 	}
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -194,6 +194,32 @@
 	require.Positive(t, moved)
 }
 
+// A clerk waits long for an answer, reads it, and asks again. The pause counts
+// from the end of the answer; counted from its start, the session was forgotten
+// while its answer was still being written, and its next request went to the new
+// version in the first half of a roll-out.
+func TestLongAnswersKeepTheirSession(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := book(clock)
+	session := ""
+	for i := 0; session == ""; i++ {
+		if s := fmt.Sprint("session-", i); within(Hash(s), FirstShare) {
+			session = s
+		}
+	}
+	b.Rule("engines", session)
+	clock.Advance(20 * time.Second)
+	b.Expire()
+	b.Ended("engines", session)
+	clock.Advance(4 * time.Second)
+	b.Expire()
+	b.Ordered(order)
+	require.Equal(t, []uint64{Hash(session)}, b.Evidence("engines").Held)
+	clock.Advance(2 * time.Second)
+	b.Expire()
+	require.Empty(t, b.Evidence("engines").Held)
+}
+
 // The daemon that holds the duty is away while the new version fails. Each
 // daemon stops using it on its own evidence.
 func TestEachDaemonStopsABadVersion(t *testing.T) {
