--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,7 +49,7 @@
 	var out []place.Candidate
 	for _, side := range q.rule.Sides() {
 		for _, v := range usable {
-			if side(v.Instance.Version) {
+			if side.Accept(v.Instance.Version) {
 				out = append(out, place.Candidate{
 					ID: v.Instance.ID, Near: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
 					Load: v.Load, Open: v.Open, Sent: v.Sent, Ejected: v.Ejected,
@@ -57,7 +57,7 @@
 			}
 		}
 		if len(out) > 0 {
-			break
+			return place.Part(out, side.Part)
 		}
 	}
 	return out
@@ -224,10 +224,13 @@
 	if outcome == inventory.OutcomeNone {
 		return
 	}
-	a.Versions.Observe(a.service.Name, shift.Observation{
-		Version: a.instance.Version, Route: a.route.Name,
-		Bad: outcome != inventory.OutcomeGood, Took: time.Since(a.sentAt),
-	})
+	o := shift.Observation{
+		Version: a.instance.Version, Route: a.route.Name, Model: a.model, Bad: outcome != inventory.OutcomeGood,
+	}
+	if !a.headAt.IsZero() {
+		o.Took = a.headAt.Sub(a.sentAt)
+	}
+	a.Versions.Observe(a.service.Name, o)
 }
 
 // noteTime takes in how long the answer took, or that it ran into its deadline.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -3,8 +3,10 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -93,6 +95,23 @@
 	return all[best], true
 }
 
+// leastPart is the least number of instances that a part of them has: with one,
+// its crash would look like a fault of the version that it runs.
+const leastPart = 2
+
+// Part returns a part of the instances, the same at all daemons; 0 is all.
+func Part(all []Candidate, part float64) []Candidate {
+	n := max(int(math.Round(part*float64(len(all)))), leastPart)
+	if part == 0 || n >= len(all) {
+		return all
+	}
+	ranked := slices.Clone(all)
+	slices.SortFunc(ranked, func(a, b Candidate) int {
+		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+	})
+	return ranked[:n]
+}
+
 // leastNear is the number of instances that a failure domain must have for its
 // prompts to stay there. Each domain then reads the shared parts for itself,
 // which domains of six instances feel (three times as many tokens read again, a
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -29,6 +29,15 @@
 	require.Len(t, Filter(all, nil), 4, "when most fail, the fault is likely not theirs")
 }
 
+func TestPart(t *testing.T) {
+	all := candidates(18)
+	require.Len(t, Part(all, 0), 18)
+	require.Len(t, Part(all, 0.3), 5)
+	require.Len(t, Part(all, 0.01), leastPart)
+	require.Len(t, Part(all[:1], 0.5), 1)
+	require.Equal(t, Part(all, 0.3), Part(all, 0.3))
+}
+
 // Requests with the same key go to the same instance from every daemon, and one
 // instance less moves only its own keys.
 func TestByPromptIsStable(t *testing.T) {
--- a/internal/shift/book.go
+++ b/internal/shift/book.go
@@ -8,16 +8,30 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// Side is a group of versions that a request may use.
+type Side struct {
+	Accept func(version string) bool
+	// Part is the part of the group's instances to use; 0 is all.
+	//
+	// A new version gets few requests at first. Spread over all of its
+	// instances they find each of them idle, and an idle instance of a version
+	// that is eight times slower answers about as fast as a busy one of the old
+	// version: of 1,600 requests such a version got 1,250 before it was
+	// completed. A share of the requests on the same share of the instances
+	// meets the load that it will have later, and was found in time.
+	Part float64
+}
+
 // Rule tells which versions a request may use.
 type Rule struct {
 	// order is the preference; nil accepts every version.
-	order []func(version string) bool
+	order []Side
 }
 
 // Sides returns the groups of versions to use, the preferred one first.
-func (r Rule) Sides() []func(version string) bool {
+func (r Rule) Sides() []Side {
 	if r.order == nil {
-		return []func(string) bool{func(string) bool { return true }}
+		return []Side{{Accept: func(string) bool { return true }}}
 	}
 	return r.order
 }
@@ -156,18 +170,21 @@
 	if !ok {
 		return Rule{}
 	}
-	fresh := func(version string) bool { return version == r.order.To }
-	old := func(version string) bool { return version != r.order.To }
+	fresh := Side{Accept: func(version string) bool { return version == r.order.To }}
+	old := Side{Accept: func(version string) bool { return version != r.order.To }}
+	if r.state.Phase == Running && r.state.Share < 1 {
+		fresh.Part = r.state.Share
+	}
 	switch {
 	case r.state.Phase == Completed:
-		return Rule{order: []func(string) bool{fresh}}
+		return Rule{order: []Side{fresh}}
 	case r.state.Phase == RolledBack || r.stopped:
-		return Rule{order: []func(string) bool{old}}
+		return Rule{order: []Side{old}}
 	case r.state.Share >= 1 || (within(hash, r.state.Share) && !r.held[hash]):
-		return Rule{order: []func(string) bool{fresh, old}}
+		return Rule{order: []Side{fresh, old}}
 	default:
 		// With no old instance left the new version is better than a refusal.
-		return Rule{order: []func(string) bool{old, fresh}}
+		return Rule{order: []Side{old, fresh}}
 	}
 }
 
@@ -195,9 +212,9 @@
 	if o.Version == r.order.To {
 		counts = r.fresh
 	}
-	c := counts[o.Route]
+	c := counts[o.kind()]
 	c.add(o)
-	counts[o.Route] = c
+	counts[o.kind()] = c
 	if o.Bad && o.Version == r.order.To && !r.stopped {
 		// Stopping needs nobody's consent: it can only lessen the damage while
 		// the holder of the duty is away.
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -91,8 +91,9 @@
 	}
 }
 
-// A version that is eight times slower on one route only is found by that
-// route's times, and one whose answers just vary in length is not.
+// A version that takes eight times as long, all of it or one kind of request, is
+// found from as many answers as the first share brings in a few seconds; one
+// whose answers just vary in length is not.
 func TestSlowVersionIsFound(t *testing.T) {
 	sample := func(random *rand.Rand, factor float64, n int) Count {
 		var c Count
@@ -102,21 +103,42 @@
 		}
 		return c
 	}
-	found, alarms := 0, 0
+	all, one, alarms := 0, 0, 0
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 3))
-		old := Counts{"a": sample(random, 1, 200), "b": sample(random, 1, 200)}
+		old := Counts{"a": sample(random, 1, 200), "b": sample(random, 1, 200), "c": sample(random, 1, 200)}
+		if Bad(Counts{"a": sample(random, 8, 8), "b": sample(random, 8, 8), "c": sample(random, 8, 8)}, old) {
+			all++
+		}
 		if Bad(Counts{"a": sample(random, 1, 30), "b": sample(random, 8, 30)}, old) {
-			found++
+			one++
 		}
-		if Bad(Counts{"a": sample(random, 1, 30), "b": sample(random, 1, 30)}, old) {
+		if Bad(Counts{"a": sample(random, 1, 30), "b": sample(random, 1, 30), "c": sample(random, 1, 10)}, old) {
 			alarms++
 		}
 	}
-	require.Greater(t, found, 190)
+	require.Greater(t, all, 190)
+	require.Greater(t, one, 190)
 	require.Zero(t, alarms)
 }
 
+// A few requests on many new instances find all of them idle. Sent to as small a
+// part of the instances, they meet the load that the version will have later.
+func TestFirstRequestsGoToFewInstances(t *testing.T) {
+	b := book(clockwork.NewFakeClock())
+	b.Ordered(order)
+	b.Learn(State{Order: 7, Service: "engines", To: "v2", Phase: Running, Share: 0.3, Step: 2})
+	found := false
+	for i := 0; !found; i++ {
+		side := b.Rule("engines", fmt.Sprint(i)).Sides()[0]
+		if found = side.Accept("v2"); found {
+			require.InDelta(t, 0.3, side.Part, 0.001)
+		}
+	}
+	b.Learn(State{Order: 7, Service: "engines", To: "v2", Phase: Running, Share: 1, Step: 3})
+	require.Zero(t, b.Rule("engines", "x").Sides()[0].Part)
+}
+
 // Whatever the evidence, a state moves only forward: steps rise, the share
 // never falls while it runs, a final phase stays.
 func TestStatesMoveForward(t *testing.T) {
@@ -153,7 +175,7 @@
 
 // prefers tells which version a session's next request uses first.
 func prefers(b *Book, session string) string {
-	if b.Rule("engines", session).Sides()[0]("v2") {
+	if b.Rule("engines", session).Sides()[0].Accept("v2") {
 		return "v2"
 	}
 	return "v1"
--- a/internal/shift/verdict.go
+++ b/internal/shift/verdict.go
@@ -10,14 +10,15 @@
 // Observation is how one request at an instance went.
 type Observation struct {
 	Version string
-	Route   string
-	Bad     bool
-	// Took is the time to the end of the answer; 0 where it was not read to
-	// its end.
+	// Route and Model are what observations are compared within.
+	Route string
+	Model string
+	Bad   bool
+	// Took is the time to the beginning of the answer; 0 where there was none.
 	Took time.Duration
 }
 
-// Count sums observations of one route.
+// Count sums observations of one kind.
 type Count struct {
 	Requests int
 	Bad      int
@@ -50,21 +51,24 @@
 	}
 }
 
-// Counts are observations by route.
+// Counts are observations by kind: route and model.
 type Counts map[string]Count
 
+// kind is what an observation is counted under.
+func (o Observation) kind() string { return o.Route + "/" + o.Model }
+
 // Merge returns the sum of counts.
 func Merge(all ...Counts) Counts {
 	out := Counts{}
 	for _, counts := range all {
-		for route, c := range counts {
-			out[route] = out[route].plus(c)
+		for kind, c := range counts {
+			out[kind] = out[kind].plus(c)
 		}
 	}
 	return out
 }
 
-// Total sums the counts of all routes.
+// Total sums the counts of all kinds.
 func (c Counts) Total() Count {
 	var sum Count
 	for _, one := range c {
@@ -86,8 +90,10 @@
 	// that fails no more often than it is tested against. A roll-out is looked
 	// at some hundred times.
 	falseAlarm = 1e-5
-	// leastTimed is the number of answers without which times say nothing.
-	leastTimed = 15
+	// leastTimed is the number of answers of one kind, and allTimed that of all
+	// kinds together, without which times say nothing.
+	leastTimed = 5
+	allTimed   = 20
 	// slowFactor is how many times slower the new version must be, in the
 	// geometric mean.
 	slowFactor = 2.0
@@ -96,17 +102,17 @@
 )
 
 // Bad decides whether the new version fails more often or is slower than the
-// old one, over all requests or on one route.
+// old one, over all requests or for one kind of them.
 func Bad(fresh, old Counts) bool {
 	if bad(fresh.Total(), old.Total()) {
 		return true
 	}
-	for route, c := range fresh {
-		if bad(c, old[route]) || slow(c, old[route]) {
+	for kind, c := range fresh {
+		if bad(c, old[kind]) || slow(Counts{kind: c}, old) {
 			return true
 		}
 	}
-	return false
+	return slow(fresh, old)
 }
 
 // bad tests the number of failures against the binomial distribution with
@@ -126,16 +132,33 @@
 	return tail < falseAlarm
 }
 
-func slow(fresh, old Count) bool {
-	if fresh.Timed < leastTimed || old.Timed < leastTimed {
+// slow compares the logarithms of times, kind by kind, and puts the differences
+// together with the weight of their precision. Kinds differ by orders of
+// magnitude, so times of unlike kinds are not compared.
+func slow(fresh, old Counts) bool {
+	precision, weighted, timed := 0.0, 0.0, 0
+	for kind, c := range fresh {
+		o := old[kind]
+		if c.Timed < leastTimed || o.Timed < leastTimed {
+			continue
+		}
+		m1, v1 := moments(c)
+		m2, v2 := moments(o)
+		p := 1 / max(v1/float64(c.Timed)+v2/float64(o.Timed), leastVariance)
+		precision += p
+		weighted += p * (m1 - m2)
+		timed += c.Timed
+	}
+	if timed < allTimed {
 		return false
 	}
-	m1, v1 := moments(fresh)
-	m2, v2 := moments(old)
-	apart := m1 - m2 - math.Log(slowFactor)
-	return apart > slowSigmas*math.Sqrt(v1/float64(fresh.Timed)+v2/float64(old.Timed))
+	return weighted/precision-math.Log(slowFactor) > slowSigmas/math.Sqrt(precision)
 }
 
+// leastVariance keeps a few times that are equal by chance from counting as
+// certain.
+const leastVariance = 0.005
+
 func moments(c Count) (mean, variance float64) {
 	n := float64(c.Timed)
 	mean = c.LogSum / n
