--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -42,30 +42,34 @@
 
 func (e *refusedError) Error() string { return "refused by " + e.instance }
 
-// candidates returns the instances that may take the request, by the versions
-// it may use.
+// candidates returns the instances that may take the request: those of the
+// preferred versions that were not tried yet, or else those of the next ones.
 func (q *request) candidates() []place.Candidate {
 	usable := q.Table.Usable(q.service.Name)
-	var out []place.Candidate
 	for _, side := range q.rule.Sides() {
+		var group []place.Candidate
 		for _, v := range usable {
 			if side.Accept(v.Instance.Version) {
-				out = append(out, place.Candidate{
-					ID: v.Instance.ID, Near: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
-					Load: v.Load, Open: v.Open, Sent: v.Sent, Ejected: v.Ejected,
-				})
+				group = append(group, q.candidate(v))
 			}
 		}
-		if len(out) > 0 {
-			return place.Part(out, side.Part)
+		if left := place.Filter(place.Part(group, side.Part), q.tried); len(left) > 0 {
+			return left
 		}
 	}
-	return out
+	return nil
+}
+
+func (q *request) candidate(v inventory.View) place.Candidate {
+	return place.Candidate{
+		ID: v.Instance.ID, Near: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
+		Load: v.Load, Open: v.Open, Sent: v.Sent, Ejected: v.Ejected,
+	}
 }
 
 // choose places the request.
 func (q *request) choose() (inventory.Instance, bool) {
-	all := place.Filter(q.candidates(), q.tried)
+	all := q.candidates()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	var picked place.Candidate
 	var ok bool
--- a/test/routes/rollout_test.go
+++ b/test/routes/rollout_test.go
@@ -110,6 +110,22 @@
 	require.Len(t, bad.Seen(), before)
 }
 
+// The few instances that try a new version are gone all at once. Requests that
+// would have gone there are answered by the old version instead of refused.
+func TestNewVersionsInstancesAreGone(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "old", Service: engines, Events: 3, Work: time.Millisecond})
+	d := s.serving()
+	dead := s.server(platformtest.ServerOptions{ID: "new", Service: engines, Version: "v2", Events: 3})
+	dead.Close()
+	s.store.Order(engines, "v2", allowed)
+	s.logged(d, "msg=rollout.state", "share=0.08")
+	for range 60 {
+		reply := s.send(s.call(pathTurns), d)
+		require.Equal(t, http.StatusOK, reply.Status, reply.Body)
+	}
+}
+
 // All daemons lose power after a roll-out was completed and the old servers are
 // gone. The daemons that start again know from the store that it is completed
 // and serve at once; with the order alone they took it for one that has just
