Slow bodies end at the request's deadline; callers' connections are bounded by descriptors

A caller that stopped in the middle of its body held the request for ever; now it gets 408 at its deadline, and nothing ran. Connections of callers take at most 0.6 of the descriptors, so that a flood leaves some for upstream instances and the store.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
+	"golang.org/x/net/netutil"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -92,7 +93,7 @@
 	p.callers = &http.Server{
 		Handler: p.closing(p.node.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
-	if p.node.callerAddress, err = listen(p.callers, s.CallerListen); err != nil {
+	if p.node.callerAddress, err = listen(p.callers, s.CallerListen, callerConnections(s.Descriptors)); err != nil {
 		return err
 	}
 	ready, err := p.listenOther(s.ReadyListen, platform.ReadyHandler(p.node.Ready))
@@ -123,15 +124,37 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.others = append(p.others, server)
-	return listen(server, address)
+	return listen(server, address, 0)
 }
 
-// listen serves on address and returns the address with its port.
-func listen(server *http.Server, address string) (string, error) {
+const (
+	// reservedDescriptors are kept for files and for peers.
+	reservedDescriptors = 300
+	// callerPart is the part of the rest for callers; each of their requests
+	// may need a connection to an upstream instance.
+	callerPart = 0.6
+)
+
+// callerConnections is how many connections callers may have open at once; 0 is
+// no bound. Without it a flood of them would leave none for upstream instances
+// and the store, and what is being served would fail.
+func callerConnections(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(int(callerPart*float64(descriptors-reservedDescriptors)), 1)
+}
+
+// listen serves on address, at most some connections at once unless that is 0,
+// and returns the address with its port.
+func listen(server *http.Server, address string, connections int) (string, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
+	if connections > 0 {
+		l = netutil.LimitListener(l, connections)
+	}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			slog.Error("listener.failed", "address", address, "error", err)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -29,6 +29,7 @@
 	MissingKey       Kind = "missing_api_key"
 	UnknownKey       Kind = "unknown_api_key"
 	BodyTooLarge     Kind = "body_too_large"
+	SlowRequest      Kind = "slow_request"
 	UnknownModel     Kind = "unknown_model"
 	ModelNotAllowed  Kind = "model_not_allowed"
 	UnknownService   Kind = "unknown_service"
@@ -76,6 +77,7 @@
 	MissingKey:       {Status: http.StatusUnauthorized},
 	UnknownKey:       {Status: http.StatusUnauthorized},
 	BodyTooLarge:     {Status: http.StatusRequestEntityTooLarge},
+	SlowRequest:      {Status: http.StatusRequestTimeout},
 	UnknownModel:     {Status: http.StatusNotFound},
 	ModelNotAllowed:  {Status: http.StatusForbidden},
 	UnknownService:   {Status: http.StatusNotFound},
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -210,9 +211,19 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
+	// A sender that stops in the middle of a body would otherwise hold the
+	// request, and what it has in memory, for as long as it likes.
+	control := http.NewResponseController(q.w)
+	bounded := control.SetReadDeadline(q.deadline) == nil
 	body, err := io.ReadAll(reader)
+	if bounded && err == nil {
+		// Not every writer has deadlines; one that took the first takes this.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.SlowRequest, "the body did not come in time")
 	case errors.As(err, &large):
 		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case err != nil:
@@ -233,6 +244,10 @@
 func (q *request) classify(ctx context.Context, err error) *fault.Error {
 	var f *fault.Error
 	switch {
+	case fault.Is(err, fault.SlowRequest):
+		// The server gives a connection up whose read timed out, which looks
+		// like a caller that has left.
+		errors.As(err, &f)
 	case errors.Is(ctx.Err(), context.Canceled):
 		f = fault.New(fault.Cancelled, "the caller has left")
 	case errors.As(err, &f):
--- a/test/routes/path_test.go
+++ b/test/routes/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"os/exec"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/entry"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 )
@@ -141,6 +143,45 @@
 	}
 }
 
+// A caller stops in the middle of its body. It is told so at its deadline, and
+// nothing ran; the daemon does not hold the request for ever.
+func TestSlowSender(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain})
+	d := s.serving()
+	reply := rawExchange(t, d.callers, "POST "+pathOnce+" HTTP/1.1\r\nHost: "+host+"\r\n"+wire.HeaderRequestID+": slow\r\n"+
+		wire.HeaderCredential+": "+key+"\r\n"+wire.HeaderDeadline+": 300\r\nContent-Length: 100\r\n\r\nhalf")
+	require.Contains(t, reply, "HTTP/1.1 408 ")
+	require.Empty(t, s.runs("slow"))
+}
+
+// More callers connect than there are descriptors for. Those beyond the bound
+// wait for a place; those inside are served.
+func TestManyConnections(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain})
+	d := s.start(func(r *settings.Routes) { r.Descriptors = 320 })
+	s.eventually(func() error {
+		if !platformtest.Ready(context.Background(), s.client, d.ready) {
+			return trace.Errorf("not ready")
+		}
+		return nil
+	})
+	var idle []net.Conn
+	for range 12 {
+		conn, err := net.Dial("tcp", d.callers)
+		require.NoError(t, err)
+		idle = append(idle, conn)
+	}
+	got := make(chan platformtest.Reply, 1)
+	c := s.call(pathOnce)
+	go func() { got <- s.send(c, d) }()
+	for _, conn := range idle {
+		conn.Close()
+	}
+	s.whole(c, <-got, "cat-1")
+}
+
 // A stream's caller leaves in the middle of an answer. The engine must not go
 // on working for nobody: the connection to it is closed at once.
 func TestCallerLeaves(t *testing.T) {
