--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -109,10 +109,8 @@
 	return nil
 }
 
+// cutStream ends an attempt whose stream broke off or fell silent.
 func (q *request) cutStream(a *attempt, err error) error {
-	if a.r.Context().Err() == nil && time.Until(q.deadline) > 0 && errors.Is(err, errClosed) {
-		err = errSilent
-	}
 	err = fmt.Errorf("%w: %w", errCut, err)
 	a.fail(err)
 	return err
@@ -163,8 +161,6 @@
 func newEvents(r io.Reader) *events { return &events{reader: bufio.NewReaderSize(r, 4<<10)} }
 
 var (
-	// errClosed says that the connection was closed on our side.
-	errClosed    = errors.New("connection closed")
 	errHalfEvent = errors.New("the stream ended inside an event")
 	errLongEvent = errors.New("an event is too long")
 )
