--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -140,7 +140,15 @@
 // signal alone leaves it time to answer one more call. Wake lets it go on.
 func (p *Process) Freeze() error {
 	p.Signal(syscall.SIGSTOP)
-	return Eventually(func() error {
+	ended := false
+	err := Eventually(func() error {
+		select {
+		case <-p.done:
+			// A program that has ended never shows as stopped.
+			ended = true
+			return nil
+		default:
+		}
 		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
 		if err != nil {
 			return err
@@ -151,6 +159,10 @@
 		}
 		return nil
 	})
+	if ended {
+		return trace.NotFound("%s has ended", p.Name)
+	}
+	return err
 }
 
 // Wake undoes Freeze.
