A rolled-back version stays out after the next order; versions without an order are held back

Withdrawn versions are kept with the state, passed on with it, and taken from older stored states at a start. Two tests fail before, one with real processes.

A version that is new to a service gets nothing for two seconds while others can serve. The test fails before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -41,11 +42,21 @@
 
 // candidates returns the instances that may take the request: those of the
 // preferred versions that were not tried yet, or else those of the next ones.
+// Instances of a version that may just not be announced yet come last.
 func (q *request) candidates() []place.Candidate {
 	usable := q.Table.Usable(q.service.Name)
+	announced := slices.DeleteFunc(slices.Clone(usable), func(v inventory.View) bool { return v.Unannounced })
+	if left := q.allowed(announced); len(left) > 0 {
+		return left
+	}
+	return q.allowed(usable)
+}
+
+// allowed returns those of some instances that the rule for versions prefers.
+func (q *request) allowed(views []inventory.View) []place.Candidate {
 	for _, side := range q.rule.Sides() {
 		var group []place.Candidate
-		for _, v := range usable {
+		for _, v := range views {
 			if side.Accept(v.Instance.Version) {
 				group = append(group, q.candidate(v))
 			}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -17,6 +17,9 @@
 	// SentHalfLife is how fast work that was sent loses weight: a few times
 	// what an engine needs to read a long prompt.
 	SentHalfLife = 1500 * time.Millisecond
+	// announceTime is how long a version that is new to a service is held back:
+	// an accepted order is known everywhere within two seconds.
+	announceTime = 2 * time.Second
 	// fleetTime is how long the told work of all daemons is relied on.
 	fleetTime = 3 * time.Second
 )
@@ -59,6 +62,10 @@
 	// known of the others, what this one sent stands for theirs: they send the
 	// same mix of requests by the same rules.
 	Sent float64
+	// Unannounced instances have a version that was first listed a moment ago,
+	// while the order to use it may be on its way. They get nothing while others
+	// can serve.
+	Unannounced bool
 	// Ejected instances failed lately and get nothing while others can serve.
 	Ejected bool
 }
@@ -75,11 +82,14 @@
 	readAt   time.Time
 	// fleetAt is when the work of all daemons was last told.
 	fleetAt time.Time
+	// versions is when each version of a service was first listed; zero for
+	// those that were there when this daemon started, or alone.
+	versions map[string]map[string]time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
-	return &Table{clock: clock, entries: map[string]*entry{}}
+	return &Table{clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}}
 }
 
 // Snapshot is the whole list with the revision of the store that it is from.
@@ -202,10 +212,33 @@
 		e = &entry{}
 		t.entries[i.ID] = e
 	}
+	t.noteVersion(i)
 	i.Leaving = i.Leaving || e.instance.Leaving
 	e.instance, e.gone, e.goneAt = i, false, time.Time{}
 }
 
+func (t *Table) noteVersion(i Instance) {
+	versions := t.versions[i.Service]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		t.versions[i.Service] = versions
+	}
+	if _, known := versions[i.Version]; known {
+		return
+	}
+	first := time.Time{}
+	if len(versions) > 0 && !t.readAt.IsZero() {
+		first = t.clock.Now()
+	}
+	versions[i.Version] = first
+}
+
+// unannounced reports whether a version was first listed a moment ago.
+func (t *Table) unannounced(i Instance, now time.Time) bool {
+	first := t.versions[i.Service][i.Version]
+	return !first.IsZero() && now.Sub(first) < announceTime
+}
+
 // miss notes that an instance is not listed any more.
 func (t *Table) miss(e *entry, doubted time.Time) {
 	switch {
@@ -250,6 +283,8 @@
 			InFlight: e.inFlight,
 			Sent:     t.sentNow(e, now),
 			Ejected:  e.health.ejected(now),
+
+			Unannounced: t.unannounced(e.instance, now),
 		})
 	}
 	slices.SortFunc(out, func(a, b View) int {
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -165,6 +165,32 @@
 	require.Empty(t, news, "a heartbeat is no news")
 }
 
+// Servers of a new version are listed before the order to use them has arrived.
+// Without a rule for them, sessions ran on the new version and back on the old
+// one. They are marked as unannounced for a while; what is there when a daemon
+// starts is not.
+func TestVersionsWithoutAnOrderYet(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	table.Replace(Snapshot{Revision: 1, Instances: []Instance{instance("a")}}, time.Time{})
+	fresh := instance("b")
+	fresh.Version = "v2"
+	other := fresh
+	other.ID, other.Service = "c", "another"
+	table.Apply([]Change{{ID: "b", Instance: &fresh}, {ID: "c", Instance: &other}}, 2, time.Time{})
+	unannounced := func(service string) []bool {
+		var out []bool
+		for _, v := range table.Usable(service) {
+			out = append(out, v.Unannounced)
+		}
+		return out
+	}
+	require.Equal(t, []bool{false, true}, unannounced("catalogue"))
+	require.Equal(t, []bool{false}, unannounced("another"), "the only version of a service is used at once")
+	clock.Advance(announceTime)
+	require.Equal(t, []bool{false, false}, unannounced("catalogue"))
+}
+
 // Daemons tell their totals. What is added up is what each has sent since it
 // last told, with the weight of time, and what all have under way.
 func TestSum(t *testing.T) {
--- a/internal/shift/book.go
+++ b/internal/shift/book.go
@@ -57,6 +57,22 @@
 	held    map[uint64]bool
 }
 
+// withdraw notes the versions that must not be used any more by an older state.
+//
+// A version that was rolled back is neither the new version of the next order
+// nor the old one; taken for old, it gets work again while its servers run.
+func (r *rollout) withdraw(older State) {
+	versions := older.Withdrawn
+	if older.Phase != Completed {
+		versions = append(slices.Clone(versions), older.To)
+	}
+	for _, version := range versions {
+		if version != r.order.To && !slices.Contains(r.state.Withdrawn, version) {
+			r.state.Withdrawn = append(slices.Clone(r.state.Withdrawn), version)
+		}
+	}
+}
+
 // Book keeps the roll-outs of all services.
 //
 // Lock order: mu is taken alone.
@@ -98,13 +114,18 @@
 func (b *Book) Ordered(o Order) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r, ok := b.services[o.Service]; ok && r.order.ID >= o.ID {
+	before, ok := b.services[o.Service]
+	if ok && before.order.ID >= o.ID {
 		return false
 	}
-	b.services[o.Service] = &rollout{
+	r := &rollout{
 		order: o, seen: b.clock.Now(), fresh: Counts{}, old: Counts{}, held: map[uint64]bool{},
 		state: State{Order: o.ID, Service: o.Service, To: o.To, Phase: Running},
 	}
+	if ok {
+		r.withdraw(before.state)
+	}
+	b.services[o.Service] = r
 	return true
 }
 
@@ -113,10 +134,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.services[s.Service]
-	if !ok || r.order.ID != s.Order || s.Step <= r.state.Step || r.state.Told {
+	switch {
+	case !ok:
+		return false
+	case s.Order < r.order.ID:
+		r.withdraw(s)
+		return false
+	case s.Order != r.order.ID || s.Step <= r.state.Step || r.state.Told:
 		return false
 	}
+	known := r.state
 	r.state = s
+	r.withdraw(State{Phase: Completed, Withdrawn: known.Withdrawn})
 	r.held = map[uint64]bool{}
 	for _, h := range s.Held {
 		r.held[h] = true
@@ -171,7 +200,10 @@
 		return Rule{}
 	}
 	fresh := Side{Accept: func(version string) bool { return version == r.order.To }}
-	old := Side{Accept: func(version string) bool { return version != r.order.To }}
+	withdrawn := r.state.Withdrawn
+	old := Side{Accept: func(version string) bool {
+		return version != r.order.To && !slices.Contains(withdrawn, version)
+	}}
 	if r.state.Phase == Running && r.state.Share < 1 {
 		fresh.Part = r.state.Share
 	}
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -45,6 +45,9 @@
 	// Told is set once the operator has been told of a final phase. Until then
 	// the duty is not done, whoever holds it.
 	Told bool `json:"told,omitempty"`
+	// Withdrawn are versions that earlier orders asked for and that were rolled
+	// back or never completed. Their servers may run for some time.
+	Withdrawn []string `json:"withdrawn,omitempty"`
 	// Step counts the changes, so that an older state never replaces a newer.
 	Step int `json:"step"`
 }
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -256,6 +256,43 @@
 	require.Equal(t, "v1", prefers(b, "x"))
 }
 
+// A version was rolled back, and the operator orders another one while servers of
+// the first still run. They must get nothing: everything that is not the new
+// version was taken for old, and a version already found bad served again. A
+// daemon that starts meanwhile learns it from the stored state.
+func TestRolledBackVersionStaysOutAfterTheNextOrder(t *testing.T) {
+	back := State{Order: 7, Service: "engines", To: "v2", Phase: RolledBack, Told: true, Step: 3}
+	next := Order{ID: 9, Service: "engines", To: "v3", Allowed: allowed}
+	uses := func(b *Book, version string) bool {
+		for _, side := range b.Rule("engines", "x").Sides() {
+			if side.Accept(version) {
+				return true
+			}
+		}
+		return false
+	}
+	stayed := book(clockwork.NewFakeClock())
+	stayed.Ordered(order)
+	stayed.Learn(back)
+	stayed.Ordered(next)
+	require.False(t, uses(stayed, "v2"))
+	require.True(t, uses(stayed, "v1"))
+
+	started := book(clockwork.NewFakeClock())
+	started.Ordered(next)
+	started.Learn(back)
+	require.False(t, uses(started, "v2"))
+
+	told := book(clockwork.NewFakeClock())
+	told.Ordered(next)
+	_, states := stayed.Orders()
+	told.Learn(Next(states[0], next, Known{Elapsed: settle}))
+	require.False(t, uses(told, "v2"))
+
+	stayed.Ordered(Order{ID: 11, Service: "engines", To: "v2", Allowed: allowed})
+	require.True(t, uses(stayed, "v2"), "ordered again, it is tried again")
+}
+
 // An older state arrives after a newer one. It must not bring a version back.
 func TestOldStatesAreNotTaken(t *testing.T) {
 	b := book(clockwork.NewFakeClock())
--- a/test/routes/rollout_test.go
+++ b/test/routes/rollout_test.go
@@ -110,6 +110,24 @@
 	require.Len(t, bad.Seen(), before)
 }
 
+// A bad version was rolled back and the next one is ordered while servers of the
+// bad one still run. None of the sessions may meet the bad version again.
+func TestRolledBackVersionIsNotOldForTheNextOrder(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "old", Service: engines, Events: 3, Work: time.Millisecond})
+	s.serving()
+	stop := s.traffic(4)
+	defer stop()
+	bad := s.server(platformtest.ServerOptions{ID: "bad", Service: engines, Version: "v2", Events: 3, Behave: always(platformtest.Fail)})
+	s.store.Order(engines, "v2", allowed)
+	s.told(engines, "rolled_back")
+	before := len(bad.Seen())
+	s.server(platformtest.ServerOptions{ID: "next", Service: engines, Version: "v3", Events: 3, Work: time.Millisecond})
+	s.store.Order(engines, "v3", allowed)
+	s.told(engines, "completed")
+	require.Len(t, bad.Seen(), before)
+}
+
 // The few instances that try a new version are gone all at once. Requests that
 // would have gone there are answered by the old version instead of refused.
 func TestNewVersionsInstancesAreGone(t *testing.T) {
