The budget of repeats follows the steady clock

It was counted by the time of day: a jump forward emptied the window and allowed its repeats once more (34 where 17 were allowed, in the test), a jump back stopped it. Every other time in the request path is a difference on the steady clock or a duration told by a peer; logs alone show the time of day.

--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -36,6 +36,8 @@
 type FleetBudget struct {
 	clock   clockwork.Clock
 	sharers func() int
+	// origin is where steps are counted from.
+	origin time.Time
 
 	mu       sync.Mutex
 	policy   FleetPolicy
@@ -44,7 +46,7 @@
 
 type fleetWindow struct {
 	firsts, repeats [fleetBuckets + 1]int
-	// at is the bucket of the present step, counted from the epoch.
+	// at is the bucket of the present step, counted from the budget's origin.
 	at int64
 }
 
@@ -54,7 +56,7 @@
 // NewFleetBudget returns a budget. sharers is the number of daemons that share
 // it.
 func NewFleetBudget(policy FleetPolicy, clock clockwork.Clock, sharers func() int) *FleetBudget {
-	return &FleetBudget{policy: policy, clock: clock, sharers: sharers, services: map[string]*fleetWindow{}}
+	return &FleetBudget{policy: policy, clock: clock, sharers: sharers, origin: clock.Now(), services: map[string]*fleetWindow{}}
 }
 
 // SetPolicy changes the budget. What was counted so far keeps its place only if
@@ -98,9 +100,14 @@
 	return true
 }
 
+// window is a service's window, moved on to the present step.
+//
+// Steps are counted by the steady clock. Counted by the time of day, a jump forward
+// emptied the window, so that its repeats were allowed once more, and after a jump
+// back it stood still.
 func (b *FleetBudget) window(service string) *fleetWindow {
 	step := b.policy.Window / fleetBuckets
-	now := b.clock.Now().UnixNano() / int64(max(step, time.Millisecond))
+	now := int64(b.clock.Since(b.origin) / max(step, time.Millisecond))
 	w, ok := b.services[service]
 	if !ok {
 		w = &fleetWindow{at: now}
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -68,3 +68,38 @@
 	b.Release(6)
 	require.True(t, b.Take(10))
 }
+
+// jumpingClock is a clock whose time of day can be set apart from its steady time.
+type jumpingClock struct {
+	clockwork.Clock
+	jump time.Duration
+}
+
+func (c *jumpingClock) Now() time.Time { return c.Clock.Now().Add(c.jump) }
+
+func (c *jumpingClock) Since(t time.Time) time.Duration { return c.Clock.Since(t) }
+
+// The time of day jumps by more than a window on an entry instance, and back. The
+// repeats of that window were allowed a second time, so that a service got twice the
+// repeats that all daemons together may send.
+func TestTimeOfDayDoesNotRefillTheBudget(t *testing.T) {
+	steady := clockwork.NewFakeClock()
+	clock := &jumpingClock{Clock: steady}
+	b := NewFleetBudget(FleetPolicy{Slack: 20, Window: 10 * time.Second}, clock, func() int { return 1 })
+	taken := 0
+	take := func() {
+		for b.Take("s") {
+			taken++
+		}
+	}
+	take()
+	for _, jump := range []time.Duration{time.Minute, -time.Minute, 0} {
+		clock.jump = jump
+		take()
+	}
+	require.Equal(t, int(fleetMargin*20), taken)
+	clock.jump = -time.Hour
+	steady.Advance(20 * time.Second)
+	take()
+	require.Equal(t, 2*int(fleetMargin*20), taken, "the window moves on with the steady clock")
+}
