A server that starts again under its ID is new; unreadable entries name no server

The list's new field born tells a server's start. A later one under the same ID was taken for the same server: ejected, leaving or busy as before, and the end of an old request counted against it. Entries of other writers (fields missing or of another type, unknown state, no JSON, no base64) were skipped, so that the server stayed in use, and one value that is no base64 kept the whole page from being read.

--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -285,8 +285,9 @@
 	if err != nil {
 		return err
 	}
-	for _, err := range news.Malformed {
-		slog.Error("instances.unreadable", "revision", news.Revision, "error", err)
+	if n := len(news.Malformed); n > 0 {
+		// One line a read, however many writers are at fault.
+		slog.Error("instances.unreadable", "revision", news.Revision, "count", n, "first", news.Malformed[0])
 	}
 	doubted := n.contact.doubted(n.clock.Now())
 	if whole {
@@ -310,8 +311,11 @@
 func snapshot(news platform.InstanceNews) inventory.Snapshot {
 	s := inventory.Snapshot{Revision: news.Revision}
 	for _, c := range news.Changes {
-		if c.Instance != nil {
+		switch {
+		case c.Instance != nil:
 			s.Instances = append(s.Instances, *c.Instance)
+		case c.Unreadable:
+			s.Unreadable = append(s.Unreadable, c.ID)
 		}
 	}
 	return s
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -124,7 +124,7 @@
 	ctx, span := tracer.Start(ctx, "attempt")
 	span.SetAttributes(attribute.String("instance", instance.ID), attribute.String("version", instance.Version), attribute.String("model", q.model))
 	a := &attempt{span: span, request: q, instance: instance, cancel: cancel, sentAt: time.Now()}
-	q.Table.Begin(instance.ID, q.work())
+	q.Table.Begin(instance, q.work())
 	var timer *time.Timer
 	if headTimeout > 0 {
 		timer = time.AfterFunc(headTimeout, cancel)
@@ -173,12 +173,12 @@
 	q.sends++
 	a.exchange = exchange
 	if a.facts.HasLoad {
-		q.Table.Report(a.instance.ID, a.facts.Load)
+		q.Table.Report(a.instance, a.facts.Load)
 	}
 	if a.facts.NotRun {
 		if a.facts.WrongOne {
 			// The address belongs to another instance now.
-			q.Table.NoteLeaving(a.instance.ID)
+			q.Table.NoteLeaving(a.instance)
 		}
 		return &refusedError{instance: a.instance.ID}
 	}
@@ -240,7 +240,7 @@
 		a.exchange.Close()
 	}
 	a.cancel()
-	a.Table.End(a.instance.ID, outcome)
+	a.Table.End(a.instance, outcome)
 	a.noteTime(outcome)
 	if o, ok := a.observation(outcome); ok {
 		a.Versions.Observe(a.service.Name, o)
--- a/internal/inventory/instance.go
+++ b/internal/inventory/instance.go
@@ -2,10 +2,14 @@
 // is believed of their load and health, and what this daemon has sent them.
 package inventory
 
-// Instance is one life of an upstream server as the platform lists it. A
-// server that starts again has a new ID; its address may be given to another.
+// Instance is one life of an upstream server as the platform lists it. Its address
+// may be given to another server once it is gone.
 type Instance struct {
-	ID            string
+	ID string
+	// Born is when the server started, in milliseconds of its own time of day; 0
+	// is not known. A server that starts again may keep its ID: the later start is
+	// another life, of which nothing is known.
+	Born          int64
 	Service       string
 	Address       string
 	FailureDomain string
@@ -20,8 +24,11 @@
 // Change is news of one instance from the list.
 type Change struct {
 	ID string
-	// Instance is nil when the list does not have it any more.
+	// Instance is nil when the list does not have it any more, or Unreadable is
+	// set.
 	Instance *Instance
+	// Unreadable entries name no server that could be used.
+	Unreadable bool
 }
 
 // Load is what an instance says of itself with an answer.
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -6,6 +6,8 @@
 type Snapshot struct {
 	Revision  int64
 	Instances []Instance
+	// Unreadable are the IDs of entries that name no server to use.
+	Unreadable []string
 	// Doubted are those of Instances that the list does not have any more, by
 	// ID, with the time for which they are still kept.
 	Doubted map[string]time.Duration
@@ -64,6 +66,9 @@
 		return false
 	}
 	listed := map[string]bool{}
+	for _, id := range s.Unreadable {
+		t.drop(id)
+	}
 	for _, i := range s.Instances {
 		listed[i.ID] = true
 		t.set(i)
@@ -106,6 +111,10 @@
 				news = append(news, c)
 			}
 			t.set(*c.Instance)
+		case c.Unreadable:
+			if t.drop(c.ID) {
+				news = append(news, c)
+			}
 		case e != nil:
 			news = append(news, c)
 			t.miss(e, doubted)
@@ -129,11 +138,18 @@
 	t.readAt = t.clock.Now()
 }
 
-// set takes in a listed instance. Leaving is sticky: an instance that said so
-// does not come back under the same ID.
+// set takes in a listed instance. Leaving is sticky: a server that said so does not
+// come back in the same life.
+//
+// A server that starts again under its ID has lost its prompts, requests and
+// failures; what was believed of the earlier life would keep it ejected, or leaving
+// for good. Late news of an earlier life changes nothing.
 func (t *Table) set(i Instance) {
 	e, ok := t.entries[i.ID]
-	if !ok {
+	switch {
+	case ok && i.Born < e.instance.Born:
+		return
+	case !ok || i.Born > e.instance.Born:
 		e = &entry{}
 		t.entries[i.ID] = e
 	}
@@ -164,6 +180,18 @@
 	return !first.IsZero() && now.Sub(first) < announceTime
 }
 
+// drop ends the use of an entry that cannot be read, at once: it may say that its
+// server leaves, and a server of which the platform holds nothing readable must not
+// be used. It comes back with the next entry that can be read.
+func (t *Table) drop(id string) bool {
+	e, ok := t.entries[id]
+	if !ok || e.gone {
+		return false
+	}
+	e.gone, e.goneAt = true, time.Time{}
+	return true
+}
+
 // miss notes that an instance is not listed any more.
 func (t *Table) miss(e *entry, doubted time.Time) {
 	switch {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -135,8 +135,8 @@
 }
 
 // Begin counts a request that is about to be sent to an instance, and its work.
-func (t *Table) Begin(id string, work float64) {
-	t.with(id, func(e *entry) {
+func (t *Table) Begin(i Instance, work float64) {
+	t.with(i, func(e *entry) {
 		now := t.clock.Now()
 		e.inFlight++
 		e.total += work
@@ -147,30 +147,32 @@
 }
 
 // Report takes in what an instance says of its load.
-func (t *Table) Report(id string, l Load) {
-	t.with(id, func(e *entry) {
+func (t *Table) Report(i Instance, l Load) {
+	t.with(i, func(e *entry) {
 		e.others = max(float64(l.Running+l.Waiting-e.inFlight), 0)
 		e.reportedAt = t.clock.Now()
 	})
 }
 
 // End counts a request that ended, and how.
-func (t *Table) End(id string, outcome Outcome) {
-	t.with(id, func(e *entry) {
+func (t *Table) End(i Instance, outcome Outcome) {
+	t.with(i, func(e *entry) {
 		e.inFlight--
 		e.health.note(outcome, t.clock.Now())
 	})
 }
 
 // NoteLeaving records that an instance was found to be leaving or not there.
-func (t *Table) NoteLeaving(id string) {
-	t.with(id, func(e *entry) { e.left = true })
+func (t *Table) NoteLeaving(i Instance) {
+	t.with(i, func(e *entry) { e.left = true })
 }
 
-func (t *Table) with(id string, f func(*entry)) {
+// with calls f with the entry of an instance, if it is still the same life of its
+// server: a request to an earlier one says nothing of the present one.
+func (t *Table) with(i Instance, f func(*entry)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.entries[id]; ok {
+	if e, ok := t.entries[i.ID]; ok && e.instance.Born == i.Born {
 		f(e)
 	}
 }
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -79,8 +79,8 @@
 	table.Replace(Snapshot{Revision: 1, Instances: []Instance{instance("a")}}, time.Time{})
 	ejected := func() bool { return table.Usable("catalogue")[0].Ejected }
 	fail := func(o Outcome) {
-		table.Begin("a", 0)
-		table.End("a", o)
+		table.Begin(instance("a"), 0)
+		table.End(instance("a"), o)
 	}
 	fail(OutcomeUnreachable)
 	require.True(t, ejected())
@@ -107,8 +107,8 @@
 		if i%7 == 0 {
 			outcome = OutcomeFailed
 		}
-		table.Begin("a", 0)
-		table.End("a", outcome)
+		table.Begin(instance("a"), 0)
+		table.End(instance("a"), outcome)
 		require.False(t, table.Usable("catalogue")[0].Ejected)
 	}
 }
@@ -118,8 +118,8 @@
 	clock := clockwork.NewFakeClock()
 	table := NewTable(clock)
 	table.Replace(Snapshot{Revision: 1, Instances: []Instance{instance("a")}}, time.Time{})
-	table.Begin("a", 100)
-	table.Report("a", Load{Running: 8, Waiting: 1, Slots: 4})
+	table.Begin(instance("a"), 100)
+	table.Report(instance("a"), Load{Running: 8, Waiting: 1, Slots: 4})
 	view := table.Usable("catalogue")[0]
 	require.InDelta(t, 9, view.Load, 0.01)
 	require.InDelta(t, 100, view.Sent, 0.01)
@@ -213,9 +213,9 @@
 	clock := clockwork.NewFakeClock()
 	table := NewTable(clock)
 	table.Replace(Snapshot{Revision: 1, Instances: []Instance{instance("a")}}, time.Time{})
-	table.Begin("a", 100)
+	table.Begin(instance("a"), 100)
 	table.SetFleet(Work{"a": {Sent: 1100, Open: 7}})
-	table.Begin("a", 50)
+	table.Begin(instance("a"), 50)
 	view := table.Usable("catalogue")[0]
 	require.InDelta(t, 1150, view.Sent, 0.01)
 	require.Equal(t, 8, view.Open)
@@ -232,10 +232,62 @@
 	table := NewTable(clockwork.NewFakeClock())
 	i := Instance{ID: "i", Service: "s"}
 	table.Replace(Snapshot{Revision: 1, Instances: []Instance{i}}, time.Time{})
-	table.NoteLeaving("i")
+	table.NoteLeaving(instance("i"))
 	require.Empty(t, table.Usable("s"))
 	i.Leaving = true
 	news, _, ok := table.Apply([]Change{{ID: "i", Instance: &i}}, 2, time.Time{})
 	require.True(t, ok)
 	require.Len(t, news, 1)
 }
+
+// A server crashes while it is ejected for its failures and a request runs there,
+// and starts again under its ID. It must be used like a new one: nothing of the
+// earlier life counts, the end of the earlier request included, and news of that
+// life that comes late changes nothing.
+func TestServerStartsAgainUnderItsID(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	before, after := instance("a"), instance("a")
+	before.Born, after.Born = 1000, 5000
+	table.Replace(Snapshot{Revision: 5, Instances: []Instance{before}}, time.Time{})
+	table.Begin(before, 700)
+	table.Report(before, Load{Running: 4, Slots: 4})
+	table.Begin(before, 0)
+	table.End(before, OutcomeUnreachable)
+	table.NoteLeaving(before)
+	require.Empty(t, table.Usable("catalogue"))
+
+	table.Apply([]Change{{ID: "a", Instance: &after}}, 6, time.Time{})
+	views := table.Usable("catalogue")
+	require.Len(t, views, 1)
+	require.Equal(t, View{Instance: after}, views[0])
+
+	table.Begin(after, 100)
+	table.End(before, OutcomeUnreachable)
+	late := before
+	late.Leaving = true
+	table.Apply([]Change{{ID: "a", Instance: &late}}, 7, time.Time{})
+	views = table.Usable("catalogue")
+	require.Len(t, views, 1)
+	require.Equal(t, 1, views[0].InFlight)
+	require.False(t, views[0].Ejected)
+}
+
+// Another writer overwrites the entry of a server. From then on that entry names no
+// server to use, and is not doubted as one that has lapsed; the server's own next
+// entry brings it back.
+func TestUnreadableEntryIsNotUsed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	table.Replace(Snapshot{Revision: 5, Instances: []Instance{instance("a"), instance("b")}}, time.Time{})
+	doubted := clock.Now().Add(time.Minute)
+	news, _, ok := table.Apply([]Change{{ID: "a", Unreadable: true}, {ID: "z", Unreadable: true}}, 6, doubted)
+	require.True(t, ok)
+	require.Equal(t, []Change{{ID: "a", Unreadable: true}}, news, "the others are told")
+	require.Equal(t, []string{"b"}, ids(table.Usable("catalogue")))
+	again := instance("a")
+	table.Apply([]Change{{ID: "a", Instance: &again}}, 7, doubted)
+	require.Equal(t, []string{"a", "b"}, ids(table.Usable("catalogue")))
+	table.Replace(Snapshot{Revision: 8, Instances: []Instance{instance("b")}, Unreadable: []string{"a"}}, doubted)
+	require.Equal(t, []string{"b"}, ids(table.Usable("catalogue")))
+}
--- a/internal/inventory/work.go
+++ b/internal/inventory/work.go
@@ -89,7 +89,13 @@
 		return
 	}
 	for id, total := range totals {
-		if sent := total.Sent - before[id].Sent; sent > 0 {
+		sent := total.Sent - before[id].Sent
+		if sent < 0 {
+			// The instance started again, and its work is counted from then.
+			delete(s.lately, id)
+			sent = total.Sent
+		}
+		if sent > 0 {
 			s.lately[id] += sent
 		}
 	}
