--- a/test/routes/rollout_test.go
+++ b/test/routes/rollout_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -227,3 +229,54 @@
 	require.Equal(t, []*daemon{holder}, holders())
 	require.True(t, holder.logsContain("msg=store.relayed"))
 }
+
+// A version turns bad while the store is away, and the daemon that holds the duty is
+// killed: nobody can take its lease. Callers of one daemon meet the failures. That
+// daemon and the others must stop using the version all the same, also a daemon that
+// has seen none of them; it went on to the end of the outage and beyond.
+func TestBadVersionIsStoppedWithoutHolderAndStore(t *testing.T) {
+	s := newSite(t)
+	s.server(platformtest.ServerOptions{ID: "old", Service: engines, Events: 3, Work: time.Millisecond})
+	all := []*daemon{s.serving(), s.serving(), s.serving()}
+	s.entries(all[0], 3)
+	var turned atomic.Bool
+	bad := s.server(platformtest.ServerOptions{ID: "new", Service: engines, Version: "v2", Events: 3,
+		Behave: func(platformtest.Seen) platformtest.Behaviour {
+			if turned.Load() {
+				return platformtest.Fail
+			}
+			return platformtest.Answer
+		}})
+	const long = time.Minute
+	s.store.Order(engines, "v2", long)
+	s.told(engines, "running")
+	var holder *daemon
+	s.eventually(func() error {
+		for _, d := range all {
+			if d.logsContain("msg=duty.changed", "held=true") {
+				holder = d
+			}
+			if !d.logsContain("msg=rollout.state", "phase=running") {
+				return trace.Errorf("%s does not know the first share", d.Name)
+			}
+		}
+		return nil
+	})
+	s.store.SetFault(platformtest.FaultRefuse)
+	holder.Kill()
+	turned.Store(true)
+	others := slices.DeleteFunc(all, func(d *daemon) bool { return d == holder })
+	busy, idle := others[0], others[1]
+	s.eventually(func() error {
+		s.send(s.call(pathTurns), busy)
+		if !idle.logsContain("msg=rollout.state", "stopped=true") && !idle.logsContain("msg=rollout.stopped") {
+			return trace.Errorf("%s was not told to stop\n%s", idle.Name, idle.Log())
+		}
+		return nil
+	})
+	before := len(bad.Seen())
+	for range 60 {
+		require.Equal(t, http.StatusOK, s.send(s.call(pathTurns), idle).Status)
+	}
+	require.Len(t, bad.Seen(), before)
+}
