Doubt of a daemon that is no reader ends when the readers' does

The store had turned the failure domain away until 0.7 s before. By reading: a daemon that is no reader notices late that the store is back, and a peer that has not noticed passes its list on with two seconds of doubt from then, though readers had told of the list without doubt. Test on the node.

--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -289,3 +289,27 @@
 	n.contact.note(n.clock.Now(), errors.New("no answer"))
 	require.Equal(t, peer.StoreNotDone, n.OnStoreCall(peer.StoreCall{Get: "x"}).Outcome)
 }
+
+// The store was away. A reader found it back at once and told so; a daemon that is no
+// reader notices two seconds later, with its own read or with the list of a peer that
+// has not noticed yet. A server that left meanwhile must not be doubted from then on
+// for two seconds more: it got a request 3.5 s after it had left.
+func TestDoubtEndsWhenTheReadersDoes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newFleetNode(t, clock)
+	n.know()
+	n.contact.note(clock.Now(), errors.New("no answer"))
+	clock.Advance(3 * time.Second)
+	n.OnNews(peer.News{From: "127.0.1.1:1", Base: 5, List: 5, Doubted: 2 * time.Second})
+	end := clock.Now().Add(2 * time.Second)
+	clock.Advance(1900 * time.Millisecond)
+	require.Equal(t, end, n.doubtedUntil(clock.Now()), "the store has not answered here yet")
+	n.contact.note(clock.Now(), nil)
+	require.Equal(t, end, n.doubtedUntil(clock.Now()))
+	require.Equal(t, 100*time.Millisecond, n.doubt(), "told to peers")
+
+	n.contact.note(clock.Now(), errors.New("no answer"))
+	clock.Advance(time.Second)
+	n.contact.note(clock.Now(), nil)
+	require.Equal(t, clock.Now().Add(doubtTime), n.doubtedUntil(clock.Now()), "no reader has told since a later outage")
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -238,7 +238,8 @@
 	n.registry.Learn(b.Members)
 	n.takeManifest(b.Manifest, address)
 	if b.Instances != nil && n.listFromPeers() {
-		if n.table.Replace(*b.Instances, n.clock.Now().Add(b.Doubted)) {
+		doubted := n.doubts.bound(n.clock.Now().Add(b.Doubted), n.contact.lostSince())
+		if n.table.Replace(*b.Instances, doubted) {
 			slog.Info("instances.from_peer", "peer", address, "revision", b.Instances.Revision, "count", len(b.Instances.Instances))
 		}
 	}
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -52,6 +52,32 @@
 	mu sync.Mutex
 	// until is when the doubt that counts ends.
 	until time.Time
+	// toldAt is when a reader last told of the list, and toldUntil when its own
+	// doubt ends.
+	toldAt, toldUntil time.Time
+}
+
+// heard takes in that a reader told of the list, which it doubts for some time.
+func (d *toldDoubts) heard(now time.Time, told time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.toldAt, d.toldUntil = now, now.Add(told)
+}
+
+// bound returns until when entries are kept that are missing from a list which this
+// daemon read, or a peer gave it: not longer than a reader doubts it that has read it
+// since this daemon lost the store.
+//
+// A daemon that is not a reader asks the store seldom. It noticed two seconds late
+// that the store was back, and then doubted for two seconds more: a server that had
+// left got a request after 3.5 s.
+func (d *toldDoubts) bound(until, lostAt time.Time) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.toldAt.After(lostAt) && d.toldUntil.Before(until) {
+		return d.toldUntil
+	}
+	return until
 }
 
 // take returns until when entries missing by a reader's news are kept. late tells
@@ -161,7 +187,12 @@
 // doubt is for how long entries missing from the list are kept.
 func (n *Node) doubt() time.Duration {
 	now := n.clock.Now()
-	return max(n.contact.doubted(now).Sub(now), 0)
+	return max(n.doubtedUntil(now).Sub(now), 0)
+}
+
+// doubtedUntil is until when entries missing from the list are kept.
+func (n *Node) doubtedUntil(now time.Time) time.Time {
+	return n.doubts.bound(n.contact.doubted(now), n.contact.lostSince())
 }
 
 // tellList passes on what a read of the list brought; without changes it tells
@@ -232,6 +263,7 @@
 	if news.List == noList {
 		return
 	}
+	n.doubts.heard(n.clock.Now(), news.Doubted)
 	revision := n.table.Revision()
 	switch {
 	case !n.table.Known() || revision < news.Base:
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -50,16 +50,24 @@
 	// lost is set from the first call without an answer to the next answer,
 	// at regained.
 	lost     bool
+	lostAt   time.Time
 	regained time.Time
 }
 
+// lostSince is when the store last began not to answer.
+func (c *storeContact) lostSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lostAt
+}
+
 func (c *storeContact) note(now time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	answered := err == nil || errors.Is(err, platform.ErrCompacted)
 	switch {
 	case !answered && !c.lost:
-		c.lost = true
+		c.lost, c.lostAt = true, now
 		slog.Warn("store.lost", "error", err)
 	case answered && c.lost:
 		c.lost, c.regained = false, now
@@ -289,7 +297,7 @@
 		// One line a read, however many writers are at fault.
 		slog.Error("instances.unreadable", "revision", news.Revision, "count", n, "first", news.Malformed[0])
 	}
-	doubted := n.contact.doubted(n.clock.Now())
+	doubted := n.doubtedUntil(n.clock.Now())
 	if whole {
 		n.table.Replace(snapshot(news), doubted)
 		slog.Info("instances.read", "count", len(news.Changes), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()))
