News of waiting work follows the number of instances

200 ms between rounds up to 40 instances, then 5 ms an instance: 2 kB a second to each daemon. Before, 140 instances took 7 kB, and 10,000 would have taken 500.

--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -16,9 +16,12 @@
 	// tells what waits at upstream instances: a fifth of what a long prompt takes
 	// to be read by a large model.
 	workInterval = 200 * time.Millisecond
+	// workPerInstance is the least time between two rounds for each instance told of:
+	// at some 10 bytes each, a daemon of a large fleet gets 2 kB a second.
+	workPerInstance = 5 * time.Millisecond
 	// domainRounds is how many of these rounds pass between two in which it is
 	// told to other groups: bytes between failure domains cost.
-	domainRounds = 3
+	domainRounds = 2
 	// domainTime is how long the sum of another failure domain is relied on.
 	domainTime = 4 * time.Second
 	// maxUntold bounds the readings kept for other groups, which may be none.
@@ -97,21 +100,27 @@
 // workLoop tells what waits at upstream instances, when this daemon is the first of
 // its group's readers.
 func (n *Node) workLoop(ctx context.Context) {
-	for round := 0; n.pause(ctx, workInterval); round++ {
+	told := 0
+	for round := 0; n.pause(ctx, workPause(told)); round++ {
 		first := n.registry.Firsts(readerDuty, 1, n.group())
 		if len(first) == 0 || first[0].Incarnation != n.registry.Self().Incarnation {
 			continue
 		}
-		n.tellWork(ctx)
+		told = n.tellWork(ctx)
 		if round%domainRounds == 0 && len(n.registry.Live()) > wholeFleet {
 			n.tellDomainWork(ctx)
 		}
 	}
 }
 
+// workPause is the time to the next round after one that told of some instances.
+func workPause(instances int) time.Duration {
+	return max(workInterval, time.Duration(instances)*workPerInstance)
+}
+
 // tellWork tells the group what all daemons have under way, and collects what each
-// of them has.
-func (n *Node) tellWork(ctx context.Context) {
+// of them has. It returns the number of instances told of.
+func (n *Node) tellWork(ctx context.Context) int {
 	n.work.add(n.ownWork(), n.clock.Now())
 	work, read := n.work.tellGroup(n.clock.Now())
 	n.table.SetFleet(work)
@@ -125,6 +134,7 @@
 		}
 		n.work.add(own, n.clock.Now())
 	})
+	return len(work)
 }
 
 // tellDomainWork tells the readers of other groups the sum of this one.
