--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -131,8 +131,11 @@
 	}
 	q.Table.Begin(instance, a.work)
 	q.Prompts.Sent(instance, q.prompt().keys)
-	if headTimeout > 0 && q.service.Engine {
-		headTimeout = max(headTimeout, lateHead*q.pace.Expect(a.before+a.work, a.sentAt))
+	if q.service.Engine {
+		q.expected, q.firstEvent = cascade.BaseHead+q.pace.Expect(a.before+a.work, a.sentAt), 0
+	}
+	if headTimeout > 0 {
+		headTimeout = max(headTimeout, lateHead*q.expected)
 	}
 	var timer *time.Timer
 	if headTimeout > 0 {
@@ -196,8 +199,9 @@
 	}
 	a.headAt = time.Now()
 	a.started()
+	q.firstEvent = a.headAt.Sub(a.sentAt)
 	if q.service.Engine {
-		q.pace.Note(a.before+a.work, a.headAt.Sub(a.sentAt), a.headAt)
+		q.pace.Note(a.before+a.work, q.firstEvent, a.headAt)
 	}
 	q.runs++
 	q.ran = fault.RanUnknown
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -92,8 +92,10 @@
 	// sends those to which it was sent.
 	runs, sends int
 	tried       map[string]bool
-	// last is the instance of the last attempt.
-	last inventory.Instance
+	// last is the instance of the last attempt, expected the time to its first event
+	// as it was estimated, and firstEvent that time.
+	last                 inventory.Instance
+	expected, firstEvent time.Duration
 	// status is what the caller got; 0 when the connection was cut.
 	status int
 	// begun is set once the caller has been sent the head of an answer, and
@@ -349,6 +351,9 @@
 	if q.last.ID != "" {
 		attrs = append(attrs, slog.String("instance", q.last.ID), slog.String("version", q.last.Version), slog.String("model", q.model))
 	}
+	if q.expected > 0 {
+		attrs = append(attrs, slog.Int64("expected_ms", q.expected.Milliseconds()), slog.Int64("head_ms", q.firstEvent.Milliseconds()))
+	}
 	level := slog.LevelInfo
 	if f != nil {
 		level = slog.LevelWarn
