Counters of what daemons tell each other, by kind of call; frames end with their time

Cause looked for: callers of small links are late since daemons tell who holds which prompts; nothing showed what that takes. The metrics page now has bytes, calls and the time that frames wait at the link, by kind, at both ends. net/rpc hides its codec, so the same gob frames are written by one of our own (as bytes on the wire before). Found on the way: a call to a peer that does not read held net/rpc's lock in its write and did not come back at its deadline.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -230,6 +230,10 @@
 	Dials      int64 `json:"upstream_connections"`
 	Goroutines int   `json:"goroutines"`
 	Requests   any   `json:"requests"`
+	// PeerCalls is what this daemon tells its peers, PeerServed what it answers
+	// them.
+	PeerCalls  *peer.Traffic `json:"peer_calls"`
+	PeerServed *peer.Traffic `json:"peer_served"`
 }
 
 func (p *Process) publish() {
@@ -239,6 +243,7 @@
 			Config: n.configVersion(), List: n.table.Revision(), ListAgeMS: n.table.Age().Milliseconds(),
 			Daemons: len(n.registry.Live()), StoreCalls: n.store.Calls(), Dials: n.pool.Dials(),
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
+			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(),
 		}
 	})
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,7 +31,8 @@
 //
 // Lock order: mu is taken alone; connections are made outside it.
 type Client struct {
-	tls *tls.Config
+	tls     *tls.Config
+	traffic *Traffic
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
@@ -39,9 +40,12 @@
 
 // NewClient returns a client. tlsConfig may be nil.
 func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, conns: map[string]*rpc.Client{}}
+	return &Client{tls: tlsConfig, traffic: NewTraffic(), conns: map[string]*rpc.Client{}}
 }
 
+// Traffic returns the counters of what this client sends and is answered.
+func (c *Client) Traffic() *Traffic { return c.traffic }
+
 // SetTLS sets how connections are secured. It is called before the first call.
 func (c *Client) SetTLS(config *tls.Config) { c.tls = config }
 
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "peer %v", address)
 	}
-	made := rpc.NewClient(raw)
+	made := rpc.NewClientWithCodec(&clientCodec{frames: newFrames(raw, c.traffic)})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if conn, ok := c.conns[address]; ok {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,7 @@
 type Server struct {
 	listener net.Listener
 	rpc      *rpc.Server
+	traffic  *Traffic
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -45,7 +46,7 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	s := &Server{listener: listener, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	s := &Server{listener: listener, rpc: rpc.NewServer(), traffic: NewTraffic(), conns: map[net.Conn]bool{}}
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -56,6 +57,9 @@
 // Address returns host:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Traffic returns the counters of what peers call here and are answered.
+func (s *Server) Traffic() *Traffic { return s.traffic }
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
@@ -75,7 +79,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeCodec(&serverCodec{frames: newFrames(conn, s.traffic)})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
