Daemons with wide links read the store for their failure domain

Cause: a reader tells some 30 others what it read and what waits at engines, several times a second, on the link that its callers use. Readers were drawn from all alike, so nine in ten have the narrow links (10 to 20 Mbit/s beside 200) and the small processors. Ruled out: a setting for readers (none is set aside; with the wide ones gone others read). Settings: routes.link_mbps, checked. Test: readers of a mixed domain, and after the loss of all wide ones.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -118,6 +118,7 @@
 	incarnation := ident.NewIncarnation()
 	n.registry = member.NewRegistry(member.Daemon{
 		Incarnation: incarnation, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Site: s.Site,
+		LinkMbps: s.LinkMbps,
 	}, clock, member.Options{
 		Watched: watchedPeers, Random: randomPeers, EventsPerMessage: newsPerBeat, Repeats: newsRepeats, ForgetAfter: forgetDaemons,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -25,6 +25,9 @@
 	readerDuty = "reader"
 	// readersPerGroup is two, so that one that fails is not even noticed.
 	readersPerGroup = 2
+	// wideLink is the part of the widest link of a group that a reader's should have:
+	// instances are of a few kinds, whose links differ by more than that.
+	wideLink = 0.5
 	// lateNews is how much later than the readers' pace news may come before a
 	// daemon reads by itself.
 	lateNews = 400 * time.Millisecond
@@ -144,10 +147,29 @@
 // reader reports whether this daemon is one of those that read the store.
 func (n *Node) reader() bool {
 	own := n.registry.Self().Incarnation
-	return !n.leaving.Load() && slices.ContainsFunc(n.registry.Firsts(readerDuty, readersPerGroup, n.group()),
+	return !n.leaving.Load() && slices.ContainsFunc(n.readers(readersPerGroup, n.group()),
 		func(d member.Daemon) bool { return d.Incarnation == own })
 }
 
+// readers returns the first daemons of a group that read the store for it: those with
+// wide links, and others only where there are too few of these.
+//
+// A reader sends news to all of its group several times a second, beside its callers'
+// answers. Drawn from all alike, in a fleet of which one instance in ten has a link of
+// 200 Mbit/s and the others one of 20, nine in ten readers delayed their callers.
+func (n *Node) readers(count int, inGroup func(member.Daemon) bool) []member.Daemon {
+	widest := 0.0
+	for _, d := range n.registry.Live() {
+		if inGroup(d) {
+			widest = max(widest, d.LinkMbps)
+		}
+	}
+	wide := func(d member.Daemon) bool { return d.LinkMbps >= wideLink*widest }
+	first := n.registry.Firsts(readerDuty, count, func(d member.Daemon) bool { return inGroup(d) && wide(d) })
+	rest := n.registry.Firsts(readerDuty, count-len(first), func(d member.Daemon) bool { return inGroup(d) && !wide(d) })
+	return append(first, rest...)
+}
+
 // listPace is the time between two reads of the list.
 func (n *Node) listPace() time.Duration {
 	return time.Duration(listShare * float64(n.settings.DrainMS) * float64(time.Millisecond))
--- /dev/null
+++ b/internal/entry/readers_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
+)
+
+// One instance in ten has a link of 200 Mbit/s, the others one of 20. Callers of a
+// daemon that tells 30 others what it read wait behind that news on a thin link, so the
+// readers are those with wide links. When these are gone, all at once, others read.
+func TestReadersHaveWideLinks(t *testing.T) {
+	n := newFleetNode(t, clockwork.NewFakeClock())
+	var all []member.Daemon
+	for i := range 30 {
+		d := member.Daemon{
+			Incarnation: fmt.Sprint("daemon-", i), PeerAddress: fmt.Sprint("127.0.2.", i, ":1"), FailureDomain: "b", Site: "s", LinkMbps: 20,
+		}
+		if i%10 == 0 {
+			d.LinkMbps = 200
+		}
+		all = append(all, d)
+	}
+	n.registry.Learn(all)
+	readers := n.readers(readersPerGroup, inDomain("b"))
+	require.Len(t, readers, readersPerGroup)
+	for _, r := range readers {
+		require.Equal(t, 200.0, r.LinkMbps)
+	}
+	for i := range all {
+		if all[i].LinkMbps == 200 {
+			all[i].State = member.Suspect
+		}
+	}
+	n.registry.Learn(all)
+	readers = n.readers(readersPerGroup, inDomain("b"))
+	require.Len(t, readers, readersPerGroup)
+	for _, r := range readers {
+		require.Equal(t, 20.0, r.LinkMbps)
+	}
+}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -120,7 +120,7 @@
 func (n *Node) workLoop(ctx context.Context) {
 	pause := workInterval
 	for round := 0; n.pause(ctx, pause); round++ {
-		first := n.registry.Firsts(readerDuty, 1, n.group())
+		first := n.readers(1, n.group())
 		if len(first) == 0 || first[0].Incarnation != n.registry.Self().Incarnation {
 			continue
 		}
@@ -165,7 +165,7 @@
 	var readers []member.Daemon
 	for domain := range n.settings.FailureDomains {
 		if domain != n.settings.FailureDomain {
-			readers = append(readers, n.registry.Firsts(readerDuty, 1, inDomain(domain))...)
+			readers = append(readers, n.readers(1, inDomain(domain))...)
 		}
 	}
 	n.callEach(ctx, beatTimeout, readers, func(call context.Context, address string) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -39,7 +39,9 @@
 	CallerURL     string
 	FailureDomain string
 	Site          string
-	State         State
+	// LinkMbps is what the link of its instance carries, in Mbit/s; 0 is not known.
+	LinkMbps float64
+	State    State
 	// Version rises when the incarnation refutes a suspicion.
 	Version uint64
 	// Successor answers for the keys of an incarnation that has left.
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -42,6 +42,9 @@
 	// MemoryMB is what the process may use, Descriptors how many it may open.
 	MemoryMB    int `json:"memory_mb"`
 	Descriptors int `json:"descriptors"`
+	// LinkMbps is what the instance's link carries, in Mbit/s; 0 is not known. Of the
+	// daemons of a failure domain those with wide links read the store for the others.
+	LinkMbps float64 `json:"link_mbps"`
 
 	// SessionS is the longest pause between the requests of a session.
 	SessionS float64 `json:"session_s"`
@@ -110,6 +113,9 @@
 	if r.ExposureShare <= 0 || r.ExposureShare > 1 {
 		return trace.BadParameter("/routes/exposure_share: must be above 0 and at most 1")
 	}
+	if r.LinkMbps < 0 {
+		return trace.BadParameter("/routes/link_mbps: must not be negative")
+	}
 	if r.RetryRatio < 0 || r.RetrySlack < 0 {
 		return trace.BadParameter("/routes/retry_ratio, /routes/retry_slack: must not be negative")
 	}
