A trial's instances are not told as holders of prompts

The trial's few instances had read nearly all subjects and were the only known holders, so all daemons sent them everything within one telling. Ruled out: cold engines alone (without news of prompts there is no such rise); narrow links (no rise of plain requests). Now what goes to a trial's part of the instances is not noted. Test red before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -74,7 +74,9 @@
 		var group []place.Candidate
 		for _, v := range views {
 			if side.Accept(v.Instance.Version) {
-				group = append(group, q.candidate(v, prompt))
+				c := q.candidate(v, prompt)
+				c.Trial = side.Part > 0
+				group = append(group, c)
 			}
 		}
 		if left := place.Filter(place.Part(group, side.Part), q.tried); len(left) > 0 {
@@ -155,7 +157,13 @@
 		work: picked.Reads, before: picked.Waiting, waits: true,
 	}
 	q.Table.Begin(instance, a.work)
-	q.Prompts.Sent(instance, q.prompt().beginnings)
+	if !picked.Trial {
+		// A trial's few instances read nearly all prompts before the rest of their
+		// version gets any. Known as the only ones that keep them, they were sent
+		// everything by all daemons at once when all sessions moved: one in 30
+		// requests of the next six seconds failed or came late.
+		q.Prompts.Sent(instance, q.prompt().beginnings)
+	}
 	if q.service.Engine {
 		a.expected = cascade.BaseHead + q.pace.Expect(a.before+a.work, a.sentAt)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -89,3 +91,40 @@
 	book.Learn(shift.State{Order: 1, Service: "engines", To: "v2", Phase: shift.Running, Share: 1, Step: 1})
 	require.Equal(t, "new", first())
 }
+
+// A new version is tried by a part of the sessions at two of its 20 instances, which
+// read nearly all prompts that callers ask about. Then all sessions move. Known as the
+// only holders, those two were sent everything by all daemons at once, and callers
+// waited there until their deadline while 18 engines stood idle. So where a trial's
+// prompts went is not told, and what goes to the version after that is.
+func TestTrialsInstancesAreNoHolders(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := inventory.NewTable(clock)
+	list := inventory.Snapshot{Revision: 1}
+	for i := range 20 {
+		list.Instances = append(list.Instances, inventory.Instance{ID: fmt.Sprint("new-", i), Service: "engines", Version: "v2"})
+	}
+	table.Replace(list, time.Time{})
+	book := shift.NewBook(clock, time.Second, 1, func(string, func(string) bool) int { return 0 })
+	book.Ordered(shift.Order{ID: 1, Service: "engines", To: "v2", Allowed: time.Minute})
+	prompts := inventory.NewPrompts(clock)
+	h := New(Deps{Table: table, Versions: book, Prompts: prompts})
+	send := func(session int) {
+		q := &request{
+			Handler: h, route: &catalog.Route{}, service: &catalog.Service{Name: "engines"}, tried: map[string]bool{},
+			facts: Facts{Session: fmt.Sprint(session), TokensIn: 9000, Prompt: []Part{{ID: "subject", Tokens: 8000}, {ID: "own", Tokens: 1000}}},
+		}
+		picked, instance, ok := q.choose()
+		require.True(t, ok)
+		a, _ := q.attempt(context.Background(), instance, picked)
+		a.end(inventory.OutcomeNone)
+	}
+	book.Learn(shift.State{Order: 1, Service: "engines", To: "v2", Phase: shift.Running, Share: 0.1, Step: 1})
+	for session := range 50 {
+		send(session)
+	}
+	require.Empty(t, prompts.Untold())
+	book.Learn(shift.State{Order: 1, Service: "engines", To: "v2", Phase: shift.Running, Share: 1, Step: 2})
+	send(0)
+	require.Len(t, prompts.Untold(), 1)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -29,6 +29,9 @@
 	Reads   float64
 	// Ejected instances failed lately.
 	Ejected bool
+	// Trial instances are those of a new version that serve a part of the sessions
+	// before the others of that version get any.
+	Trial bool
 }
 
 const (
