--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -19,6 +19,10 @@
 	out     *bufio.Writer
 	written *countedWriter
 	enc     *gob.Encoder
+	// before is in.bytes at the start of the frame being read, and kind its method.
+	// Only the reading goroutine uses them.
+	before int64
+	kind   string
 }
 
 func newFrames(conn net.Conn, traffic *Traffic) *frames {
@@ -50,6 +54,19 @@
 	return nil
 }
 
+// readHeader reads the header of a frame; its method is to be noted in kind.
+func (f *frames) readHeader(header any) error {
+	f.before = f.in.bytes
+	return f.dec.Decode(header)
+}
+
+// readBody reads the body of a frame; nil skips it.
+func (f *frames) readBody(body any) error {
+	err := f.dec.Decode(body)
+	f.traffic.received(f.kind, f.in.bytes-f.before)
+	return err
+}
+
 // Close ends the connection.
 func (f *frames) Close() error { return f.conn.Close() }
 
@@ -90,12 +107,7 @@
 }
 
 // clientCodec is the calling side of a connection.
-type clientCodec struct {
-	*frames
-	// before is in.bytes at the start of the answer being read, kind its method.
-	before int64
-	kind   string
-}
+type clientCodec struct{ *frames }
 
 // WriteRequest implements rpc.ClientCodec.
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
@@ -104,40 +116,26 @@
 
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
-	c.before = c.in.bytes
-	err := c.dec.Decode(r)
+	err := c.readHeader(r)
 	c.kind = r.ServiceMethod
 	return err
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
-func (c *clientCodec) ReadResponseBody(body any) error {
-	err := c.dec.Decode(body)
-	c.traffic.received(c.kind, c.in.bytes-c.before)
-	return err
-}
+func (c *clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 // serverCodec is the answering side of a connection.
-type serverCodec struct {
-	*frames
-	before int64
-	kind   string
-}
+type serverCodec struct{ *frames }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	c.before = c.in.bytes
-	err := c.dec.Decode(r)
+	err := c.readHeader(r)
 	c.kind = r.ServiceMethod
 	return err
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *serverCodec) ReadRequestBody(body any) error {
-	err := c.dec.Decode(body)
-	c.traffic.received(c.kind, c.in.bytes-c.before)
-	return err
-}
+func (c *serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
 // WriteResponse implements rpc.ServerCodec. A connection that cannot take an answer
 // is of no use any more: part of a frame may have gone out.
