--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -155,8 +155,10 @@
 // wide links, and others only where there are too few of these.
 //
 // A reader sends news to all of its group several times a second, beside its callers'
-// answers. Drawn from all alike, in a fleet of which one instance in ten has a link of
-// 200 Mbit/s and the others one of 20, nine in ten readers delayed their callers.
+// answers. Where one instance in ten has a link of 200 Mbit/s and the others one of 10 to
+// 20, nine in ten readers drawn from all alike have narrow ones. On a calm day of 88
+// daemons 256 of 4,174 answers of the first eight seconds came late then, and 60 with wide
+// readers, in one play of each.
 func (n *Node) readers(count int, inGroup func(member.Daemon) bool) []member.Daemon {
 	widest := 0.0
 	for _, d := range n.registry.Live() {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -160,8 +160,9 @@
 	if !picked.Trial {
 		// A trial's few instances read nearly all prompts before the rest of their
 		// version gets any. Known as the only ones that keep them, they were sent
-		// everything by all daemons at once when all sessions moved: one in 30
-		// requests of the next six seconds failed or came late.
+		// everything by all daemons at once when all sessions moved: one in 17
+		// requests of the next six seconds failed or came late, one in 25 since, in
+		// one play of each with 88 daemons.
 		q.Prompts.Sent(instance, q.prompt().beginnings)
 	}
 	if q.service.Engine {
