--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -11,19 +11,19 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 )
 
-// traffickedPeer is a daemon that answers heartbeats and reports of work.
-type traffickedPeer struct{ RoutesHandler }
+// echoPeer answers heartbeats with themselves and takes in states.
+type echoPeer struct{ RoutesHandler }
 
 // OnBeat implements RoutesHandler.
-func (traffickedPeer) OnBeat(b Beat) Beat { return b }
+func (echoPeer) OnBeat(b Beat) Beat { return b }
 
 // OnState implements RoutesHandler.
-func (traffickedPeer) OnState(shift.State) {}
+func (echoPeer) OnState(shift.State) {}
 
 // An operator sees callers' answers late and asks what fills a daemon's link. Both
 // ends count each frame under the kind of its call, and count the same bytes.
 func TestTrafficIsCountedByKind(t *testing.T) {
-	server, err := ListenRoutes("127.0.0.1:0", traffickedPeer{})
+	server, err := ListenRoutes("127.0.0.1:0", echoPeer{})
 	require.NoError(t, err)
 	defer server.Close()
 	client := NewClient(nil)
