--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -18,8 +18,8 @@
 )
 
 // The load that news over thin links answers: 80 daemons in 4 failure domains before 140
-// engines, 430 prompts a second that each go to any of the engines, half of them about
-// one of 600 subjects and all with one of 4 common beginnings.
+// engines, 430 prompts a second that each go to any of the engines, each about
+// one of 600 subjects and with one of 4 common beginnings.
 const (
 	linkDomains    = 4
 	linkPerDomain  = 20
