Known red: a version that fails twice as often is not condemned in time

Cause from the log: 96 of 233 answers of the new version failed, 3,395 of 16,457 of the old; shift.Bad tests against twice the old rate, so nothing condemns it until its time is over (21.5 s).

--- a/internal/shift/tally_test.go
+++ b/internal/shift/tally_test.go
@@ -112,3 +112,14 @@
 	require.Equal(t, 100, moved)
 	require.Greater(t, held, 95)
 }
+
+// Every fifth answer of a service is lost, whatever its version. A new version fails or
+// lags twice as often, and its first share brings 12 requests a second before 88
+// daemons. Users met it for ten seconds, until its allowed time was over: a rate of twice
+// the old one is not beyond the rate that failures are tested against, however many speak
+// against it. These are the counts of all daemons at the end of such a trial.
+func TestVersionThatFailsTwiceAsOftenIsCondemned(t *testing.T) {
+	fresh := Counts{"r/m": {Requests: 233, Bad: 96}}
+	old := Counts{"r/m": {Requests: 16457, Bad: 3395}}
+	require.True(t, Bad(fresh, old))
+}
