--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -222,7 +222,13 @@
 
 // figures are the numbers shown in /debug/vars.
 type figures struct {
-	Config     int64 `json:"config_version"`
+	Config int64 `json:"config_version"`
+	// Operator is the store's revision up to which the operator's rows are known, and
+	// OperatorAgeMS for how long nothing has shown that they are still the newest.
+	Operator      int64 `json:"operator_revision"`
+	OperatorAgeMS int64 `json:"operator_age_ms"`
+	// Reader is true while this daemon reads the store for others.
+	Reader     bool  `json:"reader"`
 	List       int64 `json:"list_revision"`
 	ListAgeMS  int64 `json:"list_age_ms"`
 	Daemons    int   `json:"daemons_live"`
@@ -239,8 +245,10 @@
 func (p *Process) publish() {
 	n := p.node
 	telemetry.Publish("hornbeamsill", func() any {
+		operator := n.fresh.view()
 		return figures{
-			Config: n.configVersion(), List: n.table.Revision(), ListAgeMS: n.table.Age().Milliseconds(),
+			Config: n.configVersion(), Operator: operator.read, OperatorAgeMS: n.clock.Since(operator.at).Milliseconds(), Reader: n.reader(),
+			List: n.table.Revision(), ListAgeMS: n.table.Age().Milliseconds(),
 			Daemons: len(n.registry.Live()), StoreCalls: n.store.Calls(), Dials: n.pool.Dials(),
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(),
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -158,6 +158,7 @@
 func (n *Node) readOperator(ctx context.Context) error {
 	view := n.fresh.view()
 	whole := n.lostHistory || view.at.IsZero()
+	asked := n.clock.Now()
 	var news platform.OperatorNews
 	var err error
 	if whole {
@@ -181,6 +182,7 @@
 		return nil
 	}
 	if err != nil {
+		slog.Warn("operator.not_read", "revision", view.read, "reader", n.reader(), "asked_ms", n.clock.Since(asked).Milliseconds(), "error", err)
 		return err
 	}
 	if whole {
