Silence of a held question is no news: the list's revision tells whether the operator's rows are the newest

Callers got 404 at every daemon on routes that the operator had been told were accepted, for up to eleven seconds. A reader asks the store for the operator's news and lets it hold the question. One asked while the store was away was never answered, and its connection stayed open; the reader went on telling all others that nothing was new, so none of them asked. Both readers of a fleet lose theirs in the same outage.

Each answer about the list names the store's newest revision, and one count serves all tables. A reader now compares it with the revision up to which it knows the operator's rows: equal means not changed, and where it is newer the rows are asked for at once. What it tells others is never younger than what the store has said. It holds whatever became of the question: unanswered, its answer lost, its connection silent; no time-out had to be guessed.

Ruled out: a shorter time for held questions (with one of 0.6 s, the pace that two seconds ask for, three calls a second more), asking anew when the store is back (a lost answer without an outage stays lost).

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -89,10 +89,10 @@
 	// prompts which upstream instances hold which parts of prompts.
 	work    *workSums
 	prompts *inventory.Prompts
-	// fresh is how new the operator's rows are, and following is set while the
-	// store holds a question for newer ones.
-	fresh     freshness
-	following atomic.Bool
+	// fresh is how new the operator's rows are, and question the one for newer ones
+	// that the store holds.
+	fresh    freshness
+	question heldQuestion
 	// behind is set when a peer told of operator's rows that this daemon has
 	// not got.
 	behind atomic.Bool
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -248,10 +248,6 @@
 	news.From = n.registry.Self().PeerAddress
 	view := n.fresh.view()
 	news.OperatorRead, news.OperatorChanged, news.OperatorAge = view.read, view.changed, n.clock.Since(view.at)
-	if n.following.Load() {
-		// A question that the store holds is answered when there is news.
-		news.OperatorAge = 0
-	}
 	return news
 }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -157,53 +157,116 @@
 // reads for others lets the store hold the question until there is something.
 func (n *Node) readOperator(ctx context.Context) error {
 	view := n.fresh.view()
-	whole := n.lostHistory || view.at.IsZero()
-	asked := n.clock.Now()
-	var news platform.OperatorNews
-	var err error
-	if whole {
-		news, err = n.store.Operator(ctx)
-	} else {
-		hold := time.Duration(0)
-		if n.reader() {
-			hold = operatorWait
-			n.following.Store(true)
-		}
-		news, err = n.store.OperatorAfter(ctx, view.read, hold)
-		n.following.Store(false)
+	if n.lostHistory || view.at.IsZero() {
+		return n.readAllOperator(ctx)
 	}
-	if ctx.Err() != nil {
-		return ctx.Err()
+	hold := time.Duration(0)
+	if n.reader() {
+		hold = operatorWait
 	}
-	n.contact.note(n.clock.Now(), err)
-	if errors.Is(err, platform.ErrCompacted) {
-		slog.Warn("store.history_gone", "table", "operator", "revision", view.read)
+	call, done := n.question.ask(ctx)
+	defer done()
+	_, err := n.readOperatorAfter(call, view.read, hold)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case call.Err() != nil:
+		// Its news came another way.
+		return nil
+	case errors.Is(err, platform.ErrCompacted):
 		n.lostHistory = true
 		return nil
 	}
+	return err
+}
+
+// readAllOperator reads all that the operator has written.
+func (n *Node) readAllOperator(ctx context.Context) error {
+	asked := n.clock.Now()
+	news, err := n.store.Operator(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	n.contact.note(n.clock.Now(), err)
 	if err != nil {
-		slog.Warn("operator.not_read", "revision", view.read, "reader", n.reader(), "asked_ms", n.clock.Since(asked).Milliseconds(), "error", err)
+		n.logNotRead(0, asked, err)
 		return err
 	}
-	if whole {
-		// An order without its state looks like one that has just begun, which
-		// keeps everything on old instances: after a restart of all daemons
-		// those may be gone, and every request would be refused until the duty
-		// is taken.
-		if err := n.readStates(ctx, news.Orders); err != nil {
-			n.contact.note(n.clock.Now(), err)
-			return err
-		}
+	// An order without its state looks like one that has just begun, which
+	// keeps everything on old instances: after a restart of all daemons
+	// those may be gone, and every request would be refused until the duty
+	// is taken.
+	if err := n.readStates(ctx, news.Orders); err != nil {
+		n.contact.note(n.clock.Now(), err)
+		return err
 	}
 	n.lostHistory = false
+	n.haveRead(ctx, news)
+	return nil
+}
+
+// readOperatorAfter reads what the operator wrote after a revision, and reports whether
+// that is anything.
+func (n *Node) readOperatorAfter(ctx context.Context, after int64, hold time.Duration) (changed bool, err error) {
+	asked := n.clock.Now()
+	news, err := n.store.OperatorAfter(ctx, after, hold)
+	if ctx.Err() != nil {
+		return false, ctx.Err()
+	}
+	n.contact.note(n.clock.Now(), err)
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		slog.Warn("store.history_gone", "table", "operator", "revision", after)
+		return false, err
+	case err != nil:
+		n.logNotRead(after, asked, err)
+		return false, err
+	}
+	return n.haveRead(ctx, news), nil
+}
+
+// logNotRead tells of a question for the rows after a revision that got no answer.
+func (n *Node) logNotRead(after int64, asked time.Time, err error) {
+	slog.Warn("operator.not_read", "revision", after, "reader", n.reader(), "asked_ms", n.clock.Since(asked).Milliseconds(), "error", err)
+}
+
+// haveRead takes in what was read of the operator's rows and passes it on. It reports
+// whether there was anything.
+func (n *Node) haveRead(ctx context.Context, news platform.OperatorNews) (changed bool) {
 	n.behind.Store(false)
-	changed := news.Catalog != nil || len(news.Orders) > 0
+	changed = news.Catalog != nil || len(news.Orders) > 0
 	n.fresh.note(n.clock.Now(), news.Revision, changed)
 	n.takeOperator(news)
 	if changed {
 		n.tellOperator(ctx, news.Manifest, news.Orders)
 	}
-	return nil
+	return changed
+}
+
+// confirmOperator compares the operator's rows as they are known here with the store's
+// newest revision, which each answer about the list tells.
+//
+// The store may never answer a question that it holds: it was asked during an outage, or
+// its answer was lost. Its connection stays open, and its silence looks like that of a
+// store without news. Taken for news that nothing had changed, it kept all daemons from
+// asking: callers got 404 on routes accepted up to eleven seconds before. One count of
+// revisions serves all tables of the store, so rows known up to the newest revision have
+// not changed, and where others are newer the rows are asked for at once. A lost question
+// so delays a configuration by one read of the list.
+func (n *Node) confirmOperator(ctx context.Context, newest int64) {
+	view := n.fresh.view()
+	switch {
+	case view.at.IsZero():
+		// All rows are being read.
+	case view.read >= newest:
+		n.fresh.note(n.clock.Now(), view.read, false)
+	case n.reader():
+		changed, err := n.readOperatorAfter(ctx, view.read, 0)
+		if changed || errors.Is(err, platform.ErrCompacted) {
+			// The held question should have told this.
+			n.question.abandon()
+		}
+	}
 }
 
 func (n *Node) takeOperator(news platform.OperatorNews) {
@@ -249,6 +312,33 @@
 	}
 }
 
+// heldQuestion is the question for the operator's news that the store holds.
+//
+// Lock order: mu is taken alone.
+type heldQuestion struct {
+	mu   sync.Mutex
+	drop context.CancelFunc
+}
+
+// ask returns the context of a question, which ends when the question is abandoned; done is
+// to be called after its answer.
+func (q *heldQuestion) ask(ctx context.Context) (call context.Context, done func()) {
+	call, cancel := context.WithCancel(ctx)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.drop = cancel
+	return call, cancel
+}
+
+// abandon ends the question that is held, so that it is asked anew.
+func (q *heldQuestion) abandon() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.drop != nil {
+		q.drop()
+	}
+}
+
 // watchInstances follows the list of upstream instances.
 func (n *Node) watchInstances(ctx context.Context) {
 	var wait backoff
@@ -305,7 +395,10 @@
 		slog.Info("instances.read", "count", len(news.Changes), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()))
 		return nil
 	}
-	if told, ok := n.takeChanges(news, doubted); ok {
+	told, ok := n.takeChanges(news, doubted)
+	// What is told of the list tells how new the operator's rows are, too.
+	n.confirmOperator(ctx, news.Revision)
+	if ok {
 		n.tellList(ctx, told)
 	}
 	return nil
