A call's failure is no loss of the store when a later call was answered

Callers could be sent to upstream instances that had left without saying so, for two seconds more: a question that the store holds fails up to eleven seconds after it was lost, the daemon noted store.lost and, with the next answer, store.regained, and kept entries that were missing from the list for the time after a return of the store. Seen on two daemons (store.lost of a question asked 11.5 s before, silent_ms=668).

A failure only tells of the time since its call. Where the store has answered a later one the failure is left out; a store that is lost just now is found by the next call, at most a read of the list later. The test failed before (away, doubt of 2 s), with a question refused after the list had been read three times.

--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -126,3 +126,20 @@
 	other.OnNews(r.dated(peer.News{From: "127.0.1.1:1", List: noList}))
 	require.True(t, other.mustReadOperator())
 }
+
+// A question for the operator's news was lost, and failed eleven seconds after it had been
+// asked. The daemon took that for a loss of the store, although the store had answered every
+// call that was made since, and doubted the list once more: for two seconds it went on using
+// upstream instances that left without saying so.
+// Evidence: store.lost of a question asked 11.5 s before and store.regained 0.14 s later, with
+// the list read twice a second all the while.
+func TestOldQuestionTellsNothingOfTheStoreNow(t *testing.T) {
+	r := newStoreReader(t)
+	r.loseQuestion()
+	r.pass(inForce)
+	r.store.RefuseLost()
+	r.until("the question has failed", func() bool { return r.store.Held() == 0 })
+	require.NoError(t, r.clock.BlockUntilContext(t.Context(), 2), "it is to be asked again")
+	require.False(t, r.contact.away())
+	require.Zero(t, r.doubt())
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// noteCall takes in how a call that was made at asked ended.
+//
+// A failure tells that the store did not answer between the call and now. If it has answered
+// a later call meanwhile, it has not been lost: a question that the store holds fails up to
+// eleven seconds after whatever became of it. Taken for a loss, each such failure had entries
+// that are missing from the list kept for two seconds more, and requests sent to instances
+// that had left. A store that is lost just now is found by the next call.
+func (n *Node) noteCall(asked time.Time, err error) {
+	failed := err != nil && !errors.Is(err, platform.ErrCompacted)
+	if failed && n.contact.answeredAfter(asked) {
+		return
+	}
+	n.contact.note(n.clock.Now(), err)
+}
+
 // doubted is until when the list may lack entries of live instances.
 func (c *storeContact) doubted(now time.Time) time.Time {
 	c.mu.Lock()
@@ -187,7 +202,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	n.contact.note(n.clock.Now(), err)
+	n.noteCall(asked, err)
 	if err != nil {
 		n.logNotRead(0, asked, err)
 		return err
@@ -196,8 +211,9 @@
 	// keeps everything on old instances: after a restart of all daemons
 	// those may be gone, and every request would be refused until the duty
 	// is taken.
+	asked = n.clock.Now()
 	if err := n.readStates(ctx, news.Orders); err != nil {
-		n.contact.note(n.clock.Now(), err)
+		n.noteCall(asked, err)
 		return err
 	}
 	n.lostHistory = false
@@ -213,7 +229,7 @@
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
-	n.contact.note(n.clock.Now(), err)
+	n.noteCall(asked, err)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		slog.Warn("store.history_gone", "table", "operator", "revision", after)
@@ -371,6 +387,7 @@
 func (n *Node) readList(ctx context.Context, whole bool) error {
 	base := n.table.Revision()
 	whole = whole || !n.table.Known()
+	asked := n.clock.Now()
 	var news platform.InstanceNews
 	var err error
 	if whole {
@@ -381,7 +398,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	n.contact.note(n.clock.Now(), err)
+	n.noteCall(asked, err)
 	if err != nil {
 		return err
 	}
