A version that fails five more requests in 100 is condemned, however often the old one fails

Callers met a version that fails or lags twice as often as one that fails 20 in 100 until its allowed time was over: failures were tested against twice the old version's rate, and 96 of 233 are not beyond twice 3,395 of 16,457. The rate is now at most 0.05 above the old one's, which is what is tested where the old version hardly fails; below 5 in 100 nothing changes.

Ruled out: a lower factor (1.5 still lets 0.30 pass where the old version fails 20 in 100, and condemns on fewer failures where it fails 5 in 100), another probability of a false alarm.

A version that fails as often as the old one, 20 in 100, is kept in 200 seeded roll-outs of 100 looks.

--- a/internal/shift/tally_test.go
+++ b/internal/shift/tally_test.go
@@ -123,3 +123,22 @@
 	old := Counts{"r/m": {Requests: 16457, Bad: 3395}}
 	require.True(t, Bad(fresh, old))
 }
+
+// The same service, and a new version that fails as often as the old one: however often
+// the evidence is looked at, the failures that both share do not condemn it.
+func TestVersionThatFailsAsOftenIsKept(t *testing.T) {
+	const rate, looks, seeds = 0.2, 100, 200
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		var fresh, old Count
+		for range looks {
+			for range 10 {
+				fresh.add(Observation{Bad: random.Float64() < rate})
+			}
+			for range 150 {
+				old.add(Observation{Bad: random.Float64() < rate})
+			}
+			require.False(t, Bad(Counts{"r": fresh}, Counts{"r": old}), "seed %d, %d of %d", seed, fresh.Bad, fresh.Requests)
+		}
+	}
+}
--- a/internal/shift/verdict.go
+++ b/internal/shift/verdict.go
@@ -89,8 +89,13 @@
 const (
 	// leastBad is the number of bad answers without which nothing is decided.
 	leastBad = 4
-	// baseFailure is the least failure rate that the old version is taken to
-	// have, so that a few stray failures do not condemn the new one.
+	// baseFailure is the least failure rate that a new version is tested against,
+	// so that a few stray failures do not condemn it, and the most by which that rate
+	// is above the old version's.
+	//
+	// Without the second bound a version could fail twice as often as an old one that
+	// fails 20 in 100, for as long as it was tried. Five more failures in 100 are as
+	// many more callers without an answer, however often the old version fails.
 	baseFailure = 0.05
 	// failureFactor times the old version's rate is the rate that the new one
 	// is tested against.
@@ -147,7 +152,7 @@
 
 // failureTest says what makes failures speak against a version: at least some bad
 // answers, as many as occur with the probability alarm at factor times the old version's
-// rate.
+// rate, or at baseFailure above it if that is less.
 type failureTest struct {
 	least         int
 	alarm, factor float64
@@ -173,7 +178,8 @@
 	}
 	rate := baseFailure
 	if old.Requests > 0 {
-		rate = max(rate, t.factor*float64(old.Bad)/float64(old.Requests))
+		was := float64(old.Bad) / float64(old.Requests)
+		rate = max(rate, min(t.factor*was, was+baseFailure))
 	}
 	if rate >= 1 {
 		return false
