--- /dev/null
+++ b/internal/entry/contact.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/platform"
+)
+
+const (
+	// retryPause is the first pause after the store did not answer; it doubles
+	// up to maxRetryPause, which is well inside the two seconds in which an
+	// accepted configuration must be in force once the store is back.
+	retryPause    = 150 * time.Millisecond
+	maxRetryPause = 900 * time.Millisecond
+	// followerPause and maxFollowerPause are those of a daemon that reads only
+	// because news is late: once the store is back its readers tell it. While
+	// the store was away for seven seconds, 88 daemons made 1,700 calls for
+	// nothing. The first retry comes soon all the same, since one call may fail
+	// by itself while a server leaves of which no reader tells.
+	followerPause    = 2 * time.Second
+	maxFollowerPause = 4 * time.Second
+)
+
+// storeContact remembers how the store answers.
+//
+// Lock order: mu is taken alone.
+type storeContact struct {
+	mu     sync.Mutex
+	answer time.Time
+	// lost is set from the first call without an answer to the next answer,
+	// at regained.
+	lost     bool
+	lostAt   time.Time
+	regained time.Time
+}
+
+// lostSince is when the store last began not to answer.
+func (c *storeContact) lostSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lostAt
+}
+
+func (c *storeContact) note(now time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answered := err == nil || errors.Is(err, platform.ErrCompacted)
+	switch {
+	case !answered && !c.lost:
+		c.lost, c.lostAt = true, now
+		slog.Warn("store.lost", "error", err)
+	case answered && c.lost:
+		c.lost, c.regained = false, now
+		slog.Info("store.regained", "silent_ms", now.Sub(c.answer).Milliseconds())
+	}
+	if answered {
+		c.answer = now
+	}
+}
+
+// noteCall takes in how a call that was made at asked ended.
+//
+// A failure tells that the store did not answer between the call and now. If it has answered
+// a later call meanwhile, it has not been lost: a question that the store holds fails up to
+// eleven seconds after whatever became of it. Taken for a loss, each such failure had entries
+// that are missing from the list kept for two seconds more, and requests sent to instances
+// that had left. A store that is lost just now is found by the next call.
+func (n *Node) noteCall(asked time.Time, err error) {
+	failed := err != nil && !errors.Is(err, platform.ErrCompacted)
+	if failed && n.contact.answeredAfter(asked) {
+		return
+	}
+	n.contact.note(n.clock.Now(), err)
+}
+
+// doubted is until when the list may lack entries of live instances.
+func (c *storeContact) doubted(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.lost:
+		return now.Add(doubtTime)
+	case c.regained.IsZero():
+		return time.Time{}
+	default:
+		return c.regained.Add(doubtTime)
+	}
+}
+
+// answeredAfter reports whether the store has answered since a time.
+func (c *storeContact) answeredAfter(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.After(t)
+}
+
+// away reports whether the last call got no answer.
+func (c *storeContact) away() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
+
+// silent reports whether the store has not answered for d.
+func (c *storeContact) silent(now time.Time, d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.answer) > d
+}
+
+// backoff doubles a pause for each failure in a row, with a random part so that
+// daemons do not return to the store all at once.
+type backoff struct{ failures int }
+
+func (b *backoff) next(first, most time.Duration) time.Duration {
+	d := min(first<<min(b.failures, 8), most)
+	b.failures++
+	return d/2 + rand.N(d/2)
+}
+
+// backOff waits after the store did not answer. A daemon that knows a state of
+// the installation, is not a reader and was told of nothing newer waits longer.
+func (n *Node) backOff(ctx context.Context, b *backoff) {
+	first, most := retryPause, maxRetryPause
+	if b.failures > 0 && n.Ready() && !n.reader() && !n.behind.Load() {
+		first, most = followerPause, maxFollowerPause
+	}
+	n.pause(ctx, b.next(first, most))
+}
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
@@ -40,102 +39,6 @@
 	toldManifest = 32 << 10
 )
 
-// toldDoubts bound for how long entries that are missing from the list are kept
-// because a reader doubts it.
-//
-// A reader doubts the list for two seconds after the store has answered it again.
-// If only the reader was cut off, the store was there all the time and missing
-// entries are those of servers that left; taken over by the others, the doubt had
-// a whole failure domain use such servers for three seconds. A daemon to which
-// another reader has told of the list all the while knows that. So doubt counts
-// only from news that ends a time without any.
-//
-// Lock order: mu is taken alone.
-type toldDoubts struct {
-	mu sync.Mutex
-	// until is when the doubt that counts ends.
-	until time.Time
-	// toldAt is when a reader last told of the list, and toldUntil when its own
-	// doubt ends.
-	toldAt, toldUntil time.Time
-}
-
-// heard takes in that a reader told of the list, which it doubts for some time.
-func (d *toldDoubts) heard(now time.Time, told time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.toldAt, d.toldUntil = now, now.Add(told)
-}
-
-// bound returns until when entries are kept that are missing from a list which this
-// daemon read, or a peer gave it: not longer than a reader doubts it that has read it
-// since this daemon lost the store.
-//
-// A daemon that is not a reader asks the store seldom. It noticed two seconds late
-// that the store was back, and then doubted for two seconds more: a server that had
-// left got a request after 3.5 s.
-func (d *toldDoubts) bound(until, lostAt time.Time) time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.toldAt.After(lostAt) && d.toldUntil.Before(until) {
-		return d.toldUntil
-	}
-	return until
-}
-
-// take returns until when entries missing by a reader's news are kept. late tells
-// that this daemon had not heard of the list for too long.
-func (d *toldDoubts) take(now time.Time, told time.Duration, late bool) time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	until := now.Add(told)
-	if late && until.After(d.until) {
-		d.until = until
-	}
-	if until.After(d.until) {
-		return d.until
-	}
-	return until
-}
-
-// freshness is when this daemon's knowledge of the operator's rows was known to
-// be the newest.
-//
-// Lock order: mu is taken alone.
-type freshness struct {
-	mu sync.Mutex
-	operatorView
-}
-
-// operatorView is a state of the operator's rows.
-type operatorView struct {
-	// at is when it was known to be the newest; zero before the first read. A
-	// store without rows has the revision 0, so that does not tell.
-	at time.Time
-	// read is the store's revision up to which the rows were read, and changed
-	// the one at which they last changed.
-	read, changed int64
-}
-
-// note takes in that the rows were read at a time up to a revision.
-func (f *freshness) note(at time.Time, read int64, changed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at.After(f.at) {
-		f.at = at
-	}
-	f.read = max(f.read, read)
-	if changed {
-		f.changed = max(f.changed, read)
-	}
-}
-
-func (f *freshness) view() operatorView {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.operatorView
-}
-
 // group reports whether a daemon is in this one's group.
 func (n *Node) group() func(member.Daemon) bool {
 	if len(n.registry.Live()) <= wholeFleet {
@@ -174,7 +77,8 @@
 
 // listPace is the time between two reads of the list.
 func (n *Node) listPace() time.Duration {
-	return time.Duration(listShare * float64(n.settings.DrainMS) * float64(time.Millisecond))
+	share := time.Duration(listShare * float64(n.settings.DrainMS) * float64(time.Millisecond))
+	return min(share, maxListPace)
 }
 
 // mustReadList reports whether this daemon has to read the list itself. One that
@@ -208,17 +112,6 @@
 	}
 }
 
-// doubt is for how long entries missing from the list are kept.
-func (n *Node) doubt() time.Duration {
-	now := n.clock.Now()
-	return max(n.doubtedUntil(now).Sub(now), 0)
-}
-
-// doubtedUntil is until when entries missing from the list are kept.
-func (n *Node) doubtedUntil(now time.Time) time.Time {
-	return n.doubts.bound(n.contact.doubted(now), n.contact.lostSince())
-}
-
 // tellList passes on what a read of the list brought; without changes it tells
 // that the list is as it was.
 func (n *Node) tellList(ctx context.Context, told peer.News) {
