--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -207,7 +207,7 @@
 func (s *soak) fault() {
 	d := s.pick(s.random)
 	store := s.stores[d]
-	switch s.random.IntN(11) {
+	switch s.random.IntN(12) {
 	case 0:
 		s.drop(d)
 		d.Kill()
@@ -247,6 +247,8 @@
 		s.later(func() { s.servers[id].Register(s.store, wire.StateReady) })
 	case 10:
 		d.Signal(1)
+	case 11:
+		s.store.LoseHeld()
 	}
 }
 
@@ -255,12 +257,16 @@
 	_ = p.Restore()
 }
 
-// recovers requires that every live daemon serves once all faults are over.
+// recovers requires that every live daemon serves once all faults are over, by the
+// configuration that is accepted then.
 func (s *soak) recovers() {
 	s.mu.Lock()
 	live := append([]*daemon{}, s.live...)
 	s.mu.Unlock()
+	s.version++
+	s.store.Declare(declaration(s.version))
 	for _, d := range live {
+		s.logged(d, "msg=config.in_force", fmt.Sprint("version=", s.version, " "))
 		s.eventually(func() error {
 			c := s.call(pathSafe)
 			if r := s.send(c, d); r.Err != nil || r.Status != http.StatusOK {
