--- a/internal/shift/tally_test.go
+++ b/internal/shift/tally_test.go
@@ -149,11 +149,11 @@
 // that was looked at, condemns nothing. A version whose streams are half as slow again, on
 // instances that read every prompt anew, is kept.
 func TestVersionThatWritesSlowlyIsCondemned(t *testing.T) {
-	sample := func(random *rand.Rand, requests int, head, pace float64) Counts {
+	sample := func(random *rand.Rand, requests int, head float64, paces ...float64) Counts {
 		c := map[string]Count{}
 		for i := range requests {
 			kind := []string{"long", "short"}[i%2]
-			gap := []float64{0.03, 0.05}[i%2] * pace * math.Exp(0.5*random.NormFloat64())
+			gap := []float64{0.03, 0.05}[i%2] * paces[i%2] * math.Exp(0.5*random.NormFloat64())
 			one := c[kind]
 			one.add(Observation{
 				Bad: random.Float64() < 0.14, Unfinished: random.Float64() < 0.2,
@@ -164,17 +164,21 @@
 		}
 		return c
 	}
-	condemned, kept := 0, 0
+	condemned, oneKind, kept := 0, 0, 0
 	for seed := range uint64(100) {
 		random := rand.New(rand.NewPCG(seed, 4))
-		old := sample(random, 3000, 1, 1)
-		if Bad(sample(random, 40, 2, 5), old) {
+		old := sample(random, 3000, 1, 1, 1)
+		if Bad(sample(random, 40, 2, 5, 5), old) {
 			condemned++
 		}
-		if !Bad(sample(random, 70, 1, 1.5), old) {
+		if Bad(sample(random, 40, 1, 1, 5), old) {
+			oneKind++
+		}
+		if !Bad(sample(random, 70, 1, 1.5, 1.5), old) {
 			kept++
 		}
 	}
 	require.Equal(t, 100, condemned)
+	require.Greater(t, oneKind, 95, "only one kind of request is written slowly")
 	require.Equal(t, 100, kept)
 }
--- a/internal/shift/verdict.go
+++ b/internal/shift/verdict.go
@@ -60,12 +60,17 @@
 	if failing(fresh, old, failureTest{leastBad, falseAlarm, failureFactor}) {
 		return true
 	}
-	for kind, c := range fresh {
-		if slow(Counts{kind: c}, old, times, slowFactor, slowSigmas) {
+	for _, m := range []measure{times, paces} {
+		if slow(fresh, old, m, slowFactor, slowSigmas) {
 			return true
 		}
+		for kind, c := range fresh {
+			if slow(Counts{kind: c}, old, m, slowFactor, slowSigmas) {
+				return true
+			}
+		}
 	}
-	return slow(fresh, old, times, slowFactor, slowSigmas) || slow(fresh, old, paces, slowFactor, slowSigmas)
+	return false
 }
 
 // Suspect decides whether failures or times speak against the new version, though not
