--- a/internal/shift/counts.go
+++ b/internal/shift/counts.go
@@ -17,7 +17,7 @@
 	// Expected is that time as it was expected from what the instance had to do; 0
 	// where nothing is expected.
 	Expected time.Duration
-	// Pace is the mean time between events of a stream; 0 where there were too few.
+	// Pace is the mean time for an event of a stream; 0 where there were too few.
 	Pace time.Duration
 	// Unfinished is set where the caller left, or its time was over, before the end of
 	// the answer. Only the pace until then counts.
@@ -39,8 +39,9 @@
 	// Paced, PaceSum and PaceSquares describe the logarithms of paces, in seconds. A
 	// version can begin its answers in time and write them too slowly: one that wrote
 	// four times as slowly took twice the old one's time to the first event, and callers
-	// met it until its time was over. Sound versions wrote 0.4 to 0.9 times as slowly as
-	// the old one, whose instances have more to do, on twelve days of four installations.
+	// met it until its time was over. Sound versions took 0.36 to 0.91 of the old one's
+	// time for an event, as its instances have more to do, in 24 plays of days on five
+	// installations.
 	Paced       int
 	PaceSum     float64
 	PaceSquares float64
