--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
@@ -39,10 +40,13 @@
 	require.Equal(t, int64(1), called["Routes.State"].Calls)
 	for kind, c := range called {
 		require.Positive(t, c.Sent, kind)
-		s := server.Traffic().Kinds()[kind]
-		require.Equal(t, c.Calls, s.Calls, kind)
-		require.Equal(t, c.Sent, s.Received, kind)
-		require.Equal(t, c.Received, s.Sent, kind)
+		// The server counts an answer once it is written, which the caller may read first.
+		require.EventuallyWithT(t, func(t *assert.CollectT) {
+			s := server.Traffic().Kinds()[kind]
+			assert.Equal(t, c.Calls, s.Calls, kind)
+			assert.Equal(t, c.Sent, s.Received, kind)
+			assert.Equal(t, c.Received, s.Sent, kind)
+		}, 10*time.Second, time.Millisecond)
 	}
 }
 
