Contact with the store weighs a call's failure itself

Whether an answer counts as one was decided twice, in storeContact.note and, the other way round, in a function of the daemon before it, which looked under the lock and noted under it a second time: an answer to another call could come between. note takes the time of the call and decides under one lock. Ruled out: a function shared by the two, which would have left the gap. Tests pass the time of the call too; their assertions are as they were. TestOldQuestionTellsNothingOfTheStoreNow fails without the condition. One comment is wrapped.

--- a/internal/entry/contact.go
+++ b/internal/entry/contact.go
@@ -46,12 +46,19 @@
 	return c.lostAt
 }
 
-func (c *storeContact) note(now time.Time, err error) {
+// note takes in how a call that was made at asked ended.
+//
+// A failure tells that the store did not answer between the call and now. If it has answered
+// a later call meanwhile, it has not been lost: a question that the store holds fails up to
+// eleven seconds after whatever became of it. Taken for a loss, each such failure had entries
+// that are missing from the list kept for two seconds more, and requests sent to instances
+// that had left. A store that is lost just now is found by the next call.
+func (c *storeContact) note(asked, now time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	answered := err == nil || errors.Is(err, platform.ErrCompacted)
 	switch {
-	case !answered && !c.lost:
+	case !answered && !c.lost && !c.answer.After(asked):
 		c.lost, c.lostAt = true, now
 		slog.Warn("store.lost", "error", err)
 	case answered && c.lost:
@@ -63,21 +70,6 @@
 	}
 }
 
-// noteCall takes in how a call that was made at asked ended.
-//
-// A failure tells that the store did not answer between the call and now. If it has answered
-// a later call meanwhile, it has not been lost: a question that the store holds fails up to
-// eleven seconds after whatever became of it. Taken for a loss, each such failure had entries
-// that are missing from the list kept for two seconds more, and requests sent to instances
-// that had left. A store that is lost just now is found by the next call.
-func (n *Node) noteCall(asked time.Time, err error) {
-	failed := err != nil && !errors.Is(err, platform.ErrCompacted)
-	if failed && n.contact.answeredAfter(asked) {
-		return
-	}
-	n.contact.note(n.clock.Now(), err)
-}
-
 // doubted is until when the list may lack entries of live instances.
 func (c *storeContact) doubted(now time.Time) time.Time {
 	c.mu.Lock()
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -65,7 +65,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	n.noteCall(asked, err)
+	n.contact.note(asked, n.clock.Now(), err)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -53,7 +53,7 @@
 	n.install(&catalog.Catalog{Version: 3}, []byte("{}"), "test")
 	n.table.Replace(inventory.Snapshot{Revision: 5, Instances: []inventory.Instance{{ID: "i", Service: "s"}}}, time.Time{})
 	n.fresh.note(n.clock.Now(), 5, true)
-	n.contact.note(n.clock.Now(), nil)
+	n.contact.note(n.clock.Now(), n.clock.Now(), nil)
 }
 
 // On a calm day 88 daemons sent each other 41 MB of lists between failure
@@ -97,7 +97,7 @@
 	require.True(t, ask.Members)
 	require.True(t, ask.Instances, "the store is silent and the list is old")
 
-	n.contact.note(clock.Now(), nil)
+	n.contact.note(clock.Now(), clock.Now(), nil)
 	ask, _ = n.lacks(theirs, mine)
 	require.False(t, ask.Instances, "the store answers")
 
@@ -122,7 +122,7 @@
 	require.False(t, n.mustReadList() || n.mustReadOperator(), "its readers tell it")
 	clock.Advance(lateAge(n))
 	require.True(t, n.mustReadList() && n.mustReadOperator(), "news is late")
-	n.contact.note(clock.Now(), errors.New("no answer"))
+	n.contact.note(clock.Now(), clock.Now(), errors.New("no answer"))
 	require.True(t, n.mustReadList())
 	require.False(t, n.mustReadOperator())
 	n.behind.Store(true)
@@ -130,7 +130,7 @@
 
 	started := newFleetNode(t, clock)
 	require.True(t, started.mustReadList() && started.mustReadOperator())
-	started.contact.note(clock.Now(), errors.New("no answer"))
+	started.contact.note(clock.Now(), clock.Now(), errors.New("no answer"))
 	require.True(t, started.mustReadOperator())
 	require.False(t, started.mustReadList())
 }
@@ -182,7 +182,7 @@
 	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
 	clock.Advance(startTime)
 	require.Equal(t, "0.300", refusal())
-	n.contact.note(n.clock.Now(), errors.New("no answer"))
+	n.contact.note(n.clock.Now(), n.clock.Now(), errors.New("no answer"))
 	go ask()
 	require.Equal(t, "2.000", refusal(), "at once")
 }
@@ -286,7 +286,7 @@
 // asker goes on to the next peer.
 func TestPeerWithoutStoreDoesNotRelay(t *testing.T) {
 	n := newFleetNode(t, clockwork.NewFakeClock())
-	n.contact.note(n.clock.Now(), errors.New("no answer"))
+	n.contact.note(n.clock.Now(), n.clock.Now(), errors.New("no answer"))
 	require.Equal(t, peer.StoreNotDone, n.OnStoreCall(peer.StoreCall{Get: "x"}).Outcome)
 }
 
@@ -298,18 +298,18 @@
 	clock := clockwork.NewFakeClock()
 	n := newFleetNode(t, clock)
 	n.know()
-	n.contact.note(clock.Now(), errors.New("no answer"))
+	n.contact.note(clock.Now(), clock.Now(), errors.New("no answer"))
 	clock.Advance(3 * time.Second)
 	n.OnNews(peer.News{From: "127.0.1.1:1", Base: 5, List: 5, Doubted: 2 * time.Second})
 	end := clock.Now().Add(2 * time.Second)
 	clock.Advance(1900 * time.Millisecond)
 	require.Equal(t, end, n.doubtedUntil(clock.Now()), "the store has not answered here yet")
-	n.contact.note(clock.Now(), nil)
+	n.contact.note(clock.Now(), clock.Now(), nil)
 	require.Equal(t, end, n.doubtedUntil(clock.Now()))
 	require.Equal(t, 100*time.Millisecond, n.doubt(), "told to peers")
 
-	n.contact.note(clock.Now(), errors.New("no answer"))
+	n.contact.note(clock.Now(), clock.Now(), errors.New("no answer"))
 	clock.Advance(time.Second)
-	n.contact.note(clock.Now(), nil)
+	n.contact.note(clock.Now(), clock.Now(), nil)
 	require.Equal(t, clock.Now().Add(doubtTime), n.doubtedUntil(clock.Now()), "no reader has told since a later outage")
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -76,7 +76,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	n.noteCall(asked, err)
+	n.contact.note(asked, n.clock.Now(), err)
 	if err != nil {
 		n.logNotRead(0, asked, err)
 		return err
@@ -87,7 +87,7 @@
 	// is taken.
 	asked = n.clock.Now()
 	if err := n.readStates(ctx, news.Orders); err != nil {
-		n.noteCall(asked, err)
+		n.contact.note(asked, n.clock.Now(), err)
 		return err
 	}
 	n.lostHistory = false
@@ -103,7 +103,7 @@
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
-	n.noteCall(asked, err)
+	n.contact.note(asked, n.clock.Now(), err)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		slog.Warn("store.history_gone", "table", "operator", "revision", after)
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -56,7 +56,8 @@
 	a.paced = true
 }
 
-// eventPace is the mean time for an event since the head of the answer; 0 where it has been told or they are too few.
+// eventPace is the mean time for an event since the head of the answer; 0 where it has
+// been told or they are too few.
 func (a *attempt) eventPace() time.Duration {
 	if a.paced || a.events < leastPaced {
 		return 0
