Test: a lost question where instances may take long to leave

The bound of 1.5 s between two reads of the list had no test. With ten seconds for leaving instances the list would be read each 3.3 s, and a configuration be in force too late: the test fails without the bound and passes with it.

--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -28,14 +28,15 @@
 	store *platformtest.Store
 }
 
-func newStoreReader(t *testing.T) *storeReader {
+// newStoreReader returns one before instances that may take some time to leave.
+func newStoreReader(t *testing.T, drainMS int64) *storeReader {
 	t.Helper()
 	r := &storeReader{t: t, clock: clockwork.NewFakeClock(), store: platformtest.NewStore()}
 	address, stop := r.store.Serve()
 	r.store.Declare(routeTo(1, "/old/"))
 	r.store.Put(wire.TableInstances, "i", wire.Instance{Service: "s", Address: "127.0.0.1:1", Zone: "a", Version: "v1", Slots: 8, State: wire.StateReady})
 	r.Node = NewNode(settings.Routes{
-		Instance: "self", FailureDomain: "a", Site: "s", PeerListen: "127.0.0.1:1", SessionS: 5, StopS: 8, DrainMS: 2000,
+		Instance: "self", FailureDomain: "a", Site: "s", PeerListen: "127.0.0.1:1", SessionS: 5, StopS: 8, DrainMS: drainMS,
 		MemoryMB: 64, ExposureShare: 0.15, RetryWindowS: 10,
 	}, r.clock, platform.NewStore(address), platform.Headers{})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -107,7 +108,17 @@
 // Evidence: all calls for the list were answered meanwhile, and the store's revision in
 // these answers was one ahead of that of the configuration in force.
 func TestQuestionThatIsNeverAnswered(t *testing.T) {
-	r := newStoreReader(t)
+	r := newStoreReader(t, 2000)
+	r.loseQuestion()
+	r.store.Declare(routeTo(2, "/new/"))
+	r.pass(inForce)
+	require.Equal(t, int64(2), r.configVersion(), "in force in time")
+}
+
+// Where instances may take ten seconds to leave, the list need not be read often. It is all
+// the same, since nothing else shows that the question was lost.
+func TestLostQuestionWhereInstancesLeaveSlowly(t *testing.T) {
+	r := newStoreReader(t, 10_000)
 	r.loseQuestion()
 	r.store.Declare(routeTo(2, "/new/"))
 	r.pass(inForce)
@@ -118,7 +129,7 @@
 // nothing is new. It must not be told anything younger than the store's last answer: only
 // then does it notice that news is late, and asks by itself.
 func TestUnansweredQuestionIsNoNews(t *testing.T) {
-	r := newStoreReader(t)
+	r := newStoreReader(t, 2000)
 	r.loseQuestion()
 	other := newFleetNode(t, r.clock)
 	other.know()
@@ -134,7 +145,7 @@
 // Evidence: store.lost of a question asked 11.5 s before and store.regained 0.14 s later, with
 // the list read twice a second all the while.
 func TestOldQuestionTellsNothingOfTheStoreNow(t *testing.T) {
-	r := newStoreReader(t)
+	r := newStoreReader(t, 2000)
 	r.loseQuestion()
 	r.pass(inForce)
 	r.store.RefuseLost()
