--- a/test/routes/poison_test.go
+++ b/test/routes/poison_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/entry"
+	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 )
@@ -153,6 +154,11 @@
 // poisonRepeats is how often the client repeats its request.
 const poisonRepeats = 12
 
+// crashDaemons is the number of daemons of such tests: three, or more by hand.
+//
+//	CRASH_DAEMONS=80 go test -count=1 -run TestRequestThatCrashes -timeout 20m ./test/routes
+func crashDaemons() int { return envInt("CRASH_DAEMONS", 3) }
+
 func repeatPoison(t *testing.T, path string) {
 	const size = 9
 	s := newSite(t)
@@ -161,7 +167,7 @@
 		service, events = engines, 8
 	}
 	p := s.newPool(service, events, size)
-	for range 3 {
+	for range crashDaemons() {
 		s.serving()
 	}
 	for i := range poisonRepeats {
@@ -169,6 +175,7 @@
 		reply := s.send(s.poisoned(path), s.daemons[i%len(s.daemons)])
 		require.NotEqual(t, http.StatusOK, reply.Status)
 		p.whole(size)
+		t.Logf("repeat %d: %d servers ended so far, status %d", i, p.endedServers(), reply.Status)
 		if p.endedServers() == before {
 			require.Equal(t, http.StatusServiceUnavailable, reply.Status, reply.Body)
 			require.Contains(t, reply.Body, "request_quarantined")
@@ -333,3 +340,65 @@
 		require.Equal(t, http.StatusOK, reply.Status, reply.Body)
 	}
 }
+
+// condemned has a request crash servers until it is refused, and returns how many ended.
+func (p *pool) condemned(size int, through *daemon) int {
+	p.t.Helper()
+	p.eventually(func() error {
+		reply := p.send(p.poisoned(pathTurns), through)
+		p.whole(size)
+		if !strings.Contains(reply.Body, "request_quarantined") {
+			return trace.Errorf("the request is not refused: %d %s", reply.Status, reply.Body)
+		}
+		return nil
+	})
+	return p.endedServers()
+}
+
+// A daemon is frozen while its peers find out which request crashes servers, and the store
+// is away all the while. Awake again, it learns of it by heartbeats.
+func TestFrozenDaemonLearnsWhatIsQuarantined(t *testing.T) {
+	const size = 9
+	s := newSite(t)
+	p := s.newPool(engines, 8, size)
+	for range 3 {
+		s.serving()
+	}
+	s.store.SetFault(platformtest.FaultSilent)
+	frozen := s.daemons[2]
+	require.NoError(t, frozen.Freeze())
+	ended := p.condemned(size, s.daemons[0])
+	require.LessOrEqual(t, ended, 6, "five where a daemon does not answer, and a retry")
+	frozen.Wake()
+	s.logged(frozen, "quarantine.learned")
+	reply := s.send(s.poisoned(pathTurns), frozen)
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status, reply.Body)
+	require.Equal(t, ended, p.endedServers())
+}
+
+// All daemons end at the same moment, with all that they know. What was quarantined is in
+// the store, and the daemons that start refuse it.
+func TestQuarantineOutlivesAllDaemons(t *testing.T) {
+	const size = 9
+	s := newSite(t)
+	p := s.newPool(engines, 8, size)
+	old := []*daemon{s.serving(), s.serving()}
+	ended := p.condemned(size, old[0])
+	c := s.poisoned(pathTurns)
+	digest := quarantine.NewDigest(http.MethodPost, c.Host, c.Path, "visrad", []byte(c.Body))
+	s.eventually(func() error {
+		if s.store.Value("hornbeamsill", "quarantine/"+digest.String()) == nil {
+			return trace.Errorf("the store has no quarantined request")
+		}
+		return nil
+	})
+	for _, d := range old {
+		d.Kill()
+	}
+	s.daemons = nil
+	d := s.serving()
+	s.logged(d, "quarantine.learned", "source=store")
+	reply := s.send(s.poisoned(pathTurns), d)
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status, reply.Body)
+	require.Equal(t, ended, p.endedServers())
+}
