A request that nobody may take is not asked again in the same moment

What callers saw: other requests that failed were not repeated, for up to ten seconds. Cause: where all instances of a service had been tried or left out, the daemon chose again at once, and each time took a repeat from the budget that all daemons share, until it was empty.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 )
 
@@ -128,3 +133,33 @@
 	send(0)
 	require.Len(t, prompts.Untold(), 1)
 }
+
+// refusesNone is a Quarantine without any request.
+type refusesNone struct{}
+
+func (refusesNone) Refused(quarantine.Digest) (time.Duration, bool) { return 0, false }
+func (refusesNone) Finished(quarantine.Digest)                      {}
+func (refusesNone) Ended(inventory.Instance) bool                   { return false }
+func (refusesNone) Broken(inventory.Instance, quarantine.Suspect) <-chan struct{} {
+	return nil
+}
+
+// The one instance of a service refuses, and no other is left to ask. The budget of repeats
+// stays as it is: a daemon that asked itself again and again used it all up in a
+// millisecond, and requests of other callers that failed were not repeated.
+func TestNobodyLeftToAskTakesNoRepeat(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	retries := limit.NewFleetBudget(limit.FleetPolicy{Slack: 6, Window: time.Minute}, clock, func() int { return 1 })
+	book := shift.NewBook(clock, time.Second, 1, func(string, func(string) bool) int { return 0 })
+	h := New(Deps{Table: inventory.NewTable(clock), Versions: book, Retries: retries, Quarantine: refusesNone{}})
+	q := &request{
+		Handler: h, route: &catalog.Route{Kind: catalog.Safe, MaxAttempts: 3}, service: &catalog.Service{Name: "plain"},
+		tried: map[string]bool{}, r: httptest.NewRequest(http.MethodGet, "/one", nil), ran: fault.RanNo, deadline: time.Now().Add(time.Minute),
+	}
+	_, err := q.begin(context.Background(), 0)
+	require.True(t, fault.Is(err, fault.NoUpstream))
+	require.False(t, q.mayRetry(context.Background(), err))
+	for range 5 {
+		require.True(t, retries.Take("plain"))
+	}
+}
