A server that says in an answer that it leaves gets nothing more

Callers saw requests run into a server's end: while the store was away a server that left could not change its row, and was sent requests for five seconds after it had said so in each answer. Cause: no code read the header. Class: what a server says of itself in an answer is evidence, newer than the store's row.

Now any answer (heads of streams, refusals, 421) that says so ends the use of that life of the server at this daemon, whatever the list says later, also when its row lapses and comes back; peers are told by a round of heartbeats. Another life is free at once.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -121,9 +121,8 @@
 		c.clock.Sleep(lookAgain)
 		ended = c.pool.Ended(context.Background(), i.Address)
 	}
-	now, listed := c.table.Get(i.ID)
 	suspects := c.looked(i)
-	if !ended || listed && now.Leaving {
+	if !ended || c.table.Leaves(i.Life()) {
 		c.goOn(quarantine.Digests(suspects))
 		return
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -132,7 +132,7 @@
 	n.quarantine = newQuarantined(n)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.current.Load, AwaitReady: n.awaitReady, ReadyIn: n.readyIn, Table: n.table, Prompts: n.prompts, Pool: n.pool, Versions: n.book,
-		Quarantine: n.quarantine, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
+		Quarantine: n.quarantine, Left: n.kickBeat, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
 		BodyBytes: limit.NewBytes(s.MemoryMB << 20 / bodyShare),
 	})
 	n.duties = newDuties(n)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -154,7 +154,7 @@
 func (n *Node) beliefs() peer.Beat {
 	b := peer.Beat{
 		From: n.registry.Self(), News: n.registry.News(), Digest: n.registry.Digest(),
-		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Sum(),
+		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Sum(), Left: n.table.LeftLately(),
 	}
 	_, states := n.book.Orders()
 	for _, s := range states {
@@ -190,6 +190,7 @@
 	n.missesMu.Lock()
 	delete(n.misses, b.From.Incarnation)
 	n.missesMu.Unlock()
+	n.heardLeaving(b)
 	before := n.registry.Epoch()
 	n.registry.Learn(append(b.News, b.From))
 	if n.registry.Epoch() != before {
@@ -198,6 +199,20 @@
 	}
 }
 
+// heardLeaving takes in which instances a peer found to be leaving, and passes it on.
+func (n *Node) heardLeaving(b peer.Beat) {
+	news := false
+	for _, life := range b.Left {
+		if n.table.NoteLeaving(life) {
+			news = true
+			slog.Info("instance.leaving", "instance", life.ID, "source", b.From.PeerAddress)
+		}
+	}
+	if news {
+		n.kickBeat()
+	}
+}
+
 // lacks tells what the sender of a heartbeat knows that this daemon does not.
 func (n *Node) lacks(b, mine peer.Beat) (ask peer.BeliefsRequest, lacking bool) {
 	ask = peer.BeliefsRequest{
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -217,11 +217,11 @@
 	if a.facts.HasLoad {
 		q.Table.Report(a.instance, a.facts.Load)
 	}
+	if a.facts.Leaving || a.facts.WrongOne {
+		// Of a wrong one the address belongs to another instance now.
+		a.noteLeaving()
+	}
 	if a.facts.NotRun {
-		if a.facts.WrongOne {
-			// The address belongs to another instance now.
-			q.Table.NoteLeaving(a.instance)
-		}
 		return &refusedError{instance: a.instance.ID}
 	}
 	a.headAt = time.Now()
@@ -235,6 +235,16 @@
 	return nil
 }
 
+// noteLeaving takes in what an answer says of its instance: that it leaves, or is not
+// there any more.
+func (a *attempt) noteLeaving() {
+	if a.Table.NoteLeaving(a.instance.Life()) {
+		slog.Info("instance.leaving", "instance", a.instance.ID, "source", "answer", "request", a.request.facts.ID,
+			"list", a.Table.Revision())
+		a.Left()
+	}
+}
+
 // ours tells whether an answer is to this request. Only an instance's refusal
 // may come without an id.
 func (a *attempt) ours(status int, h http.Header) bool {
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -67,7 +67,9 @@
 	// NotRun is the instance's word that the request did not run and will not.
 	NotRun bool
 	// WrongOne means that another instance has the address now.
-	WrongOne      bool
+	WrongOne bool
+	// Leaving is the instance's word that it leaves.
+	Leaving       bool
 	Load          inventory.Load
 	HasLoad       bool
 	Confidence    int
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -48,6 +48,8 @@
 	ReadyIn    func() time.Duration
 	Table      *inventory.Table
 	Prompts    *inventory.Prompts
+	// Left is called when an instance was found to be leaving by what it answers.
+	Left       func()
 	Pool       *upconn.Pool
 	Versions   Versions
 	Retries    *limit.FleetBudget
--- a/internal/inventory/instance.go
+++ b/internal/inventory/instance.go
@@ -21,6 +21,15 @@
 	Leaving bool
 }
 
+// Life names one life of a server. A server that starts again may keep its ID.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// Life returns the instance's life.
+func (i Instance) Life() Life { return Life{ID: i.ID, Born: i.Born} }
+
 // Change is news of one instance from the list.
 type Change struct {
 	ID string
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -156,6 +156,9 @@
 	t.noteVersion(i)
 	i.Leaving = i.Leaving || e.instance.Leaving
 	e.instance, e.gone, e.goneAt = i, false, time.Time{}
+	if _, left := t.leftAt[i.Life()]; left {
+		e.left = true
+	}
 }
 
 func (t *Table) noteVersion(i Instance) {
@@ -209,6 +212,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	t.forgetLeft(now)
 	for id, e := range t.entries {
 		if !e.goneAt.IsZero() && now.After(e.goneAt) {
 			e.gone = true
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -80,11 +80,13 @@
 	// versions is when each version of a service was first listed; zero for
 	// those that were there when this daemon started, or alone.
 	versions map[string]map[string]time.Time
+	// leftAt has the lives that were found to be leaving, and when.
+	leftAt map[Life]time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
-	return &Table{clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}}
+	return &Table{clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}, leftAt: map[Life]time.Time{}}
 }
 
 // Usable returns the instances of a service that may get something new, by ID.
@@ -155,11 +157,6 @@
 	})
 }
 
-// NoteLeaving records that an instance was found to be leaving or not there.
-func (t *Table) NoteLeaving(i Instance) {
-	t.with(i, func(e *entry) { e.left = true })
-}
-
 // with calls f with the entry of an instance, if it is still the same life of its
 // server: a request to an earlier one says nothing of the present one.
 func (t *Table) with(i Instance, f func(*entry)) {
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -230,7 +230,7 @@
 	table := NewTable(clockwork.NewFakeClock())
 	i := Instance{ID: "i", Service: "s"}
 	table.Replace(Snapshot{Revision: 1, Instances: []Instance{i}}, time.Time{})
-	table.NoteLeaving(instance("i"))
+	table.NoteLeaving(instance("i").Life())
 	require.Empty(t, table.Usable("s"))
 	i.Leaving = true
 	news, _, ok := table.Apply([]Change{{ID: "i", Instance: &i}}, 2, time.Time{})
@@ -252,7 +252,7 @@
 	table.Report(before, Load{Running: 4, Slots: 4})
 	table.Begin(before, 0)
 	table.End(before, OutcomeUnreachable)
-	table.NoteLeaving(before)
+	table.NoteLeaving(before.Life())
 	require.Empty(t, table.Usable("catalogue"))
 
 	table.Apply([]Change{{ID: "a", Instance: &after}}, 6, time.Time{})
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -28,6 +28,8 @@
 	Shifts int64
 	// Quarantine is equal at daemons that refuse the same requests.
 	Quarantine uint64
+	// Left are upstream instances that were found to be leaving in the last seconds.
+	Left []inventory.Life
 }
 
 // BeliefsRequest asks for what the asker lacks. A list of upstream instances or
