A server that asks for rest gets none of this daemon's requests

What callers saw: attempts spent on a server that had turned them away and would again. Cause: a server's Retry-After was read by nobody. Class as before: what a server says of itself in an answer.

Where all servers of a service rest, callers are told at once, and the least of the times left.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -133,7 +133,7 @@
 func (q *request) begin(ctx context.Context, headTimeout time.Duration) (*attempt, error) {
 	picked, instance, ok := q.choose()
 	if !ok {
-		return nil, fault.New(fault.NoUpstream, "no instance of %s may take the request", q.service.Name).WithRetryAfter(retryLater)
+		return nil, fault.New(fault.NoUpstream, "no instance of %s may take the request", q.service.Name).WithRetryAfter(q.comeBack())
 	}
 	a, ctx := q.attempt(ctx, instance, picked)
 	var timer *time.Timer
@@ -151,6 +151,15 @@
 	return a, nil
 }
 
+// comeBack is when a caller is told to come back where no instance may take its request:
+// when the first of them takes requests again, if all have said when.
+func (q *request) comeBack() time.Duration {
+	if left, resting := q.Table.AllRest(q.service.Name); resting {
+		return left
+	}
+	return retryLater
+}
+
 // attempt notes that the request is about to go to an instance, and what is known of
 // the time that it will take there.
 func (q *request) attempt(ctx context.Context, instance inventory.Instance, picked place.Candidate) (*attempt, context.Context) {
@@ -221,6 +230,10 @@
 		// Of a wrong one the address belongs to another instance now.
 		a.noteLeaving()
 	}
+	if a.facts.Rest > 0 {
+		q.Table.Rest(a.instance, a.facts.Rest)
+		slog.Info("instance.resting", "instance", a.instance.ID, "rest_ms", a.facts.Rest.Milliseconds(), "request", a.request.facts.ID)
+	}
 	if a.facts.NotRun {
 		return &refusedError{instance: a.instance.ID}
 	}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -69,7 +69,9 @@
 	// WrongOne means that another instance has the address now.
 	WrongOne bool
 	// Leaving is the instance's word that it leaves.
-	Leaving       bool
+	Leaving bool
+	// Rest is for how long the instance, which has refused, wants nothing more.
+	Rest          time.Duration
 	Load          inventory.Load
 	HasLoad       bool
 	Confidence    int
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -30,6 +30,8 @@
 	// goneAt is when a missing entry counts as gone; zero while it is listed.
 	goneAt time.Time
 	health health
+	// restUntil is until when the instance wants nothing from this daemon.
+	restUntil time.Time
 
 	// inFlight counts this daemon's requests there; waiting is the work of those
 	// that have no first event yet.
@@ -96,7 +98,7 @@
 	now := t.clock.Now()
 	var out []View
 	for _, e := range t.entries {
-		if e.gone || e.left || e.instance.Leaving || e.instance.Service != service {
+		if !e.serves(service) || now.Before(e.restUntil) {
 			continue
 		}
 		out = append(out, View{
@@ -119,6 +121,42 @@
 	return out
 }
 
+// serves reports whether an instance of a service is there and does not leave.
+func (e *entry) serves(service string) bool {
+	return e.instance.Service == service && !e.gone && !e.left && !e.instance.Leaving
+}
+
+// Rest leaves an instance out for the time that it has asked for. A request sent all the
+// same would be refused, and cost its caller the time of an attempt.
+func (t *Table) Rest(i Instance, d time.Duration) {
+	t.with(i, func(e *entry) {
+		if until := t.clock.Now().Add(d); until.After(e.restUntil) {
+			e.restUntil = until
+		}
+	})
+}
+
+// AllRest reports whether all instances of a service are left out by Rest, and the least
+// time until one is not.
+func (t *Table) AllRest(service string) (least time.Duration, all bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	for _, e := range t.entries {
+		if !e.serves(service) {
+			continue
+		}
+		left := e.restUntil.Sub(now)
+		if left <= 0 {
+			return 0, false
+		}
+		if !all || left < least {
+			least, all = left, true
+		}
+	}
+	return least, all
+}
+
 // decayed is what is left of a value after some time.
 func decayed(value float64, age, halfLife time.Duration) float64 {
 	if value == 0 {
