Soak: a request that crashes servers, servers that leave and ones that ask for rest

Three faults more. Checked: servers lost to the one request (bound from five crashes where daemons do not answer, a repeat's attempts, and the loss of both judges), no other request refused for it, and what reaches a server after it says that it leaves (what each daemon has under way).

--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -89,6 +89,13 @@
 
 // server starts an upstream server and puts it on the platform's list.
 func (s *site) server(o platformtest.ServerOptions) *platformtest.Server {
+	server := s.newServer(o)
+	s.servers[o.ID] = server
+	return server
+}
+
+// newServer starts a server that the site does not keep.
+func (s *site) newServer(o platformtest.ServerOptions) *platformtest.Server {
 	if o.Slots == 0 {
 		o.Slots = 8
 	}
@@ -98,7 +105,6 @@
 	server := platformtest.NewServer(o)
 	s.t.Cleanup(server.Close)
 	server.Register(s.store, wire.StateReady)
-	s.servers[o.ID] = server
 	return server
 }
 
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -64,6 +64,7 @@
 
 type soak struct {
 	*site
+	seed   uint64
 	random *rand.Rand
 	// stores are the proxies between daemons and the store, by daemon.
 	stores  map[*daemon]*cluster.Proxy
@@ -75,17 +76,24 @@
 	// heals undo faults.
 	heals sync.WaitGroup
 	ended chan struct{}
+	// crashed counts the servers that ended under the crashing request, and started the
+	// daemons.
+	crashed, started int
+	// serverIDs has the IDs of the servers that run, by their place, and leaving what
+	// servers had seen when they began to say that they leave.
+	serverIDs map[string]string
+	leaving   map[*platformtest.Server]int
+	renamed   int
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		site: newSite(t), random: rand.New(rand.NewPCG(seed, 1)), stores: map[*daemon]*cluster.Proxy{},
-		version: 3, ended: make(chan struct{}),
+		site: newSite(t), seed: seed, random: rand.New(rand.NewPCG(seed, 1)), stores: map[*daemon]*cluster.Proxy{},
+		version: 3, ended: make(chan struct{}), serverIDs: map[string]string{}, leaving: map[*platformtest.Server]int{},
 	}
 	for i := range 3 {
-		s.soakServer(platformtest.ServerOptions{ID: fmt.Sprint("cat-", i), Service: plain, Work: 5 * time.Millisecond}, seed)
-		s.soakServer(platformtest.ServerOptions{ID: fmt.Sprint("eng-", i), Service: engines, Events: 8, Work: 5 * time.Millisecond,
-			Confidence: map[string]int{"small": 80}}, seed)
+		s.soakServer(fmt.Sprint("cat-", i), seed)
+		s.soakServer(fmt.Sprint("eng-", i), seed)
 	}
 	for range soakDaemons {
 		s.startOne()
@@ -93,19 +101,31 @@
 	return s
 }
 
-// soakServer starts a server that treats a few requests badly, drawn by their id
-// so that a seed plays the same.
-func (s *soak) soakServer(o platformtest.ServerOptions, seed uint64) {
+// soakServer starts the server of a place, "cat-N" or "eng-N", which treats a few requests
+// badly, drawn by their id so that a seed plays the same.
+func (s *soak) soakServer(place string, seed uint64) {
+	s.mu.Lock()
+	s.renamed++
+	o := platformtest.ServerOptions{ID: fmt.Sprint(place, "-", s.renamed), Service: plain, Work: 5 * time.Millisecond, Rest: soakRest}
+	if strings.HasPrefix(place, "eng-") {
+		o.Service, o.Events, o.Confidence = engines, 8, map[string]int{"small": 80}
+	}
+	s.serverIDs[place] = o.ID
+	s.mu.Unlock()
+	o.Crashed = func() { s.replaceServer(place, seed) }
 	bad := []platformtest.Behaviour{
 		platformtest.Refuse, platformtest.Fail, platformtest.Reset, platformtest.Truncate,
-		platformtest.Extra, platformtest.NoLength, platformtest.Early,
+		platformtest.Extra, platformtest.NoLength, platformtest.Early, platformtest.Rest,
 	}
 	if o.Events > 0 {
-		bad = []platformtest.Behaviour{platformtest.Refuse, platformtest.Fail, platformtest.Reset, platformtest.CutInside}
+		bad = []platformtest.Behaviour{platformtest.Refuse, platformtest.Fail, platformtest.Reset, platformtest.CutInside, platformtest.Rest}
 	}
 	o.Behave = func(seen platformtest.Seen) platformtest.Behaviour {
+		if seen.Header.Get("X-Poison") != "" {
+			return platformtest.Crash
+		}
 		draw := seed
-		for _, c := range o.ID + seen.ID + seen.Header.Get(wire.HeaderLastEvent) {
+		for _, c := range place + seen.ID + seen.Header.Get(wire.HeaderLastEvent) {
 			draw = draw*1099511628211 + uint64(c)
 		}
 		random := rand.New(rand.NewPCG(draw, 2))
@@ -114,7 +134,28 @@
 		}
 		return bad[random.IntN(len(bad))]
 	}
-	s.server(o)
+	server := s.newServer(o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers[o.ID] = server
+}
+
+// replaceServer starts a server anew, some time after its process has ended.
+func (s *soak) replaceServer(place string, seed uint64) {
+	s.mu.Lock()
+	s.crashed++
+	old := s.serverIDs[place]
+	s.mu.Unlock()
+	<-time.After(restartTime)
+	s.store.Remove(wire.TableInstances, old)
+	s.soakServer(place, seed)
+}
+
+// running returns the server of a place.
+func (s *soak) running(place string) *platformtest.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[s.serverIDs[place]]
 }
 
 // startOne starts a daemon with a proxy of its own before the store.
@@ -137,6 +178,7 @@
 	defer s.mu.Unlock()
 	s.stores[d] = proxy
 	s.live = append(s.live, d)
+	s.started++
 }
 
 // pick draws a live daemon.
@@ -207,7 +249,7 @@
 func (s *soak) fault() {
 	d := s.pick(s.random)
 	store := s.stores[d]
-	switch s.random.IntN(12) {
+	switch s.random.IntN(14) {
 	case 0:
 		s.drop(d)
 		d.Kill()
@@ -242,16 +284,69 @@
 		s.version += 1 + s.random.Int64N(3)
 		s.store.Declare(declaration(s.version))
 	case 9:
-		id := fmt.Sprint([]string{"cat-", "eng-"}[s.random.IntN(2)], s.random.IntN(3))
-		s.store.Remove(wire.TableInstances, id)
-		s.later(func() { s.servers[id].Register(s.store, wire.StateReady) })
+		place := s.place()
+		s.store.Remove(wire.TableInstances, s.idAt(place))
+		s.later(func() { s.running(place).Register(s.store, wire.StateReady) })
 	case 10:
 		d.Signal(1)
 	case 11:
 		s.store.LoseHeld()
+	case 12:
+		s.heals.Go(s.repeatCrashing)
+	case 13:
+		s.leave(s.place())
+	}
+}
+
+// place draws the place of a server.
+func (s *soak) place() string {
+	return fmt.Sprint([]string{"cat-", "eng-"}[s.random.IntN(2)], s.random.IntN(3))
+}
+
+func (s *soak) idAt(place string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serverIDs[place]
+}
+
+const (
+	// soakRepeats is how often a caller repeats the crashing request, at any daemon.
+	soakRepeats = 6
+	// soakCrashes bounds the servers that it may end: five where some daemons do not
+	// answer, the attempts of the repeat that ends the last of them, and those of the
+	// second in which other daemons are chosen to judge, since both may be killed.
+	soakCrashes = 5 + 3 + 6
+	// soakRest is the time for which servers that ask for it want no requests.
+	soakRest = "0.3"
+)
+
+// repeatCrashing has a caller repeat the one request that crashes servers.
+func (s *soak) repeatCrashing() {
+	for range soakRepeats {
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		s.poisoned(pathTurns).Send(ctx, s.client, s.pick(rand.New(rand.NewPCG(rand.Uint64(), 4))).callers)
+		cancel()
+		<-time.After(restartTime)
 	}
 }
 
+// leave has a server say in its answers that it leaves, and a new one take its place. Its
+// row says "ready" until it is gone.
+func (s *soak) leave(place string) {
+	server := s.running(place)
+	old := s.idAt(place)
+	s.mu.Lock()
+	if _, already := s.leaving[server]; already {
+		s.mu.Unlock()
+		return
+	}
+	s.leaving[server] = len(server.Seen())
+	s.mu.Unlock()
+	server.Leave()
+	s.soakServer(place, s.seed)
+	s.later(func() { s.store.Remove(wire.TableInstances, old) })
+}
+
 func (s *soak) restore(p *cluster.Proxy) {
 	// A proxy whose daemon is gone may be closed already.
 	_ = p.Restore()
@@ -280,6 +375,13 @@
 // check compares what callers got with what servers ran.
 func (s *soak) check() {
 	runs := map[string]int{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.LessOrEqual(s.t, s.crashed, soakCrashes, "servers ended under the crashing request")
+	for server, before := range s.leaving {
+		// What each daemon had under way when the first answer told it.
+		require.LessOrEqual(s.t, len(server.Seen())-before, soakWorkers*s.started, "requests at a leaving server")
+	}
 	for _, server := range s.servers {
 		for _, seen := range server.Seen() {
 			if seen.Behaviour.Ran() {
@@ -297,6 +399,8 @@
 			served++
 			require.Equal(s.t, id, r.ID)
 			s.wholeAnswer(one)
+		case strings.Contains(r.Body, "request_quarantined"):
+			require.Fail(s.t, "refused though it crashes nothing", "%s: %s", id, r.Body)
 		case r.Status == http.StatusServiceUnavailable, r.Status == http.StatusTooManyRequests:
 			require.Zero(s.t, runs[id], "%s was told not to have run", id)
 		default:
@@ -306,7 +410,7 @@
 			require.LessOrEqual(s.t, runs[id], 1, "%s ran more than once", id)
 		}
 	}
-	s.t.Logf("%d requests, %d served", len(s.log), served)
+	s.t.Logf("%d requests, %d served, %d servers crashed, %d left", len(s.log), served, s.crashed, len(s.leaving))
 	require.Positive(s.t, served)
 }
 
