--- a/internal/cascade/larger.go
+++ b/internal/cascade/larger.go
@@ -7,14 +7,12 @@
 
 const (
 	// priceOfLarge is the part of an answer's worth that the larger model's run
-	// costs, beside the time of engines: between a twentieth and a fifth for the use
-	// of the model, and as much for the callers whose answers are written more
-	// slowly beside it. From 0.3 to 0.4 callers get the same within noise.
+	// costs, beside the time of engines: for the use of the model, and for the callers
+	// whose answers are written more slowly beside it.
 	priceOfLarge = 0.4
 	// priceOfWait is what the run costs others, as a part of the answer's worth, for
-	// each second that a prompt waits on average at an instance. At 0.25 and 0.5 one
-	// calm installation lost 0.03 and 0.08 of its worth, at 0.12 none. Against a fixed
-	// confidence of 50 it is within noise; it is meant for overload.
+	// each second that a prompt waits on average at an instance. It is meant for
+	// overload: more of it costs calm installations answers that are worth it.
 	priceOfWait = 0.12
 	// within is the part of the caller's time in which the larger model's answer must
 	// be expected to end. While engines are overloaded those answers end at their
@@ -43,9 +41,8 @@
 // and what it is likely better is worth what it costs, in parts of the answer's worth.
 //
 // Long requests take more of the engines' time and are worth more, so their size does
-// not count. The more waits already the more a run costs others. Without the first
-// condition, that the first event is expected in time, the mean worth of an
-// installation's five heavy days was 0.553, and 0.599 with it, in one play of each.
+// not count. The more waits already the more a run costs others. An answer whose first
+// event is not expected in time keeps the engines from those that are.
 func (l Larger) Worthwhile() bool {
 	if l.Elapsed+l.Head >= l.Objective || float64(l.Elapsed+l.Total) >= within*float64(l.Patience) {
 		return false
--- a/internal/cascade/times.go
+++ b/internal/cascade/times.go
@@ -31,8 +31,8 @@
 
 // total is how long an answer of some tokens likely takes at most: engines that
 // read long prompts meanwhile take two to three times their usual time for a
-// token. Without the excess one in 25 large answers ran into its deadline, and
-// the caller lost the small model's answer too.
+// token. Without the excess more large answers run into their deadline, and their
+// callers lose the small model's answer too.
 func (e expectation) total(tokens int) float64 {
 	return (e.head + e.token*float64(tokens)) * (1 + e.over)
 }
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -22,9 +22,8 @@
 	// must be gone five seconds after its fiftieth bad answer.
 	dutyInterval = 300 * time.Millisecond
 	// dutyCallTime is what a question to another daemon may take then: a hundred
-	// times the way between failure domains. While one of 79 daemons is frozen each
-	// look takes all of it; at 500 ms a good version was completed 0.1 s late, since
-	// only 1.3 s are left after its sessions have moved.
+	// times the way between failure domains. While a daemon is frozen each look takes
+	// all of it, and little time is left after all sessions have moved.
 	dutyCallTime = 150 * time.Millisecond
 	// leaseTime is how long a daemon keeps the duty without renewing it, and
 	// renewInterval how often it does.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -37,9 +37,8 @@
 	newsPerBeat = 16
 	// newsRepeats is two thirds of what reaches all daemons with high
 	// probability: one that missed something sees it by the digest in its peers'
-	// heartbeats. 88 daemons that start at once find each other in five to eight
-	// rounds, as with 3, and with 1 in seven to eleven, while each knows too few
-	// to take its true share of the budget of repeats.
+	// heartbeats. With fewer, daemons that start at once know too few of each other
+	// for some rounds, and take more than their share of the budget of repeats.
 	newsRepeats = 2
 	// forgetDaemons is how long daemons that are gone are remembered, so that
 	// late news of them is not taken for new.
@@ -162,9 +161,7 @@
 	startTime = 300 * time.Millisecond
 	// awayTime is when callers return to a daemon that has nothing to start from
 	// because the store does not answer. Callers come back once or twice only,
-	// and outages of the store last seconds. On a day with a loss of power of all
-	// daemons 12 in 1,000 requests were refused for good when told one second, 6
-	// when told two, and no fewer when told three.
+	// and outages of the store last seconds.
 	awayTime = 2 * time.Second
 )
 
@@ -173,8 +170,7 @@
 //
 // A caller whose daemons were all killed finds the first one that is back some
 // milliseconds before it has read the configuration. Told to come back it had used its
-// last try; held for these milliseconds it is served. On a day on which all daemons were
-// killed twice under a burst, 20 of 195 requests that failed ended so.
+// last try; held for these milliseconds it is served.
 func (n *Node) awaitReady(ctx context.Context) {
 	if n.contact.away() {
 		return
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -19,9 +19,8 @@
 	// wholeFleet is the number of daemons up to which they are one group;
 	// above, each failure domain is a group of its own, so that news crosses
 	// domains only through the store. A reader tells no more daemons then than in
-	// a failure domain of a large fleet, 33 of 195. With 24 daemons in six domains
-	// half of them read the store when 16 was the bound: 1,002 calls on a calm day
-	// of a minute, and 293 with this one, for 1 MB more between domains of 11.
+	// a failure domain of a large fleet. With fewer, a fleet of small domains has half
+	// of its daemons read the store.
 	wholeFleet = 32
 	// readerDuty names the order in which daemons are chosen.
 	readerDuty = "reader"
@@ -61,10 +60,8 @@
 // wide links, and others only where there are too few of these.
 //
 // A reader sends news to all of its group several times a second, beside its callers'
-// answers. Where one instance in ten has a link of 200 Mbit/s and the others one of 10 to
-// 20, nine in ten readers drawn from all alike have narrow ones. On a calm day of 88
-// daemons 256 of 4,174 answers of the first eight seconds came late then, and 60 with wide
-// readers, in one play of each.
+// answers. Where few instances have wide links, nearly all readers drawn from all alike
+// have narrow ones, and the answers of their callers come late.
 func (n *Node) readers(count int, inGroup func(member.Daemon) bool) []member.Daemon {
 	widest := 0.0
 	for _, d := range n.registry.Live() {
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -15,9 +15,7 @@
 	// workInterval is the least time between two rounds in which a reader collects and
 	// tells what waits at upstream instances: a tenth of what a long prompt takes to be
 	// read by a large model. Between two rounds all daemons choose by the same list, and
-	// an instance that looks idle there gets more than it can begin in time. At 200 ms,
-	// with every second round told to other failure domains, 88 daemons before 140
-	// engines let 342 and 299 of 17,854 answers come late in two plays, now 232 and 244.
+	// an instance that looks idle there gets more than it can begin in time.
 	workInterval = 100 * time.Millisecond
 	// workPerInstance is the least time between two rounds for each instance told of:
 	// at some 7 bytes each, a daemon of a large fleet gets 7 kB a second.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -176,9 +176,7 @@
 	if !picked.Trial {
 		// A trial's few instances read nearly all prompts before the rest of their
 		// version gets any. Known as the only ones that keep them, they were sent
-		// everything by all daemons at once when all sessions moved: one in 17
-		// requests of the next six seconds failed or came late, one in 25 since, in
-		// one play of each with 88 daemons.
+		// everything by all daemons at once when all sessions moved.
 		q.Prompts.Sent(instance, q.prompt().beginnings)
 	}
 	if q.service.Engine {
@@ -189,9 +187,8 @@
 }
 
 // lateHead is how many times the expected time a first event may take before another
-// instance is asked: of those with much to read nine in ten took 1.5 times as long at most. Asked
-// at the caller's objective, whatever was expected, one in twelve prompts was read at
-// two instances or three while it waited in a queue, and came late everywhere.
+// instance is asked. Asked at the caller's objective, whatever was expected, prompts are
+// read at two instances or three while they wait in a queue, and come late everywhere.
 const lateHead = 4
 
 // errSilent says that an instance did not answer within the time set for it.
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -13,9 +13,9 @@
 //
 // Only answers show that a version fails. A request that was not answered in time
 // took at least that long; one that could not be sent says nothing, and a stream that
-// its caller gave up tells its pace until then. Counted as failures, those that waited
-// in queues were 24 of 100 requests of the old version, and a new one that failed 39 of
-// 100 passed for hardly worse.
+// its caller gave up tells its pace until then. Counted as failures, those that wait in
+// queues raise the old version's rate, and a new one that fails often passes for hardly
+// worse.
 func (a *attempt) observation(outcome inventory.Outcome) (o shift.Observation, ok bool) {
 	o = a.seen()
 	switch outcome {
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -34,8 +34,8 @@
 
 // BeliefsRequest asks for what the asker lacks. A list of upstream instances or
 // of daemons has some tens of kilobytes in a large fleet, so each is sent only
-// when asked for: sent with every difference of any kind they were 41 of the 115
-// MB that 88 daemons exchanged between failure domains on a calm day.
+// when asked for. Sent with every difference of any kind they are a third of what
+// daemons exchange between failure domains.
 type BeliefsRequest struct {
 	// Config is the version of the asker's configuration; a newer one is sent.
 	Config int64
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -49,8 +49,7 @@
 	farWork = 150.0
 	// tieWork is the difference in work that does not count: below it the order of
 	// the prompt decides, which is the same at all daemons, so that prompts that are
-	// new to all of them meet at one instance. It is some 20 ms of reading; with 10 and
-	// 200 ms callers got the same within noise.
+	// new to all of them meet at one instance. It is some 20 ms of reading.
 	tieWork = 300.0
 	// workPerRequest makes work and requests comparable: reading this many
 	// tokens takes an engine as long as a usual answer.
@@ -166,8 +165,7 @@
 
 // leastNear is the number of instances that a failure domain must have for its small
 // model's prompts to stay there. Each domain then reads the shared parts for itself,
-// which domains of six instances feel (three times as many tokens read again, one
-// answer in ten more late or lost) and those of 35 do not.
+// which domains of few instances feel and those of many do not.
 const leastNear = 24
 
 // Near returns the instances of the daemon's own failure domain, or all when it
--- a/internal/shift/counts.go
+++ b/internal/shift/counts.go
@@ -37,11 +37,9 @@
 	LogSum     float64
 	LogSquares float64
 	// Paced, PaceSum and PaceSquares describe the logarithms of paces, in seconds. A
-	// version can begin its answers in time and write them too slowly: one that wrote
-	// four times as slowly took twice the old one's time to the first event, and callers
-	// met it until its time was over. Sound versions took 0.36 to 0.91 of the old one's
-	// time for an event, as its instances have more to do, in 24 plays of days on five
-	// installations.
+	// version can begin its answers in time and write them too slowly; by the times to
+	// first events alone callers would meet it until its time is over. A sound one takes
+	// less time for an event than the old one, whose instances have more to do.
 	Paced       int
 	PaceSum     float64
 	PaceSquares float64
--- a/internal/shift/exposure.go
+++ b/internal/shift/exposure.go
@@ -6,17 +6,16 @@
 // may get between its order and the end of the time allowed for it.
 //
 // A version can be bad in a way that no first share shows: only under the load of
-// all requests, or only late. A share that grew through the second half gave such
-// a version 39 in 100 of the requests (855 of 2,187). So the share stays small
+// all requests, or only late. A share that grows through the second half gives such
+// a version far more than is allowed before it shows. So the share stays small
 // until what is left of the time, all of it on the new version, fits into the
 // part allowed: whatever the version does, it cannot get more.
 type Exposure float64
 
 const (
-	// firstPart is the first share's part of the exposure. At 0.3, of 68 requests
-	// a second three try the new version, and one that fails a third of them is
-	// found in about seven seconds; the rest leaves the last tenth of the time
-	// for moving all sessions and for what runs at old instances to end.
+	// firstPart is the first share's part of the exposure: enough requests that a
+	// version which fails a third of them is found in seconds, and few enough that
+	// the rest allows for moving all sessions in the last tenth of the time.
 	firstPart = 0.3
 	// plannedPart is the part of the exposure that the clock plans with, since
 	// requests come unevenly, and countedPart the one that requests counted may
--- a/internal/shift/verdict.go
+++ b/internal/shift/verdict.go
@@ -14,7 +14,7 @@
 	// is above the old version's.
 	//
 	// Without the second bound a version could fail twice as often as an old one that
-	// fails 20 in 100, for as long as it was tried. Five more failures in 100 are as
+	// fails often itself, for as long as it is tried. So many more failures are as
 	// many more callers without an answer, however often the old version fails.
 	baseFailure = 0.05
 	// failureFactor times the old version's rate is the rate that the new one
@@ -25,9 +25,9 @@
 	// at some hundred times.
 	falseAlarm = 1e-5
 	// suspectBad, suspectAlarm and suspectRate are the same for holding a version back,
-	// which a sound one may be for a few looks: three in a thousand of them, for each
-	// kind of request. The rate is the old version's own: where that fails 19 of 100, a
-	// new one that fails 44 is not condemned, and must not get all sessions either.
+	// which a sound one may be for a few looks. The rate is the old version's own: where
+	// that fails often, a new one that fails twice as often may not be condemned, and
+	// must not get all sessions either.
 	suspectBad   = 2
 	suspectAlarm = 0.003
 	suspectRate  = 1.1
@@ -45,11 +45,9 @@
 	// slowSigmas is by how many standard errors it must be beyond that.
 	slowSigmas = 3.0
 	// suspectFactor and suspectSigmas are the same for holding a version back. One that
-	// takes eight times as long for four requests in ten, 2.3 times in the mean, is not
-	// condemned by the 45 answers of a first share, and 100 requests met it after its
-	// fiftieth bad one. Held back by two standard errors it still passed one look in
-	// five, and there are several; by a half it passes one in a hundred, and a sound one,
-	// at 1.0 with an error of 0.08, passes all.
+	// is slow for a part of its requests is not condemned by the few answers of a first
+	// share, and passes one of several looks unless it is held back by less than a
+	// standard error. A sound one passes all: it differs by far less.
 	suspectFactor = 1.4
 	suspectSigmas = 0.5
 )
