--- /dev/null
+++ b/internal/entry/helpers_test.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/platform"
+)
+
+// newTestNode returns a daemon whose loops do not run and whose store, by itself, cannot be
+// reached. change, which may be nil, alters its settings.
+func newTestNode(clock clockwork.Clock, change func(*settings.Routes)) *Node {
+	r := settings.Routes{
+		Instance: "self", FailureDomain: "a", Site: "s", Platform: "127.0.0.1:1", PeerListen: "127.0.0.1:1",
+		SessionS: 5, StopS: 8, DrainMS: 3000, MemoryMB: 64, ExposureShare: 0.15, RetryWindowS: 10,
+	}
+	if change != nil {
+		change(&r)
+	}
+	return NewNode(r, clock, platform.NewStore(r.Platform), platform.Headers{})
+}
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -14,7 +14,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
-	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 // The load that news over thin links answers: 80 daemons in 4 failure domains before 140
@@ -44,9 +43,9 @@
 func newDomain(clock clockwork.Clock, domain string, engines []inventory.Instance) *domainOfDaemons {
 	d := &domainOfDaemons{}
 	for i := range linkPerDomain {
-		n := NewNode(settings.Routes{
-			FailureDomain: domain, Site: "s", PeerListen: fmt.Sprint(domain, ".", i, ":1"), SessionS: 5, DrainMS: 3000, MemoryMB: 64,
-		}, clock, platform.NewStore("127.0.0.1:1"), platform.Headers{})
+		n := newTestNode(clock, func(r *settings.Routes) {
+			r.FailureDomain, r.PeerListen = domain, fmt.Sprint(domain, ".", i, ":1")
+		})
 		n.table.Replace(inventory.Snapshot{Revision: 5, Instances: engines}, time.Time{})
 		d.nodes = append(d.nodes, n)
 	}
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -17,7 +17,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
@@ -30,10 +29,7 @@
 func newFleetNode(t *testing.T, clock clockwork.Clock) *Node {
 	t.Helper()
 	for {
-		n := NewNode(settings.Routes{
-			Instance: "self", FailureDomain: "a", Site: "s", PeerListen: "127.0.0.1:1", SessionS: 5, StopS: 8, DrainMS: 3000,
-			MemoryMB: 64, ExposureShare: 0.15, RetryWindowS: 10,
-		}, clock, platform.NewStore("127.0.0.1:1"), platform.Headers{})
+		n := newTestNode(clock, nil)
 		var others []member.Daemon
 		for i := range daemons {
 			others = append(others, member.Daemon{
--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
-	"github.com/hornbeamsill/hornbeamsill/platform"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 )
@@ -35,10 +34,7 @@
 	address, stop := r.store.Serve()
 	r.store.Declare(routeTo(1, "/old/"))
 	r.store.Put(wire.TableInstances, "i", wire.Instance{Service: "s", Address: "127.0.0.1:1", Zone: "a", Version: "v1", Slots: 8, State: wire.StateReady})
-	r.Node = NewNode(settings.Routes{
-		Instance: "self", FailureDomain: "a", Site: "s", PeerListen: "127.0.0.1:1", SessionS: 5, StopS: 8, DrainMS: drainMS,
-		MemoryMB: 64, ExposureShare: 0.15, RetryWindowS: 10,
-	}, r.clock, platform.NewStore(address), platform.Headers{})
+	r.Node = newTestNode(r.clock, func(s *settings.Routes) { s.Platform, s.DrainMS = address, drainMS })
 	ctx, cancel := context.WithCancel(t.Context())
 	var loops sync.WaitGroup
 	loops.Go(func() { r.watchOperator(ctx) })
--- a/internal/entry/readers_test.go
+++ b/internal/entry/readers_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
-	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 // One instance in ten has a link of 200 Mbit/s, the others one of 20. Callers of a
@@ -53,10 +52,9 @@
 	var nodes []*Node
 	var all []member.Daemon
 	for i := range 24 {
-		n := NewNode(settings.Routes{
-			FailureDomain: fmt.Sprint("domain-", i%6), Site: "s", PeerListen: fmt.Sprint("127.0.3.", i, ":1"), SessionS: 5, DrainMS: 2000,
-			MemoryMB: 64, ExposureShare: 0.15, RetryWindowS: 10,
-		}, clock, platform.NewStore("127.0.0.1:1"), platform.Headers{})
+		n := newTestNode(clock, func(r *settings.Routes) {
+			r.FailureDomain, r.PeerListen = fmt.Sprint("domain-", i%6), fmt.Sprint("127.0.3.", i, ":1")
+		})
 		nodes = append(nodes, n)
 		all = append(all, n.registry.Self())
 	}
--- a/internal/entry/spread_test.go
+++ b/internal/entry/spread_test.go
@@ -10,7 +10,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
-	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 // fleet is daemons that exchange heartbeats in memory, a round at a time.
@@ -26,10 +25,9 @@
 	f := &fleet{clock: clockwork.NewFakeClock(), byAddress: map[string]*Node{}}
 	for i := range size {
 		address := fmt.Sprint("10.0.0.", i, ":1")
-		n := NewNode(settings.Routes{
-			FailureDomain: "a", Site: "s", PeerListen: address, SessionS: 5, DrainMS: 3000, MemoryMB: 64, ExposureShare: 0.15, RetryWindowS: 10,
-			Seeds: []string{"10.0.0.0:1", "10.0.0.1:1"},
-		}, f.clock, platform.NewStore("127.0.0.1:1"), platform.Headers{})
+		n := newTestNode(f.clock, func(r *settings.Routes) {
+			r.PeerListen, r.Seeds = address, []string{"10.0.0.0:1", "10.0.0.1:1"}
+		})
 		f.nodes = append(f.nodes, n)
 		f.byAddress[address] = n
 	}
