A quarantined request that runs to its end is released

What callers would see: a request refused for what others had done, or whose version was mended after its time was over, is refused again with the next loss of power under it, since one crash is enough then. Cause: a run that ends well counted only while a judge asked for it. Now any daemon that sees a quarantined request run to its end releases it everywhere. TestQuarantinedRequestThatRunsToItsEndIsReleased fails without the mend. With it, tests for crashes told out of their order and for who waits.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -23,6 +23,8 @@
 	secondJudge = 300 * time.Millisecond
 	// inquiryTime bounds the question to all daemons before a request is quarantined.
 	inquiryTime = 250 * time.Millisecond
+	// maxFreed bounds the releases that wait; a request that runs again asks again.
+	maxFreed = 16
 	// inquiryWithin is how old the crashes are that daemons are asked for.
 	inquiryWithin = 30 * time.Second
 )
@@ -36,6 +38,8 @@
 	refused  atomic.Int64
 	// due is signalled when crashes were told.
 	due chan struct{}
+	// freed are quarantined requests that have run to their end.
+	freed chan quarantine.Digest
 	// unsaved are decisions that the store does not have yet.
 	unsaved chan []quarantine.Entry
 }
@@ -44,6 +48,7 @@
 	return &quarantined{
 		crashes: newCrashes(n), list: quarantine.NewList(n.clock), evidence: quarantine.NewEvidence(n.clock),
 		ran: quarantine.NewFinished(n.clock), due: make(chan struct{}, 1),
+		freed:   make(chan quarantine.Digest, maxFreed),
 		unsaved: make(chan []quarantine.Entry, maxUnsaved),
 	}
 }
@@ -58,7 +63,20 @@
 }
 
 // Finished implements forward.Quarantine.
-func (q *quarantined) Finished(d quarantine.Digest) { q.ran.Note(d) }
+//
+// A quarantined request that runs to its end, begun before it was refused or after its time
+// was over, crashes nothing, or nothing any more. Kept on the list, the next loss of power
+// under it would have it refused again.
+func (q *quarantined) Finished(d quarantine.Digest) {
+	q.ran.Note(d)
+	if !q.list.Held(d) {
+		return
+	}
+	select {
+	case q.freed <- d:
+	default:
+	}
+}
 
 // judgeLoop weighs what daemons tell of crashes.
 func (q *quarantined) judgeLoop(ctx context.Context) {
@@ -66,6 +84,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case d := <-q.freed:
+			q.Release(ctx, d)
+			continue
 		case <-q.due:
 		}
 		q.pause(ctx, settleEvidence+time.Duration(q.judgeRank())*secondJudge)
--- /dev/null
+++ b/internal/entry/quarantine_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
+	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
+)
+
+var suspect = quarantine.Suspect{Digest: quarantine.NewDigest("POST", "shop.example", "/notes/one", "visrad", nil), Route: "notes"}
+
+// A request was refused for what others had done, and a run of it that had begun before
+// comes to its end. It is let run again: no request that runs well crashes instances.
+func TestQuarantinedRequestThatRunsToItsEndIsReleased(t *testing.T) {
+	n := newTestNode(clockwork.NewRealClock(), nil)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go n.quarantine.judgeLoop(ctx)
+	n.OnQuarantine(peer.QuarantineNews{Entries: []quarantine.Entry{{Suspect: suspect, Stamp: 1, Left: time.Minute}}})
+	_, refused := n.quarantine.Refused(suspect.Digest)
+	require.True(t, refused)
+	n.quarantine.Finished(suspect.Digest)
+	require.Eventually(t, func() bool { return !n.quarantine.list.Held(suspect.Digest) }, 10*time.Second, time.Millisecond)
+}
+
+// A daemon that has just been chosen to judge is told of three crashes, all at once and not
+// in their order. What ended beside them counts by when it ended.
+func TestJudgeIsToldOfCrashesOutOfOrder(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newTestNode(clock, nil)
+	clock.Advance(time.Hour)
+	var report peer.CrashReport
+	for i, age := range []time.Duration{1, 9, 5} {
+		report.Crashes = append(report.Crashes, quarantine.Crash{
+			Instance: inventory.Number(i), Age: age * time.Second, Suspects: []quarantine.Suspect{suspect},
+		})
+	}
+	report.Crashes = append(report.Crashes, quarantine.Crash{Instance: 9, Age: 7 * time.Second})
+	n.OnCrashes(report)
+	n.quarantine.judge(context.Background())
+	_, refused := n.quarantine.Refused(suspect.Digest)
+	require.False(t, refused, "an instance has ended without it")
+}
+
+// Requests that broke off with an instance that has ended wait for the judges; one that was on
+// a single ended instance goes on as soon as it is told of.
+func TestFirstCrashHoldsNobodyBack(t *testing.T) {
+	n := newTestNode(clockwork.NewRealClock(), nil)
+	decided := n.quarantine.Broken(inventory.Instance{ID: "i", Address: "127.0.0.1:1"}, suspect)
+	<-n.quarantine.news
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.quarantine.signal()
+	go n.quarantine.tellLoop(ctx)
+	<-decided
+	require.True(t, n.quarantine.Ended(inventory.Instance{ID: "i"}))
+}
--- a/internal/inventory/number.go
+++ b/internal/inventory/number.go
@@ -7,9 +7,8 @@
 )
 
 // Number stands for one life of an instance in what daemons tell each other: a hash
-// of its ID and Born, so that all have the same one without a shared list. Among
-// 10,000 instances two share a number in 1 of 90 fleets; those two then count as
-// equally busy.
+// of its ID and Born, so that all have the same one without a shared list. Two instances of a
+// large fleet may share a number, seldom; they then count as equally busy.
 type Number uint32
 
 // Number returns the instance's number.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -71,6 +71,14 @@
 	return left, left > 0
 }
 
+// Held reports whether a request is quarantined, or was until a short time ago.
+func (l *List) Held(d Digest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.entries[d]
+	return ok && !e.Released
+}
+
 // Proven reports whether a request was quarantined until a short time ago, and not
 // released.
 func (l *List) Proven(d Digest) bool {
