--- a/test/routes/poison_test.go
+++ b/test/routes/poison_test.go
@@ -402,3 +402,30 @@
 	require.Equal(t, http.StatusServiceUnavailable, reply.Status, reply.Body)
 	require.Equal(t, ended, p.endedServers())
 }
+
+// A caller does not wait for answers: a request that crashes servers comes every 50 ms, at
+// any daemon, or many times at once. Each repeat that was sent before the first crash was
+// known may end a server; a second after the third one no server ends any more.
+func TestRepeatsThatDoNotWait(t *testing.T) {
+	const size, repeats = 18, 30
+	for name, pause := range map[string]time.Duration{"every 50 ms": 50 * time.Millisecond, "at once": 0} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			p := s.newPool(engines, 8, size)
+			for range crashDaemons() {
+				s.serving()
+			}
+			var all sync.WaitGroup
+			for i := range repeats {
+				all.Go(func() { s.send(s.poisoned(pathTurns), s.daemons[i%len(s.daemons)]) })
+				<-time.After(pause)
+			}
+			all.Wait()
+			p.whole(size)
+			ended := p.endedServers()
+			t.Logf("%d servers ended", ended)
+			s.send(s.poisoned(pathTurns), s.daemons[0])
+			require.Equal(t, ended, p.endedServers())
+		})
+	}
+}
