Test: news of the list does not wait for the operator's rows

The 0.4 s for which it waits had no test. With the bound taken out the test fails: the other daemon is told after the question has failed (1.5 s). The stand-in of the store can leave calls about one table without an answer.

--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
@@ -121,6 +122,40 @@
 	require.Equal(t, int64(2), r.configVersion(), "in force in time")
 }
 
+// A server leaves. In the same moment the store answers no question for the operator's
+// rows, and one is asked because the list is newer than these are known to be. Other
+// daemons must hear of the server all the same, before that question has failed: told
+// only then, they went on sending to it for as long as a call may take.
+func TestNewsOfTheListDoesNotWaitForTheOperatorsRows(t *testing.T) {
+	r := newStoreReader(t, 2000)
+	other := newTestNode(r.clock, func(s *settings.Routes) { s.PeerListen = "127.0.0.1:0" })
+	heard := make(chan bool, 1)
+	server, err := peer.ListenRoutes("127.0.0.1:0", &listener{Node: other, news: func(n peer.News) {
+		if len(n.Changes) > 0 {
+			heard <- r.contact.away()
+		}
+	}})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	other.registry.SetSelf(func(d *member.Daemon) { d.PeerAddress = server.Address() })
+	r.registry.Learn([]member.Daemon{other.registry.Self()})
+	r.until("the store holds the question", func() bool { return r.store.Held() == 1 })
+	r.listRead()
+	r.store.Silence(wire.TableOperator)
+	r.store.Put(wire.TableInstances, "i", wire.Instance{Service: "s", Address: "127.0.0.1:1", Zone: "a", Version: "v1", Slots: 8, State: wire.StateDraining})
+	r.clock.Advance(r.listPace())
+	require.False(t, <-heard, "told after the question for the operator's rows had failed")
+}
+
+// listener is a daemon whose news is looked at.
+type listener struct {
+	*Node
+	news func(peer.News)
+}
+
+// OnNews implements peer.RoutesHandler.
+func (l *listener) OnNews(n peer.News) { l.news(n) }
+
 // The same question, seen by a daemon that reads nothing as long as its reader tells it that
 // nothing is new. It must not be told anything younger than the store's last answer: only
 // then does it notice that news is late, and asks by itself.
