What ran to its end is remembered for as long as crashes are

What callers would see: a request sent every minute or two, which runs well but was on three instances that lost power within five minutes, is refused. Cause: that it ran to its end was remembered for half a minute, crashes for five. TestFinishedIsRememberedAsLongAsCrashes fails without the mend.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -15,8 +15,7 @@
 
 const (
 	// settleEvidence is how long a judge waits after news of a crash for what the other
-	// daemons tell of it: each finds out within some
-	// milliseconds.
+	// daemons tell of it: each finds out within some milliseconds.
 	settleEvidence = 80 * time.Millisecond
 	// secondJudge is how much later the second judge decides. What the first one has
 	// decided by then is known.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// evidenceTime is how long a crash counts. A caller repeats a request for as long
-	// as it waits, some ten seconds, and its user for some minutes.
-	evidenceTime = 5 * time.Minute
+	// EvidenceTime is how long a crash counts, and how long it is remembered that a
+	// request ran to its end. A caller repeats a request for as long as it waits, some ten
+	// seconds, and its user for some minutes.
+	EvidenceTime = 5 * time.Minute
 	// enough is the number of crashed instances that condemn a request which alone
 	// explains them.
 	enough = 3
@@ -75,9 +76,9 @@
 // request that has since run to its end is none. What is left is judged by whether it
 // explains what ended: it was on three ended instances, on each that ended meanwhile,
 // and no other request was on all of these. While other instances end too, by a loss of
-// power or by a second such request, it takes five, and a third of all that ended. Two requests that were on exactly
-// the same instances are told apart by the next crash or the first that ends well.
-// Crashes with a request that is quarantined speak against no other.
+// power or by a second such request, it takes five, and a third of all that ended. Two
+// requests that were on exactly the same instances are told apart by the next crash or the
+// first that ends well. Crashes with a request that is quarantined speak against no other.
 //
 // Lock order: mu is taken alone.
 type Evidence struct {
@@ -144,12 +145,12 @@
 // forget drops what is too old, or too much. A request that has crashed instances can be
 // pushed out only by as many further crashes.
 func (e *Evidence) forget(now time.Time) {
-	for len(e.order) > 0 && (len(e.order) > maxCrashes || now.Sub(e.crashes[e.order[0]].at) > evidenceTime) {
+	for len(e.order) > 0 && (len(e.order) > maxCrashes || now.Sub(e.crashes[e.order[0]].at) > EvidenceTime) {
 		delete(e.crashes, e.order[0])
 		e.order = e.order[1:]
 	}
 	for d, at := range e.cleared {
-		if now.Sub(at) > evidenceTime {
+		if now.Sub(at) > EvidenceTime {
 			delete(e.cleared, d)
 		}
 	}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -339,3 +339,32 @@
 		m.instances[to] = append(m.instances[to], name)
 	}
 }
+
+// A request that is sent every minute or two runs well, but for three times at which its
+// instance lost power. That it ran to its end in between is remembered for as long as the
+// crashes are.
+func TestFinishedIsRememberedAsLongAsCrashes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	f := NewFinished(clock)
+	d := named("a").Digest
+	f.Note(d)
+	clock.Advance(EvidenceTime / 2)
+	age, known := f.Age(d)
+	require.True(t, known)
+	require.Equal(t, EvidenceTime/2, age)
+	clock.Advance(EvidenceTime)
+	_, known = f.Age(d)
+	require.False(t, known)
+}
+
+// Callers send so many other requests that the memory is full. It stays within its bound, and
+// what ran lately is still known.
+func TestFinishedIsBounded(t *testing.T) {
+	f := NewFinished(clockwork.NewFakeClock())
+	for n := range 5 * maxFinished {
+		f.Note(named(fmt.Sprint(n)).Digest)
+	}
+	require.LessOrEqual(t, len(f.young)+len(f.old), 2*maxFinished+1)
+	_, known := f.Age(named(fmt.Sprint(5*maxFinished - 1)).Digest)
+	require.True(t, known)
+}
--- a/internal/quarantine/finished.go
+++ b/internal/quarantine/finished.go
@@ -7,17 +7,13 @@
 	"github.com/jonboulle/clockwork"
 )
 
-const (
-	// finishedTime is how long a daemon remembers that a request ran to its end. A
-	// request is judged while its repeats come, some seconds apart.
-	finishedTime = 30 * time.Second
-	// maxFinished bounds each half of that: 10,000 digests of some 40 bytes. At 300
-	// requests a second it holds for the whole time.
-	maxFinished = 10_000
-)
+// maxFinished bounds each half of the memory of what ran to its end: 20,000 digests of some
+// 60 bytes. At 130 requests a second it holds for the whole of EvidenceTime. Forgotten too
+// early, a request that runs well between three losses of power looks like their cause.
+const maxFinished = 20_000
 
 // Finished remembers which requests ran to their end lately. It has two generations:
-// the present half of finishedTime and the one before.
+// the present half of EvidenceTime and the one before.
 //
 // Lock order: mu is taken alone.
 type Finished struct {
@@ -56,11 +52,11 @@
 func (f *Finished) turn() {
 	now := f.clock.Now()
 	age := now.Sub(f.turnedAt)
-	if age < finishedTime/2 && len(f.young) < maxFinished {
+	if age < EvidenceTime/2 && len(f.young) < maxFinished {
 		return
 	}
 	f.old = f.young
-	if age >= finishedTime {
+	if age >= EvidenceTime {
 		f.old = nil
 	}
 	f.young, f.turnedAt = map[Digest]time.Time{}, now
