--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -84,9 +85,26 @@
 	t.Cleanup(stop)
 	s.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: cluster.Patience}
 	s.store.Declare(declaration(3))
+	t.Cleanup(s.keepLogs)
 	return s
 }
 
+// keepLogs writes the daemons' logs of a test that failed into the directory that ROUTES_LOGS
+// names.
+func (s *site) keepLogs() {
+	dir := os.Getenv("ROUTES_LOGS")
+	if dir == "" || !s.t.Failed() {
+		return
+	}
+	test := strings.ReplaceAll(s.t.Name(), "/", "-")
+	for _, d := range s.daemons {
+		path := filepath.Join(dir, fmt.Sprintf("%s-%s.log", test, d.Name))
+		if err := os.WriteFile(path, []byte(d.Log()), 0o600); err != nil {
+			s.t.Log(err)
+		}
+	}
+}
+
 // server starts an upstream server and puts it on the platform's list.
 func (s *site) server(o platformtest.ServerOptions) *platformtest.Server {
 	server := s.newServer(o)
@@ -242,5 +260,27 @@
 	require.Equal(s.t, s.servers[by].Body(c.ID), r.Body)
 }
 
+// repeatedly has some workers do something again and again until they are stopped.
+func repeatedly(workers int, do func(worker int)) (stop func()) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for worker := range workers {
+		all.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					do(worker)
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		all.Wait()
+	}
+}
+
 // stop sends SIGTERM.
 func (d *daemon) stop() { d.Signal(syscall.SIGTERM) }
--- a/test/routes/poison_test.go
+++ b/test/routes/poison_test.go
@@ -15,118 +15,11 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/entry"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
-	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 )
 
-const (
-	// poison is the body, and the end of the path, of a request that crashes each
-	// server that runs it.
-	poison = "poison"
-	// restartTime is how long an ended server takes to be back.
-	restartTime = 300 * time.Millisecond
-)
-
-// pool is a set of upstream servers that start again as new instances when they end.
-//
-// Lock order: mu is taken before the locks of servers.
-type pool struct {
-	*site
-	service string
-	events  int
-
-	mu    sync.Mutex
-	next  int
-	live  []*platformtest.Server
-	ended int
-	wg    sync.WaitGroup
-}
-
-// newPool starts size servers.
-func (s *site) newPool(service string, events, size int) *pool {
-	p := &pool{site: s, service: service, events: events}
-	for range size {
-		p.startOne()
-	}
-	s.t.Cleanup(p.close)
-	return p
-}
-
-func (p *pool) startOne() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.next++
-	id := fmt.Sprint(p.service, "-", p.next)
-	var server *platformtest.Server
-	server = platformtest.NewServer(platformtest.ServerOptions{
-		ID: id, Service: p.service, Version: "v1", Slots: 8, Work: 20 * time.Millisecond, Events: p.events,
-		Confidence: map[string]int{"small": 90},
-		Behave: func(seen platformtest.Seen) platformtest.Behaviour {
-			if seen.Header.Get("X-Poison") != "" {
-				return platformtest.Crash
-			}
-			return platformtest.Answer
-		},
-		Crashed: func() { p.replace(id, server) },
-	})
-	server.Register(p.store, wire.StateReady)
-	p.live = append(p.live, server)
-}
-
-// replace takes an ended server off the list and starts another one.
-func (p *pool) replace(id string, server *platformtest.Server) {
-	p.mu.Lock()
-	p.ended++
-	for i, s := range p.live {
-		if s == server {
-			p.live = append(p.live[:i:i], p.live[i+1:]...)
-			break
-		}
-	}
-	p.mu.Unlock()
-	<-time.After(restartTime)
-	p.store.Remove(wire.TableInstances, id)
-	p.startOne()
-}
-
-// losePower ends n servers at the same moment. They come back like crashed ones.
-func (p *pool) losePower(n int) {
-	p.mu.Lock()
-	var lost []*platformtest.Server
-	lost = append(lost, p.live[:n]...)
-	p.mu.Unlock()
-	for _, server := range lost {
-		p.wg.Go(server.Lose)
-	}
-}
-
-func (p *pool) close() {
-	p.wg.Wait()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, server := range p.live {
-		server.Close()
-	}
-}
-
-// endedServers is how many servers have ended so far.
-func (p *pool) endedServers() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ended
-}
-
-// whole waits until all servers are back.
-func (p *pool) whole(size int) {
-	p.t.Helper()
-	p.eventually(func() error {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if len(p.live) != size {
-			return trace.Errorf("%d of %d servers run", len(p.live), size)
-		}
-		return nil
-	})
-}
+// poison is the body, and the end of the path, of a request that crashes each server that
+// runs it.
+const poison = "poison"
 
 // poisoned returns a call that crashes the servers that run it: the same request each
 // time, with an id of its own.
@@ -226,29 +119,18 @@
 	for range 3 {
 		s.serving()
 	}
-	done := make(chan struct{})
-	var all sync.WaitGroup
 	var mu sync.Mutex
 	var refused []string
-	for clerk := range clerks {
-		all.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				c := s.call(pathTurns)
-				c.Body = fmt.Sprint("summary of clerk ", clerk)
-				reply := s.send(c, s.daemons[clerk%len(s.daemons)])
-				if strings.Contains(reply.Body, "request_quarantined") {
-					mu.Lock()
-					refused = append(refused, reply.Body)
-					mu.Unlock()
-				}
-			}
-		})
-	}
+	stop := repeatedly(clerks, func(clerk int) {
+		c := s.call(pathTurns)
+		c.Body = fmt.Sprint("summary of clerk ", clerk)
+		reply := s.send(c, s.daemons[clerk%len(s.daemons)])
+		if strings.Contains(reply.Body, "request_quarantined") {
+			mu.Lock()
+			defer mu.Unlock()
+			refused = append(refused, reply.Body)
+		}
+	})
 	for i := range losses {
 		p.losePower(rack)
 		s.eventually(func() error {
@@ -259,52 +141,50 @@
 		})
 		p.whole(size)
 	}
-	close(done)
-	all.Wait()
+	stop()
 	require.Empty(t, refused)
 }
 
 // Nine in ten clerks go on working while one request is repeated that crashes servers. Few of
 // their requests fail, those that were on the ended servers, and none is taken for the cause.
 func TestOthersBesideARequestThatCrashesServers(t *testing.T) {
-	const size, clerks = 9, 12
+	const size, clerks, others = 9, 12, 250
 	s := newSite(t)
 	p := s.newPool(engines, 8, size)
 	for range 3 {
 		s.serving()
 	}
-	done := make(chan struct{})
-	var all sync.WaitGroup
 	var mu sync.Mutex
-	sent, failed := 0, 0
-	for clerk := range clerks {
-		all.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				reply := s.send(s.call(pathTurns), s.daemons[clerk%len(s.daemons)])
-				mu.Lock()
-				sent++
-				if reply.Err != nil || reply.Status != http.StatusOK {
-					failed++
-				}
-				mu.Unlock()
-				require.NotContains(t, reply.Body, "request_quarantined")
-			}
-		})
-	}
+	sent, failed, refused := 0, 0, 0
+	stop := repeatedly(clerks, func(clerk int) {
+		reply := s.send(s.call(pathTurns), s.daemons[clerk%len(s.daemons)])
+		mu.Lock()
+		defer mu.Unlock()
+		sent++
+		if reply.Err != nil || reply.Status != http.StatusOK {
+			failed++
+		}
+		if strings.Contains(reply.Body, "request_quarantined") {
+			refused++
+		}
+	})
 	for i := range poisonRepeats {
 		s.send(s.poisoned(pathTurns), s.daemons[i%len(s.daemons)])
 		p.whole(size)
 	}
-	close(done)
-	all.Wait()
+	s.eventually(func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		if sent < others {
+			return trace.Errorf("%d requests of others were sent", sent)
+		}
+		return nil
+	})
+	stop()
+	require.Zero(t, refused)
 	t.Logf("%d servers ended, %d of %d requests failed", p.endedServers(), failed, sent)
 	require.LessOrEqual(t, p.endedServers(), 3)
-	require.Less(t, failed, sent/50+1)
+	require.Less(t, failed, sent/50)
 }
 
 // A version that a request crashed has been mended, and the request is still quarantined. An
@@ -341,20 +221,6 @@
 	}
 }
 
-// condemned has a request crash servers until it is refused, and returns how many ended.
-func (p *pool) condemned(size int, through *daemon) int {
-	p.t.Helper()
-	p.eventually(func() error {
-		reply := p.send(p.poisoned(pathTurns), through)
-		p.whole(size)
-		if !strings.Contains(reply.Body, "request_quarantined") {
-			return trace.Errorf("the request is not refused: %d %s", reply.Status, reply.Body)
-		}
-		return nil
-	})
-	return p.endedServers()
-}
-
 // A daemon is frozen while its peers find out which request crashes servers, and the store
 // is away all the while. Awake again, it learns of it by heartbeats.
 func TestFrozenDaemonLearnsWhatIsQuarantined(t *testing.T) {
--- a/test/routes/rollout_test.go
+++ b/test/routes/rollout_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,29 +23,14 @@
 
 // traffic sends sessions of two requests each to all daemons until stopped.
 func (s *site) traffic(workers int) (stop func()) {
-	done := make(chan struct{})
-	var all sync.WaitGroup
-	for range workers {
-		all.Go(func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				session := s.call(pathTurns).ID
-				for i := range 2 {
-					c := s.call(pathTurns)
-					c.Session = session
-					s.send(c, s.daemons[i%len(s.daemons)])
-				}
-			}
-		})
-	}
-	return func() {
-		close(done)
-		all.Wait()
-	}
+	return repeatedly(workers, func(int) {
+		session := s.call(pathTurns).ID
+		for i := range 2 {
+			c := s.call(pathTurns)
+			c.Session = session
+			s.send(c, s.daemons[i%len(s.daemons)])
+		}
+	})
 }
 
 func (s *site) told(service, state string) {
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,8 +25,6 @@
 // come from outside, one after the other and overlapping, drawn from a seed. The
 // promises are checked from what callers get and what servers ran.
 //
-// SOAK_LOGS names a directory for the daemons' logs of seeds that fail.
-//
 //	SOAK_SEEDS=50 SOAK_FIRST=100 SOAK_SECONDS=10 go test -run TestSoak -timeout 60m ./test/routes
 const (
 	soakDaemons = 3
@@ -63,20 +60,6 @@
 	}
 }
 
-// keepLogs writes the daemons' logs of a seed that failed.
-func (s *soak) keepLogs() {
-	dir := os.Getenv("SOAK_LOGS")
-	if dir == "" || !s.t.Failed() {
-		return
-	}
-	for _, d := range s.daemons {
-		path := filepath.Join(dir, fmt.Sprintf("%d-%s.log", s.seed, d.Name))
-		if err := os.WriteFile(path, []byte(d.Log()), 0o600); err != nil {
-			s.t.Log(err)
-		}
-	}
-}
-
 // sent is a call with its reply.
 type sent struct {
 	call  platformtest.Call
@@ -112,7 +95,6 @@
 		site: newSite(t), seed: seed, random: rand.New(rand.NewPCG(seed, 1)), stores: map[*daemon]*cluster.Proxy{},
 		version: 3, ended: make(chan struct{}), serverIDs: map[string]string{}, leaving: map[*platformtest.Server]int{},
 	}
-	t.Cleanup(s.keepLogs)
 	for i := range 3 {
 		s.soakServer(fmt.Sprint("cat-", i), seed)
 		s.soakServer(fmt.Sprint("eng-", i), seed)
