Judges look again at suspects that nothing was decided of

Traced in the daemons' logs: the clerks' requests, all the same one, were on the same three ended servers and had not run to their end when the judges looked, 80 ms after the third crash; they did soon after, and the next look came with the fourth crash. Now judges look again after 0.1 to 3.2 s, doubling, six times. TestJudgeLooksAgainAtSuspects fails without the mend.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -22,6 +22,11 @@
 	secondJudge = 300 * time.Millisecond
 	// inquiryTime bounds the question to all daemons before a request is quarantined.
 	inquiryTime = 250 * time.Millisecond
+	// judgeAgain is the first pause until suspects that are not condemned are judged
+	// again. It doubles each time, up to judgeTimes: what clears a request beside the one
+	// at fault is that it runs to its end, after some hundred milliseconds or seconds.
+	judgeAgain = 100 * time.Millisecond
+	judgeTimes = 6
 	// maxFreed bounds the releases that wait; a request that runs again asks again.
 	maxFreed = 16
 	// inquiryWithin is how old the crashes are that daemons are asked for.
@@ -77,9 +82,16 @@
 	}
 }
 
-// judgeLoop weighs what daemons tell of crashes.
+// judgeLoop weighs what daemons tell of crashes, and again while suspects are left that
+// nothing is decided of.
+//
+// Another request may be on the same ended instances as the one at fault, and run to its end
+// elsewhere a moment later. Judged with the next crash only, the one at fault ends one more
+// instance by then.
 func (q *quarantined) judgeLoop(ctx context.Context) {
-	for ctx.Err() == nil {
+	var again <-chan time.Time
+	tries := 0
+	for {
 		select {
 		case <-ctx.Done():
 			return
@@ -87,9 +99,23 @@
 			q.Release(ctx, d)
 			continue
 		case <-q.due:
+			q.pause(ctx, settleEvidence+time.Duration(q.judgeRank())*secondJudge)
+			tries = 0
+		case <-again:
+		}
+		again = nil
+		if q.judge(ctx) && tries < judgeTimes {
+			again = q.clock.After(judgeAgain << tries)
+			tries++
 		}
-		q.pause(ctx, settleEvidence+time.Duration(q.judgeRank())*secondJudge)
-		q.judge(ctx)
+	}
+}
+
+// signalDue asks the judge's loop to look at what was told.
+func (q *quarantined) signalDue() {
+	select {
+	case q.due <- struct{}{}:
+	default:
 	}
 }
 
@@ -105,15 +131,16 @@
 	return len(judges)
 }
 
-// judge quarantines what is condemned by all that is known.
-func (q *quarantined) judge(ctx context.Context) {
+// judge quarantines what is condemned by all that is known. It reports whether suspects are
+// left that may be, once more is known.
+func (q *quarantined) judge(ctx context.Context) (undecided bool) {
 	refused := func(d quarantine.Digest) bool {
 		_, yes := q.list.Refused(d)
 		return yes
 	}
 	suspected := q.evidence.Suspected(refused, q.list.Proven)
 	if len(suspected) == 0 {
-		return
+		return false
 	}
 	complete := q.inquire(ctx, suspected)
 	var decided []quarantine.Entry
@@ -124,6 +151,7 @@
 			"ended", strings.Join(c.Ended, ","), "since_ms", c.Since.Milliseconds(), "complete_ms", complete.Milliseconds())
 	}
 	q.tellQuarantine(ctx, decided)
+	return len(q.evidence.Suspected(refused, q.list.Proven)) > 0
 }
 
 // inquire asks all daemons which of the requests have run to their end, and for crashes
@@ -229,10 +257,7 @@
 		n.quarantine.evidence.Add(c)
 		reply.First = append(reply.First, n.quarantine.evidence.First(quarantine.Digests(c.Suspects))...)
 	}
-	select {
-	case n.quarantine.due <- struct{}{}:
-	default:
-	}
+	n.quarantine.signalDue()
 	return reply
 }
 
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -61,3 +61,31 @@
 	<-decided
 	require.True(t, n.quarantine.Ended(inventory.Instance{ID: "i"}))
 }
+
+// A request and another one were on the same three instances that ended, so neither is
+// refused. Then the other one runs to its end elsewhere, and no instance ends any more: the
+// first one is refused at the next look. It was refused with the next crash only.
+func TestJudgeLooksAgainAtSuspects(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newTestNode(clock, nil)
+	clock.Advance(time.Hour)
+	beside := quarantine.Suspect{Digest: quarantine.NewDigest("POST", "shop.example", "/notes/two", "visrad", nil), Route: "notes"}
+	var report peer.CrashReport
+	for i := range 3 {
+		report.Crashes = append(report.Crashes, quarantine.Crash{Instance: inventory.Number(i), Suspects: []quarantine.Suspect{suspect, beside}})
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+	defer stop()
+	go n.quarantine.judgeLoop(ctx)
+	n.OnCrashes(report)
+	require.NoError(t, clock.BlockUntilContext(ctx, 1))
+	clock.Advance(settleEvidence)
+	require.NoError(t, clock.BlockUntilContext(ctx, 1), "it is to look again")
+	_, refused := n.quarantine.Refused(suspect.Digest)
+	require.False(t, refused)
+	n.quarantine.Finished(beside.Digest)
+	clock.Advance(judgeAgain)
+	require.Eventually(t, func() bool { _, yes := n.quarantine.Refused(suspect.Digest); return yes }, 20*time.Second, time.Millisecond)
+	_, refused = n.quarantine.Refused(beside.Digest)
+	require.False(t, refused)
+}
