--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -111,3 +111,27 @@
 	all[0].Near = false
 	require.Len(t, Near(all), len(all))
 }
+
+// An instance has ended under ten requests of one prompt, and one of them is the cause.
+// They go on at different instances: those with more to do get fewer of them, none gets all.
+func TestRequestsOfAnEndedInstanceGoApart(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var all []Candidate
+	for i := range 8 {
+		all = append(all, Candidate{ID: fmt.Sprint("i-", i), Slots: 8, Load: float64(i % 2)})
+	}
+	got := map[string]int{}
+	const requests = 800
+	for range requests {
+		picked, ok := Apart(all, random)
+		require.True(t, ok)
+		got[picked.ID]++
+	}
+	require.Len(t, got, len(all))
+	for id, n := range got {
+		require.Less(t, n, requests/4, id)
+	}
+	require.Greater(t, got["i-0"], got["i-1"])
+	_, ok := Apart(nil, random)
+	require.False(t, ok)
+}
