Evacuated failure domains and instances that warm up

Cause: the code knew neither the operator's rows nor the remaining cold time of entries.

internal/evacuation keeps the newest order about each failure domain by its revision; lifted ones are kept, so that late news brings none back. Orders go the way of the configuration (readers, relay, heartbeats by a sum), and a daemon serves nobody before it knows them. inventory.Table is the one place that says what an instance may get; it is asked again when the connection is there and nothing has gone out. News of readers says from which revision it leads on, so that a change told whole is no longer read by each daemon.

internal/warmup shares out what a cold instance bears: a few owners by rendezvous hashing, each at its own pace.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,6 +106,15 @@
 	Models []Model
 	// Engine is true for a service of model engines.
 	Engine bool
+	WarmUp WarmUp
+}
+
+// WarmUp is what an instance bears after its start.
+type WarmUp struct {
+	// Time is how long it takes; 0 for instances that bear all at once.
+	Time time.Duration
+	// Rate is the number of requests a second, of all daemons, that it bears meanwhile.
+	Rate float64
 }
 
 // RelativeCost is a model's cost as a part of that of the most expensive one; 1
@@ -214,6 +223,15 @@
 	return s, ok
 }
 
+// WarmUps returns what instances bear while they warm up, by service.
+func (c *Catalog) WarmUps() map[string]WarmUp {
+	out := make(map[string]WarmUp, len(c.services))
+	for name, s := range c.services {
+		out[name] = s.WarmUp
+	}
+	return out
+}
+
 // RouteCount is the number of routes.
 func (c *Catalog) RouteCount() int { return c.routes }
 
--- /dev/null
+++ b/internal/entry/evacuate.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/warmup"
+	"github.com/hornbeamsill/hornbeamsill/platform"
+)
+
+// takeEvacuations takes in what was read of the operator's orders about failure domains,
+// and reports whether it is news.
+func (n *Node) takeEvacuations(news platform.OperatorNews) bool {
+	before := n.evacuations.Sum()
+	if news.Whole {
+		n.evacuated(n.evacuations.Replace(news.Evacuations, news.Revision), "store")
+	} else {
+		n.evacuated(n.evacuations.Learn(news.Evacuations), "store")
+	}
+	return n.evacuations.Sum() != before
+}
+
+// evacuated puts orders about failure domains in force.
+func (n *Node) evacuated(orders []evacuation.Order, source string) {
+	for _, o := range orders {
+		n.table.Evacuate(o.FailureDomain, !o.Lifted)
+		event := "evacuation.in_force"
+		if o.Lifted {
+			event = "evacuation.lifted"
+		}
+		slog.Info(event, "failure_domain", o.FailureDomain, "revision", o.Revision, "age_ms", o.Age.Milliseconds(),
+			"open", n.table.OpenIn(o.FailureDomain), "source", source)
+	}
+	n.offer()
+}
+
+// servable is the configuration in force once this daemon knows where it may send.
+//
+// A daemon that knows the configuration and not the evacuations would send to a failure
+// domain that the operator has emptied.
+func (n *Node) servable() *catalog.Catalog {
+	if !n.evacuations.Known() {
+		return nil
+	}
+	return n.current.Load()
+}
+
+// warmUpShare is this daemon's time between two requests to an instance that bears rate
+// requests a second; 0 if others send there.
+func (n *Node) warmUpShare(instance string, rate float64) time.Duration {
+	owners := warmup.Owners(rate, len(n.registry.Live()))
+	own := n.registry.Self().Incarnation
+	for _, d := range n.registry.Firsts("warmup/"+instance, owners, func(member.Daemon) bool { return true }) {
+		if d.Incarnation == own {
+			return warmup.Interval(rate, owners)
+		}
+	}
+	return 0
+}
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -96,11 +96,14 @@
 }
 
 func snapshot(news platform.InstanceNews) inventory.Snapshot {
-	s := inventory.Snapshot{Revision: news.Revision}
+	s := inventory.Snapshot{Revision: news.Revision, Warming: map[string]time.Duration{}}
 	for _, c := range news.Changes {
 		switch {
 		case c.Instance != nil:
 			s.Instances = append(s.Instances, *c.Instance)
+			if c.Warming > 0 {
+				s.Warming[c.ID] = c.Warming
+			}
 		case c.Unreadable:
 			s.Unreadable = append(s.Unreadable, c.ID)
 		}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
@@ -92,6 +93,8 @@
 	prompts *inventory.Prompts
 	// quarantine refuses the requests that crash upstream instances.
 	quarantine *quarantined
+	// evacuations are the operator's orders about failure domains.
+	evacuations *evacuation.Book
 	// fresh is how new the operator's rows are, and question the one for newer ones
 	// that the store holds.
 	fresh    freshness
@@ -116,7 +119,8 @@
 	n := &Node{
 		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
 		table: inventory.NewTable(clock), prompts: inventory.NewPrompts(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
-		started: clock.Now(), startedAt: clock.Now(), work: newWorkSums(), peers: peer.NewClient(nil), kick: make(chan struct{}, 1), ready: make(chan struct{}), misses: map[string]int{},
+		evacuations: evacuation.NewBook(clock),
+		started:     clock.Now(), startedAt: clock.Now(), work: newWorkSums(), peers: peer.NewClient(nil), kick: make(chan struct{}, 1), ready: make(chan struct{}), misses: map[string]int{},
 	}
 	incarnation := ident.NewIncarnation()
 	n.registry = member.NewRegistry(member.Daemon{
@@ -130,7 +134,7 @@
 	n.retries = limit.NewFleetBudget(retryPolicy(s), clock, n.sharers)
 	n.quarantine = newQuarantined(n)
 	n.handler = forward.New(forward.Deps{
-		Codec: codec, Catalog: n.current.Load, AwaitReady: n.awaitReady, ReadyIn: n.readyIn, Table: n.table, Prompts: n.prompts, Pool: n.pool, Versions: n.book,
+		Codec: codec, Catalog: n.servable, AwaitReady: n.awaitReady, ReadyIn: n.readyIn, Table: n.table, Prompts: n.prompts, Pool: n.pool, Versions: n.book,
 		Quarantine: n.quarantine, Left: n.kickBeat, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
 		BodyBytes: limit.NewBytes(s.MemoryMB << 20 / bodyShare),
 	})
@@ -152,7 +156,7 @@
 
 // Ready reports whether callers may be sent here.
 func (n *Node) Ready() bool {
-	return n.current.Load() != nil && n.table.Revision() > 0 && !n.leaving.Load()
+	return n.servable() != nil && n.table.Revision() > 0 && !n.leaving.Load()
 }
 
 const (
@@ -199,6 +203,7 @@
 	}
 	n.manifest = manifest
 	n.current.Store(c)
+	n.table.SetWarmUps(c.WarmUps(), n.warmUpShare)
 	slog.Info("config.in_force", "version", c.Version, "routes", c.RouteCount(), "source", source)
 }
 
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -47,6 +47,7 @@
 // operator's rows, as if it had read them just now.
 func (n *Node) know() {
 	n.install(&catalog.Catalog{Version: 3}, []byte("{}"), "test")
+	n.evacuations.Replace(nil, 5)
 	n.table.Replace(inventory.Snapshot{Revision: 5, Instances: []inventory.Instance{{ID: "i", Service: "s"}}}, time.Time{})
 	n.fresh.note(n.clock.Now(), 5, true)
 	n.contact.note(n.clock.Now(), n.clock.Now(), nil)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -91,7 +92,10 @@
 		return err
 	}
 	n.lostHistory = false
-	n.haveRead(ctx, news)
+	// Orders that are not in force any more are not among the rows, so what is told leads
+	// on from nothing.
+	const fromNothing = math.MaxInt64
+	n.haveRead(ctx, news, fromNothing)
 	return nil
 }
 
@@ -112,7 +116,7 @@
 		n.logNotRead(after, asked, err)
 		return false, err
 	}
-	return n.haveRead(ctx, news), nil
+	return n.haveRead(ctx, news, after), nil
 }
 
 // logNotRead tells of a question for the rows after a revision that got no answer.
@@ -120,15 +124,16 @@
 	slog.Warn("operator.not_read", "revision", after, "reader", n.reader(), "asked_ms", n.clock.Since(asked).Milliseconds(), "error", err)
 }
 
-// haveRead takes in what was read of the operator's rows and passes it on. It reports
-// whether there was anything.
-func (n *Node) haveRead(ctx context.Context, news platform.OperatorNews) (changed bool) {
+// haveRead takes in what was read of the operator's rows after the revision base, and
+// passes it on. It reports whether there was anything.
+func (n *Node) haveRead(ctx context.Context, news platform.OperatorNews, base int64) (changed bool) {
 	n.behind.Store(false)
-	changed = news.Catalog != nil || len(news.Orders) > 0
+	evacuated := n.takeEvacuations(news)
+	changed = evacuated || news.Catalog != nil || len(news.Orders) > 0
 	n.fresh.note(n.clock.Now(), news.Revision, changed)
 	n.takeOperator(news)
 	if changed {
-		n.tellOperator(ctx, news.Manifest, news.Orders)
+		n.tellOperator(ctx, news, base, evacuated)
 	}
 	return changed
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -155,6 +155,7 @@
 	b := peer.Beat{
 		From: n.registry.Self(), News: n.registry.News(), Digest: n.registry.Digest(),
 		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Sum(), Left: n.table.LeftLately(),
+		Evacuated: n.evacuations.Sum(),
 	}
 	_, states := n.book.Orders()
 	for _, s := range states {
@@ -221,9 +222,10 @@
 		Shifts:    b.Shifts > mine.Shifts,
 		Members:   b.Digest != n.registry.Digest() && n.membersSettled(),
 		// An empty list is no news of any.
-		Quarantine: b.Quarantine != 0 && b.Quarantine != mine.Quarantine,
+		Quarantine:  b.Quarantine != 0 && b.Quarantine != mine.Quarantine,
+		Evacuations: b.Evacuated != 0 && b.Evacuated != mine.Evacuated,
 	}
-	return ask, b.Config > mine.Config || ask.Instances || ask.Shifts || ask.Members || ask.Quarantine
+	return ask, b.Config > mine.Config || ask.Instances || ask.Shifts || ask.Members || ask.Quarantine || ask.Evacuations
 }
 
 // listFromPeers reports whether the list of a peer is to be taken: this daemon
@@ -253,6 +255,9 @@
 		return
 	}
 	n.registry.Learn(b.Members)
+	if b.EvacuationsKnown {
+		n.evacuated(n.evacuations.LearnAll(b.Evacuations), address)
+	}
 	n.takeManifest(b.Manifest, address)
 	if b.Instances != nil && n.listFromPeers() {
 		doubted := n.doubts.bound(n.clock.Now().Add(b.Doubted), n.contact.lostSince())
@@ -337,6 +342,9 @@
 	if r.Quarantine {
 		b.Quarantine = n.quarantine.list.Entries()
 	}
+	if r.Evacuations {
+		b.Evacuations, b.EvacuationsKnown = n.evacuations.Orders(), n.evacuations.Known()
+	}
 	n.configMu.Lock()
 	if c := n.current.Load(); c != nil && c.Version > r.Config {
 		b.Manifest = n.manifest
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -8,7 +8,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
-	"github.com/hornbeamsill/hornbeamsill/internal/shift"
+	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
 // Few daemons read the store; they tell the others of their group. A daemon
@@ -123,14 +123,21 @@
 }
 
 // tellOperator passes on what the operator wrote.
-func (n *Node) tellOperator(ctx context.Context, manifest []byte, orders []shift.Order) {
+//
+// Told whole, news leads on from the revision base, so that daemons which know all up to
+// there need not ask the store themselves.
+func (n *Node) tellOperator(ctx context.Context, news platform.OperatorNews, base int64, evacuated bool) {
 	if !n.reader() {
 		return
 	}
-	if len(manifest) > toldManifest {
-		manifest = nil
+	told := peer.News{Manifest: news.Manifest, Orders: news.Orders, List: noList, OperatorBase: base, OperatorWhole: true}
+	if len(told.Manifest) > toldManifest {
+		told.Manifest, told.OperatorWhole = nil, false
+	}
+	if evacuated {
+		told.Evacuations = n.evacuations.Orders()
 	}
-	n.tell(ctx, peer.News{Manifest: manifest, Orders: orders, List: noList})
+	n.tell(ctx, told)
 }
 
 // noList stands for the revision of a list in news that has none.
@@ -138,7 +145,7 @@
 
 // dated adds to news who tells it and how new the operator's rows are here.
 func (n *Node) dated(news peer.News) peer.News {
-	news.From = n.registry.Self().PeerAddress
+	news.From, news.Evacuated = n.registry.Self().PeerAddress, n.evacuations.Sum()
 	view := n.fresh.view()
 	news.OperatorRead, news.OperatorChanged, news.OperatorAge = view.read, view.changed, n.clock.Since(view.at)
 	return news
@@ -162,23 +169,35 @@
 	})
 }
 
+// takeFreshness takes in how new the operator's rows are at a reader, if this daemon knows
+// them as well.
+func (n *Node) takeFreshness(news peer.News) {
+	view := n.fresh.view()
+	if view.at.IsZero() {
+		return
+	}
+	follows := news.OperatorWhole && view.read >= news.OperatorBase
+	known := view.read >= news.OperatorChanged || follows || len(news.Manifest) > 0
+	if !known || news.Evacuated != n.evacuations.Sum() {
+		n.behind.Store(true)
+		return
+	}
+	n.fresh.note(n.clock.Now().Add(-news.OperatorAge), news.OperatorRead, view.read < news.OperatorChanged)
+}
+
 // OnNews implements peer.RoutesHandler.
 func (n *Node) OnNews(news peer.News) {
+	if len(news.Evacuations) > 0 {
+		n.evacuated(n.evacuations.LearnAll(news.Evacuations), news.From)
+	}
 	n.takeManifest(news.Manifest, news.From)
 	for _, o := range news.Orders {
 		n.ordered(o, news.From)
 	}
-	if len(news.Manifest) > 0 || len(news.Orders) > 0 {
+	if len(news.Manifest) > 0 || len(news.Orders) > 0 || len(news.Evacuations) > 0 {
 		n.kickBeat()
 	}
-	view := n.fresh.view()
-	switch {
-	case view.at.IsZero():
-	case view.read >= news.OperatorChanged || len(news.Manifest) > 0:
-		n.fresh.note(n.clock.Now().Add(-news.OperatorAge), news.OperatorRead, len(news.Manifest) > 0)
-	default:
-		n.behind.Store(true)
-	}
+	n.takeFreshness(news)
 	if news.List == noList {
 		return
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -85,7 +85,7 @@
 			}
 		}
 		if left := place.Filter(place.Part(group, side.Part), q.tried); len(left) > 0 {
-			return left
+			return place.Ready(left)
 		}
 	}
 	return nil
@@ -95,6 +95,7 @@
 	return place.Candidate{
 		ID: v.Instance.ID, Near: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
 		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Reads: q.reads(p, v.Instance), Ejected: v.Ejected,
+		Wait: v.Wait,
 	}
 }
 
@@ -131,16 +132,16 @@
 // begin sends the request to an instance and reads the head of the answer. The
 // attempt must be ended when the error is nil.
 func (q *request) begin(ctx context.Context, headTimeout time.Duration) (*attempt, error) {
-	picked, instance, ok := q.choose()
-	if !ok {
-		return nil, fault.New(fault.NoUpstream, "no instance of %s may take the request", q.service.Name).WithRetryAfter(q.comeBack())
+	picked, instance, err := q.take(ctx)
+	if err != nil {
+		return nil, err
 	}
 	a, ctx := q.attempt(ctx, instance, picked)
 	var timer *time.Timer
 	if headTimeout > 0 {
 		timer = time.AfterFunc(max(headTimeout, lateHead*q.expected), a.cancel)
 	}
-	err := a.send(ctx)
+	err = a.send(ctx)
 	if timer != nil && !timer.Stop() && err != nil && ctx.Err() != nil && q.r.Context().Err() == nil {
 		err = errSilent
 	}
@@ -151,15 +152,6 @@
 	return a, nil
 }
 
-// comeBack is when a caller is told to come back where no instance may take its request:
-// when the first of them takes requests again, if all have said when.
-func (q *request) comeBack() time.Duration {
-	if left, resting := q.Table.AllRest(q.service.Name); resting {
-		return left
-	}
-	return retryLater
-}
-
 // attempt notes that the request is about to go to an instance, and what is known of
 // the time that it will take there.
 func (q *request) attempt(ctx context.Context, instance inventory.Instance, picked place.Candidate) (*attempt, context.Context) {
@@ -207,7 +199,8 @@
 	r := &upconn.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: q.Codec.Upstream(q.r.Header, s), Body: q.body,
-		HasBody: len(q.body) > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
+		HasBody:   len(q.body) > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
+		Withdrawn: func() bool { return !q.Table.MaySend(a.instance) },
 	}
 	exchange, err := q.Pool.Do(ctx, a.instance.Address, q.connections(), r, a.ours)
 	if err != nil {
@@ -227,6 +220,9 @@
 		// Of a wrong one the address belongs to another instance now.
 		a.noteLeaving()
 	}
+	if a.facts.Warming > 0 {
+		q.Table.NoteWarming(a.instance, a.facts.Warming)
+	}
 	if a.facts.Rest > 0 {
 		q.Table.Rest(a.instance, a.facts.Rest)
 		slog.Info("instance.resting", "instance", a.instance.ID, "rest_ms", a.facts.Rest.Milliseconds(), "request", a.request.facts.ID)
@@ -290,7 +286,7 @@
 		outcome = inventory.OutcomeNone
 	case a.r.Context().Err() != nil, errors.Is(err, context.DeadlineExceeded):
 		outcome = inventory.OutcomeNone
-	case errors.Is(err, upconn.ErrNoConnection):
+	case errors.Is(err, upconn.ErrNoConnection), errors.Is(err, upconn.ErrWithdrawn):
 		outcome = inventory.OutcomeNone
 	case upconn.NotSent(err):
 		outcome = inventory.OutcomeUnreachable
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -71,7 +71,9 @@
 	// Leaving is the instance's word that it leaves.
 	Leaving bool
 	// Rest is for how long the instance, which has refused, wants nothing more.
-	Rest          time.Duration
+	Rest time.Duration
+	// Warming is for how long the instance is still cold; 0 where it says nothing.
+	Warming       time.Duration
 	Load          inventory.Load
 	HasLoad       bool
 	Confidence    int
--- a/internal/inventory/instance.go
+++ b/internal/inventory/instance.go
@@ -2,6 +2,8 @@
 // is believed of their load and health, and what this daemon has sent them.
 package inventory
 
+import "time"
+
 // Instance is one life of an upstream server as the platform lists it. Its address
 // may be given to another server once it is gone.
 type Instance struct {
@@ -38,6 +40,9 @@
 	Instance *Instance
 	// Unreadable entries name no server that could be used.
 	Unreadable bool
+	// Warming is for how long the instance is still cold, as it said when it last wrote
+	// its entry; 0 is not.
+	Warming time.Duration
 }
 
 // Load is what an instance says of itself with an answer.
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -11,6 +11,8 @@
 	// Doubted are those of Instances that the list does not have any more, by
 	// ID, with the time for which they are still kept.
 	Doubted map[string]time.Duration
+	// Warming is for how long instances are still cold, by ID; others are not.
+	Warming map[string]time.Duration
 }
 
 // Snapshot returns the list as it is believed to be.
@@ -18,12 +20,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	s := Snapshot{Revision: t.revision, Doubted: map[string]time.Duration{}}
+	s := Snapshot{Revision: t.revision, Doubted: map[string]time.Duration{}, Warming: map[string]time.Duration{}}
 	for id, e := range t.entries {
 		if e.gone {
 			continue
 		}
 		s.Instances = append(s.Instances, e.instance)
+		if left := e.warming.until.Sub(now); left > 0 {
+			s.Warming[id] = left
+		}
 		if !e.goneAt.IsZero() {
 			// Told without its doubt, an entry would be taken for listed by
 			// others and come back from them: a server that has left would
@@ -71,7 +76,9 @@
 	}
 	for _, i := range s.Instances {
 		listed[i.ID] = true
-		t.set(i)
+		if e := t.set(i); e != nil {
+			t.noteWarming(e, s.Warming[i.ID])
+		}
 		if left, doubted := s.Doubted[i.ID]; doubted {
 			t.entries[i.ID].goneAt = t.clock.Now().Add(left)
 		}
@@ -107,10 +114,13 @@
 		e := t.entries[c.ID]
 		switch {
 		case c.Instance != nil:
-			if e == nil || e.gone || !e.goneAt.IsZero() || e.instance != *c.Instance {
+			// While an instance warms up each of its heartbeats says for how much longer.
+			if e == nil || e.gone || !e.goneAt.IsZero() || e.instance != *c.Instance || c.Warming > 0 || t.isWarming(e, t.clock.Now()) {
 				news = append(news, c)
 			}
-			t.set(*c.Instance)
+			if e := t.set(*c.Instance); e != nil {
+				t.noteWarming(e, c.Warming)
+			}
 		case c.Unreadable:
 			if t.drop(c.ID) {
 				news = append(news, c)
@@ -143,12 +153,13 @@
 //
 // A server that starts again under its ID has lost its prompts, requests and
 // failures; what was believed of the earlier life would keep it ejected, or leaving
-// for good. Late news of an earlier life changes nothing.
-func (t *Table) set(i Instance) {
+// for good. Late news of an earlier life changes nothing; set then returns nil, otherwise
+// the instance's entry.
+func (t *Table) set(i Instance) *entry {
 	e, ok := t.entries[i.ID]
 	switch {
 	case ok && i.Born < e.instance.Born:
-		return
+		return nil
 	case !ok || i.Born > e.instance.Born:
 		e = &entry{}
 		t.entries[i.ID] = e
@@ -159,6 +170,7 @@
 	if _, left := t.leftAt[i.Life()]; left {
 		e.left = true
 	}
+	return e
 }
 
 func (t *Table) noteVersion(i Instance) {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 )
 
 const (
@@ -32,6 +34,7 @@
 	health health
 	// restUntil is until when the instance wants nothing from this daemon.
 	restUntil time.Time
+	warming   warming
 
 	// inFlight counts this daemon's requests there; waiting is the work of those
 	// that have no first event yet.
@@ -65,6 +68,10 @@
 	Unannounced bool
 	// Ejected instances failed lately and get nothing while others can serve.
 	Ejected bool
+	// Warming instances bear only a part of what they will. Wait is the time until this
+	// daemon may send to one; 0 is at once.
+	Warming bool
+	Wait    time.Duration
 }
 
 // Table is the table of upstream instances.
@@ -84,11 +91,20 @@
 	versions map[string]map[string]time.Time
 	// leftAt has the lives that were found to be leaving, and when.
 	leftAt map[Life]time.Time
+	// evacuated are the failure domains whose instances get nothing new.
+	evacuated map[string]bool
+	// warmUps is what instances bear while they warm up, by service, and share this
+	// daemon's part of it.
+	warmUps map[string]catalog.WarmUp
+	share   Share
 }
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
-	return &Table{clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}, leftAt: map[Life]time.Time{}}
+	return &Table{
+		clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}, leftAt: map[Life]time.Time{},
+		evacuated: map[string]bool{}, share: func(string, float64) time.Duration { return 0 },
+	}
 }
 
 // Usable returns the instances of a service that may get something new, by ID.
@@ -98,7 +114,7 @@
 	now := t.clock.Now()
 	var out []View
 	for _, e := range t.entries {
-		if !e.serves(service) || now.Before(e.restUntil) {
+		if !t.serves(e, service) || now.Before(e.restUntil) {
 			continue
 		}
 		out = append(out, View{
@@ -108,6 +124,8 @@
 			InFlight: e.inFlight,
 			Waiting:  t.waitingNow(e, now),
 			Ejected:  e.health.ejected(now),
+			Warming:  t.isWarming(e, now),
+			Wait:     t.wait(e, now),
 
 			Unannounced: t.unannounced(e.instance, now),
 		})
@@ -126,6 +144,12 @@
 	return e.instance.Service == service && !e.gone && !e.left && !e.instance.Leaving
 }
 
+// serves reports whether an instance of a service is there and may get something new. The
+// lock is held.
+func (t *Table) serves(e *entry, service string) bool {
+	return e.serves(service) && !t.evacuated[e.instance.FailureDomain]
+}
+
 // Rest leaves an instance out for the time that it has asked for. A request sent all the
 // same would be refused, and cost its caller the time of an attempt.
 func (t *Table) Rest(i Instance, d time.Duration) {
@@ -143,7 +167,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for _, e := range t.entries {
-		if !e.serves(service) {
+		if !t.serves(e, service) {
 			continue
 		}
 		left := e.restUntil.Sub(now)
--- /dev/null
+++ b/internal/inventory/warmup_test.go
@@ -0,0 +1,130 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+)
+
+const coldTime = 3 * time.Second
+
+// newWarmTable returns a table with two instances of a service that warm up, of which this
+// daemon may send one a second to each.
+func newWarmTable() (*Table, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	share := func(string, float64) time.Duration { return time.Second }
+	table.SetWarmUps(map[string]catalog.WarmUp{"s": {Time: coldTime, Rate: 9}}, share)
+	table.Replace(Snapshot{Revision: 1, Instances: []Instance{warmInstance("a"), warmInstance("b")}}, time.Time{})
+	return table, clock
+}
+
+func warmInstance(domain string) Instance {
+	return Instance{ID: "i-" + domain, Service: "s", FailureDomain: domain}
+}
+
+func (t *Table) listed(revision int64, domain string, warming time.Duration) {
+	i := warmInstance(domain)
+	t.Apply([]Change{{ID: i.ID, Instance: &i, Warming: warming}}, revision, time.Time{})
+}
+
+func isWarming(t *Table, domain string) bool {
+	for _, v := range t.Usable("s") {
+		if v.Instance.FailureDomain == domain {
+			return v.Warming
+		}
+	}
+	return false
+}
+
+// Guards against an instance that is sent everything because its entry told of its warm-up
+// in a heartbeat only, in which nothing else had changed.
+func TestHeartbeatTellsOfWarmUp(t *testing.T) {
+	table, clock := newWarmTable()
+	require.False(t, isWarming(table, "a"))
+	table.listed(2, "a", 2*time.Second)
+	require.True(t, isWarming(table, "a"))
+	require.False(t, isWarming(table, "b"))
+	clock.Advance(1999 * time.Millisecond)
+	require.True(t, isWarming(table, "a"))
+	clock.Advance(time.Millisecond)
+	require.False(t, isWarming(table, "a"))
+}
+
+// Guards against warm-ups that other daemons do not hear of, or not of their end.
+func TestWarmUpIsNews(t *testing.T) {
+	table, clock := newWarmTable()
+	apply := func(revision int64, left time.Duration) []Change {
+		i := warmInstance("a")
+		news, _, ok := table.Apply([]Change{{ID: i.ID, Instance: &i, Warming: left}}, revision, time.Time{})
+		require.True(t, ok)
+		return news
+	}
+	require.Empty(t, apply(2, 0))
+	require.Len(t, apply(3, 2*time.Second), 1)
+	clock.Advance(time.Second)
+	require.Len(t, apply(4, 0), 1)
+	require.False(t, isWarming(table, "a"))
+	require.Empty(t, apply(5, 0))
+}
+
+// Guards against a restored failure domain that is taken for warm by entries older than
+// its cold.
+func TestRestoredInstancesAreColdUntilTheySayOtherwise(t *testing.T) {
+	table, clock := newWarmTable()
+	table.Evacuate("a", true)
+	require.Len(t, table.Usable("s"), 1)
+	require.False(t, table.MaySend(warmInstance("a")))
+	table.Evacuate("a", false)
+	require.True(t, isWarming(table, "a"))
+	table.listed(2, "a", 0)
+	require.True(t, isWarming(table, "a"))
+	table.listed(3, "a", time.Second)
+	clock.Advance(time.Second)
+	require.False(t, isWarming(table, "a"))
+
+	table.Evacuate("b", true)
+	table.Evacuate("b", false)
+	clock.Advance(coldTime)
+	require.False(t, isWarming(table, "b"), "nothing was heard of it")
+}
+
+// Guards against a daemon that sends more than its part: turns are handed out one after the
+// other, whoever asks.
+func TestTurnsAtAColdInstance(t *testing.T) {
+	table, clock := newWarmTable()
+	table.listed(2, "a", coldTime)
+	a := warmInstance("a")
+	first, ok := table.Reserve(a, coldTime)
+	require.True(t, ok)
+	require.LessOrEqual(t, first, time.Second)
+	second, ok := table.Reserve(a, coldTime)
+	require.True(t, ok)
+	require.Equal(t, first+time.Second, second)
+	_, ok = table.Reserve(a, time.Second)
+	require.False(t, ok, "the turn comes too late")
+	third, ok := table.Reserve(a, coldTime)
+	require.True(t, ok)
+	require.Equal(t, first+2*time.Second, third, "no turn was taken by who could not wait")
+	clock.Advance(coldTime)
+	for range 10 {
+		wait, ok := table.Reserve(a, 0)
+		require.True(t, ok)
+		require.Zero(t, wait)
+	}
+}
+
+// Guards against a daemon that has started and holds all instances for warm.
+func TestWarmUpGoesWithTheWholeList(t *testing.T) {
+	table, clock := newWarmTable()
+	table.listed(2, "a", coldTime)
+	clock.Advance(time.Second)
+	other, _ := newWarmTable()
+	other.Replace(table.Snapshot(), time.Time{})
+	require.True(t, isWarming(other, "a"))
+	require.False(t, isWarming(other, "b"))
+}
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
@@ -28,6 +29,8 @@
 	Shifts int64
 	// Quarantine is equal at daemons that refuse the same requests.
 	Quarantine uint64
+	// Evacuated is equal at daemons that know the same evacuations; 0 is not known.
+	Evacuated uint64
 	// Left are upstream instances that were found to be leaving in the last seconds.
 	Left []inventory.Life
 }
@@ -48,6 +51,8 @@
 	Members bool
 	// Quarantine asks for the requests that are refused.
 	Quarantine bool
+	// Evacuations asks for the operator's orders about failure domains.
+	Evacuations bool
 }
 
 // Beliefs is what a daemon knows of the installation. It is what a daemon
@@ -64,6 +69,9 @@
 	Members []member.Daemon
 	// Quarantine are the requests that are refused.
 	Quarantine []quarantine.Entry
+	// Evacuations are all orders about failure domains if EvacuationsKnown is set.
+	Evacuations      []evacuation.Order
+	EvacuationsKnown bool
 }
 
 // News is what a daemon that reads the store tells those that do not.
@@ -78,6 +86,14 @@
 	OperatorRead    int64
 	OperatorChanged int64
 	OperatorAge     time.Duration
+	// OperatorBase is the revision from which Manifest, Orders and Evacuations lead on if
+	// OperatorWhole is set: nothing of what changed since is left out.
+	OperatorBase  int64
+	OperatorWhole bool
+	// Evacuations are all orders about failure domains when they have changed; Evacuated is
+	// equal at daemons that know the same of them.
+	Evacuations []evacuation.Order
+	Evacuated   uint64
 	// Changes lead from the revision Base of the list to List, which was the
 	// newest ListAge ago.
 	Changes []inventory.Change
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -29,6 +30,9 @@
 	Reads   float64
 	// Ejected instances failed lately.
 	Ejected bool
+	// Wait is the time until this daemon may send to an instance that warms up; 0 is at
+	// once.
+	Wait time.Duration
 	// Trial instances are those of a new version that serve a part of the sessions
 	// before the others of that version get any.
 	Trial bool
@@ -75,6 +79,21 @@
 	return healthy
 }
 
+// Ready leaves out instances to which nothing may be sent yet, as long as there are others.
+// Of several that all have to be waited for the first one is left.
+func Ready(all []Candidate) []Candidate {
+	var ready []Candidate
+	for _, c := range all {
+		if c.Wait == 0 {
+			ready = append(ready, c)
+		}
+	}
+	if len(ready) > 0 || len(all) == 0 {
+		return ready
+	}
+	return []Candidate{slices.MinFunc(all, func(a, b Candidate) int { return cmp.Compare(a.Wait, b.Wait) })}
+}
+
 // load is a candidate's load in requests, with the work that waits there.
 func (c Candidate) load() float64 { return c.Load + c.Waiting/workPerRequest }
 
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -22,8 +22,14 @@
 	Body   []byte
 	// HasBody is true for a request with a body, even an empty one.
 	HasBody bool
+	// Withdrawn is asked when the connection is there and nothing of the request has gone
+	// out. If it says so, nothing does. It may be nil.
+	Withdrawn func() bool
 }
 
+// ErrWithdrawn says that a request was withdrawn before any of it went out.
+var ErrWithdrawn = errors.New("upstream: the request was withdrawn")
+
 // Exchange is a request sent and the answer that comes back.
 //
 // The connection is closed when the context ends, which is what makes a server
@@ -72,8 +78,12 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	if err := ctx.Err(); err != nil {
-		p.put(address, c)
+	err = ctx.Err()
+	if err == nil && r.Withdrawn != nil && r.Withdrawn() {
+		err = ErrWithdrawn
+	}
+	if err != nil {
+		p.giveBack(address, c)
 		return nil, &NotSentError{Cause: err}
 	}
 	e := &Exchange{pool: p, address: address, conn: c, written: make(chan error, 1)}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -99,10 +99,7 @@
 	const unlimited = 0
 	c, err := p.get(ctx, address, unlimited)
 	if err == nil {
-		if c.usable.IsZero() {
-			c.usable = time.Now().Add(idleLimit)
-		}
-		p.put(address, c)
+		p.giveBack(address, c)
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
@@ -146,6 +143,14 @@
 	p.closed(address)
 }
 
+// giveBack keeps a connection on which nothing was sent since get returned it.
+func (p *Pool) giveBack(address string, c *conn) {
+	if c.usable.IsZero() {
+		c.usable = time.Now().Add(idleLimit)
+	}
+	p.put(address, c)
+}
+
 // put keeps a connection for the next exchange.
 func (p *Pool) put(address string, c *conn) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/warmup/warmup_test.go
@@ -0,0 +1,138 @@
+package warmup
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// The load that sharing out a warm-up answers: a fleet before instances that have all
+// started at once, each of which bears 9 requests a second and ends above 18. There is
+// always a request that would go to any instance as soon as it may.
+const (
+	playRate  = 9.0
+	playLimit = 18
+	playTime  = 3 * time.Second
+	// playSkew is how far apart daemons learn that an instance has started.
+	playSkew = 1200 * time.Millisecond
+)
+
+// ranks orders daemons for an instance.
+func ranks(instance, daemons int) []uint64 {
+	out := make([]uint64, daemons)
+	for d := range out {
+		out[d] = xxhash.Sum64String(fmt.Sprint(instance, "/", d))
+	}
+	return out
+}
+
+// owns reports whether a daemon is among the owners of an instance, of those it knows.
+func owns(rank []uint64, daemon int, known []int, owners int) bool {
+	better := 0
+	for _, d := range known {
+		if rank[d] < rank[daemon] {
+			better++
+		}
+	}
+	return better < owners
+}
+
+// play returns the most requests that one instance got in a second, and how many a daemon
+// could send in all.
+func play(daemons, instances int, known func(daemon int) []int, random *rand.Rand) (most int, perDaemon []int) {
+	perDaemon = make([]int, daemons)
+	for i := range instances {
+		var sent []time.Duration
+		rank := ranks(i, daemons)
+		for d := range daemons {
+			fleet := known(d)
+			owners := Owners(playRate, len(fleet))
+			if !owns(rank, d, fleet, owners) {
+				continue
+			}
+			start := time.Unix(0, 0).Add(time.Duration(random.Int64N(int64(playSkew))))
+			var p Pace
+			interval := Interval(playRate, owners)
+			p.next = start.Add(time.Duration(random.Int64N(int64(interval))))
+			end := time.Unix(0, 0).Add(playTime)
+			for now := start.Add(p.Take(start, interval)); now.Before(end); now = now.Add(p.Take(now, interval)) {
+				sent = append(sent, now.Sub(time.Unix(0, 0)))
+				perDaemon[d]++
+			}
+		}
+		most = max(most, inASecond(sent))
+	}
+	return most, perDaemon
+}
+
+// inASecond is the most events in any second.
+func inASecond(sent []time.Duration) int {
+	slices.Sort(sent)
+	most, first := 0, 0
+	for i := range sent {
+		for sent[i]-sent[first] > time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against instances that end under a fleet that sends to them as soon as they
+// start, whatever its size.
+func TestNoInstanceGetsMoreThanItBears(t *testing.T) {
+	for _, daemons := range []int{1, 6, 8, 77, 195, 1300} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			all := make([]int, daemons)
+			for d := range all {
+				all[d] = d
+			}
+			for seed := range uint64(5) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				most, _ := play(daemons, 20, func(int) []int { return all }, random)
+				require.LessOrEqual(t, most, playLimit)
+			}
+		})
+	}
+}
+
+// Guards against too many owners while daemons know different parts of the fleet, as after
+// many were started at once.
+func TestOwnersThatKnowDifferentFleets(t *testing.T) {
+	const daemons = 77
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		views := make([][]int, daemons)
+		for d := range views {
+			for other := range daemons {
+				if other == d || random.Float64() < 0.8 {
+					views[d] = append(views[d], other)
+				}
+			}
+		}
+		most, _ := play(daemons, 60, func(d int) []int { return views[d] }, random)
+		require.LessOrEqual(t, most, playLimit)
+	}
+}
+
+// Guards against daemons that can serve nobody while all instances are cold.
+func TestAllDaemonsHaveAPartWhenAllInstancesAreCold(t *testing.T) {
+	const daemons, instances = 77, 60
+	all := make([]int, daemons)
+	for d := range all {
+		all[d] = d
+	}
+	_, perDaemon := play(daemons, instances, func(int) []int { return all }, rand.New(rand.NewPCG(3, 3)))
+	served := 0
+	for d, n := range perDaemon {
+		require.Positive(t, n, "daemon %d", d)
+		served += n
+	}
+	planned := plannedPart * playRate * instances * (playTime - playSkew/2).Seconds()
+	require.InEpsilon(t, planned, served, 0.15)
+}
