CLI: evacuate, restore and list failure domains

On the product's own interface an evacuation is part of a site's overlay (upstreams.evacuated, each with the time since when), so it is checked, versioned and in force like any configuration; the commands edit the overlay and keep its comments. Daemons on the users' platform show the operator's evacuations with what still runs there, count them, and log requests that were stopped at the last moment.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,13 +63,17 @@
 	Ledger struct {
 		List ledgerList `command:"list" description:"list bills"`
 	} `command:"ledger" description:"bills"`
-	Entries entriesCommand `command:"entries" description:"list the daemons that callers may use"`
-	Entry   struct {
+	Evacuate  evacuateCommand  `command:"evacuate" description:"send nothing new to the upstreams of a failure domain"`
+	Restore   restoreCommand   `command:"restore" description:"use the upstreams of an evacuated failure domain again"`
+	Evacuated evacuatedCommand `command:"evacuated" description:"list the evacuated failure domains"`
+	Entries   entriesCommand   `command:"entries" description:"list the daemons that callers may use"`
+	Entry     struct {
 		Check    entrySettings `command:"check" description:"check the settings of a daemon for plain HTTP callers"`
 		Manifest entryManifest `command:"manifest" description:"check an operator's declaration"`
 		Show     entryShow     `command:"show" description:"show what such a daemon believes"`
 
 		Quarantine entryQuarantine `command:"quarantine" description:"list the requests that are refused because they crash upstream instances"`
+		Evacuated  entryEvacuated  `command:"evacuated" description:"list the evacuations that such a daemon has in force"`
 		Release    entryRelease    `command:"release" description:"let a quarantined request run again"`
 	} `command:"entry" description:"daemons for plain HTTP callers"`
 	Keys struct {
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -76,9 +76,12 @@
 	line(w, "list\trevision %d\t%d ms old", b.List.Revision, b.List.AgeMS)
 	for service, views := range b.List.Instances {
 		for _, v := range views {
-			line(w, "upstream\t%s\t%s\t%s\t%s\topen %d\tejected %v", service, v.Instance.ID, v.Instance.Address, v.Instance.Version, v.Open, v.Ejected)
+			line(w, "upstream\t%s\t%s\t%s\t%s\topen %d\tejected %v\twarming %v", service, v.Instance.ID, v.Instance.Address, v.Instance.Version, v.Open, v.Ejected, v.Warming)
 		}
 	}
+	for _, e := range b.Evacuations {
+		line(w, "evacuated\t%s\tfor %d ms\topen %d", e.FailureDomain, e.SinceMS, e.Open)
+	}
 	for _, s := range b.Rollouts {
 		line(w, "rollout\t%s\tto %s\t%s\tshare %.2f", s.Service, s.To, s.Phase, s.Share)
 	}
--- /dev/null
+++ b/internal/cli/evacuate.go
@@ -0,0 +1,136 @@
+package cli
+
+import (
+	"crypto/rand"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/entry"
+	"github.com/hornbeamsill/hornbeamsill/internal/operator"
+)
+
+// siteOption is the site whose overlay is changed.
+type siteOption struct {
+	Site string `long:"site" description:"site of the failure domain; default the daemon's"`
+}
+
+// domainArg is a failure domain on the command line.
+type domainArg struct {
+	FailureDomain string `positional-arg-name:"FAILURE-DOMAIN" required:"true"`
+}
+
+type evacuateCommand struct {
+	leaf
+	siteOption
+	Args domainArg `positional-args:"yes"`
+}
+
+func (c *evacuateCommand) run(a *app) error {
+	return c.change(a, "is evacuated", c.Args.FailureDomain, func(overlay []byte) ([]byte, error) {
+		return config.Evacuate(overlay, c.Args.FailureDomain, time.Now())
+	})
+}
+
+type restoreCommand struct {
+	leaf
+	siteOption
+	Args domainArg `positional-args:"yes"`
+}
+
+func (c *restoreCommand) run(a *app) error {
+	return c.change(a, "is in use again", c.Args.FailureDomain, func(overlay []byte) ([]byte, error) {
+		return config.Restore(overlay, c.Args.FailureDomain)
+	})
+}
+
+// change applies a changed overlay to the revision that it was made from. Somebody else's
+// change in between is a conflict, and nothing is done.
+func (o *siteOption) change(a *app, what, domain string, edit func(overlay []byte) ([]byte, error)) error {
+	shown, err := o.shown(a)
+	if err != nil {
+		return err
+	}
+	text, err := edit([]byte(shown.Overlay.Text))
+	if err != nil {
+		return err
+	}
+	var applied operator.Applied
+	err = a.call(http.MethodPost, "/v1/config/apply", config.ApplyRequest{
+		Site: shown.Site, FromRevision: shown.Overlay.Revision, ChangeID: rand.Text(), Text: string(text), Author: author(),
+	}, &applied)
+	if err != nil {
+		return err
+	}
+	return a.print(applied.Change, func(w io.Writer) {
+		line(w, "%s of %s %s, generation %d", domain, shown.Site, what, applied.Change.Generation)
+	})
+}
+
+func (o *siteOption) shown(a *app) (shown operator.Shown, err error) {
+	path := "/v1/config"
+	if o.Site != "" {
+		path += "?site=" + url.QueryEscape(o.Site)
+	}
+	err = a.call(http.MethodGet, path, nil, &shown)
+	return shown, err
+}
+
+// evacuatedCommand lists the evacuated failure domains with what still runs there.
+type evacuatedCommand struct {
+	leaf
+	siteOption
+}
+
+func (c *evacuatedCommand) run(a *app) error {
+	shown, err := c.shown(a)
+	if err != nil {
+		return err
+	}
+	doc, err := config.Merge([]byte(shown.Base.Text), []byte(shown.Overlay.Text))
+	if err != nil {
+		return err
+	}
+	var status operator.Status
+	if err := a.call(http.MethodGet, "/v1/status", nil, &status); err != nil {
+		return err
+	}
+	rows := []entry.Evacuation{}
+	for _, domain := range slices.Sorted(maps.Keys(doc.Upstreams.Evacuated)) {
+		e := entry.Evacuation{FailureDomain: domain, SinceMS: time.Since(doc.Upstreams.Evacuated[domain]).Milliseconds()}
+		for _, u := range status.Upstreams {
+			if u.FailureDomain == domain {
+				e.Open += u.Running
+			}
+		}
+		rows = append(rows, e)
+	}
+	return a.printEvacuations(rows)
+}
+
+// entryEvacuated lists the evacuations that a daemon for plain HTTP callers has in force.
+type entryEvacuated struct {
+	leaf
+	metricsArg
+}
+
+func (c *entryEvacuated) run(a *app) error {
+	var b entry.Beliefs
+	if err := c.get(entry.BeliefsPath, &b); err != nil {
+		return err
+	}
+	return a.printEvacuations(b.Evacuations)
+}
+
+func (a *app) printEvacuations(rows []entry.Evacuation) error {
+	return a.print(rows, func(w io.Writer) {
+		line(w, "FAILURE DOMAIN\tSINCE\tSTILL RUNNING")
+		for _, e := range rows {
+			line(w, "%s\t%v\t%d", e.FailureDomain, (time.Duration(e.SinceMS) * time.Millisecond).Round(time.Second), e.Open)
+		}
+	})
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -150,6 +150,9 @@
 	// AffinityBound is how far over the mean load an upstream with a cached
 	// prefix may be. Default 1.25.
 	AffinityBound float64 `json:"affinity_bound,omitempty"`
+	// Evacuated are the failure domains whose upstreams get nothing new, each with the
+	// time since when.
+	Evacuated map[string]time.Time `json:"evacuated,omitempty"`
 }
 
 // Judge describes the service that judges answers inside a cascade.
--- /dev/null
+++ b/internal/config/evacuate.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/tailscale/hujson"
+)
+
+// Pointers into a document for evacuations.
+const (
+	upstreamsPointer = "/upstreams"
+	evacuatedPointer = upstreamsPointer + "/evacuated"
+)
+
+// operation is one of a JSON patch (RFC 6902).
+type operation struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Value any    `json:"value,omitempty"`
+}
+
+// Evacuate returns an overlay in which a failure domain is evacuated since a time. Its
+// comments stay.
+func Evacuate(overlay []byte, domain string, since time.Time) ([]byte, error) {
+	if domain == "" {
+		return nil, trace.BadParameter("failure domain: missing")
+	}
+	root, err := parseOverlay(overlay)
+	if err != nil {
+		return nil, err
+	}
+	var patch []operation
+	for _, parent := range []string{upstreamsPointer, evacuatedPointer} {
+		if root.Find(parent) == nil {
+			patch = append(patch, operation{Op: "add", Path: parent, Value: struct{}{}})
+		}
+	}
+	patch = append(patch, operation{Op: "add", Path: evacuatedPointer + "/" + escape(domain), Value: since.UTC()})
+	return applyPatch(root, patch)
+}
+
+// Restore returns an overlay in which a failure domain is not evacuated any more.
+func Restore(overlay []byte, domain string) ([]byte, error) {
+	root, err := parseOverlay(overlay)
+	if err != nil {
+		return nil, err
+	}
+	path := evacuatedPointer + "/" + escape(domain)
+	if domain == "" || root.Find(path) == nil {
+		return nil, trace.NotFound("failure domain %q is not evacuated by this overlay", domain)
+	}
+	return applyPatch(root, []operation{{Op: "remove", Path: path}})
+}
+
+func parseOverlay(text []byte) (hujson.Value, error) {
+	if len(bytes.TrimSpace(text)) == 0 {
+		text = []byte("{}")
+	}
+	root, err := hujson.Parse(text)
+	return root, trace.Wrap(err)
+}
+
+func applyPatch(root hujson.Value, patch []operation) ([]byte, error) {
+	text, err := json.Marshal(patch)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := root.Patch(text); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	root.Format()
+	return root.Pack(), nil
+}
--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -30,13 +30,33 @@
 		AgeMS     int64                       `json:"age_ms"`
 		Instances map[string][]inventory.View `json:"instances"`
 	} `json:"list"`
-	Rollouts []shift.State   `json:"rollouts"`
-	Daemons  []member.Daemon `json:"daemons"`
+	Rollouts []shift.State `json:"rollouts"`
+	// Evacuations are those in force.
+	Evacuations []Evacuation    `json:"evacuations"`
+	Daemons     []member.Daemon `json:"daemons"`
+}
+
+// Evacuation is a failure domain whose instances get nothing new.
+type Evacuation struct {
+	FailureDomain string `json:"failure_domain"`
+	// SinceMS is for how long, in milliseconds.
+	SinceMS int64 `json:"since_ms"`
+	// Open is the number of requests that still run there.
+	Open int `json:"open"`
+}
+
+// inForce returns the evacuations in force.
+func (n *Node) inForce() []Evacuation {
+	out := []Evacuation{}
+	for _, o := range n.evacuations.InForce() {
+		out = append(out, Evacuation{FailureDomain: o.FailureDomain, SinceMS: o.Age.Milliseconds(), Open: n.table.OpenIn(o.FailureDomain)})
+	}
+	return out
 }
 
 // Beliefs returns what this daemon believes.
 func (n *Node) Beliefs() Beliefs {
-	b := Beliefs{Instance: n.settings.Instance, Ready: n.Ready(), Reader: n.reader(), Daemons: n.registry.All()}
+	b := Beliefs{Instance: n.settings.Instance, Ready: n.Ready(), Reader: n.reader(), Daemons: n.registry.All(), Evacuations: n.inForce()}
 	b.List.Revision, b.List.AgeMS = n.table.Revision(), n.table.Age().Milliseconds()
 	b.List.Instances = map[string][]inventory.View{}
 	_, b.Rollouts = n.book.Orders()
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -240,6 +240,10 @@
 	// them.
 	PeerCalls  *peer.Traffic `json:"peer_calls"`
 	PeerServed *peer.Traffic `json:"peer_served"`
+	// Evacuated is the number of evacuated failure domains, and Withdrawn how often a
+	// request was stopped because its instance was withdrawn when it was about to go out.
+	Evacuated int   `json:"evacuated"`
+	Withdrawn int64 `json:"withdrawn"`
 	// Quarantine is about requests that crash upstream instances.
 	Quarantine quarantineFigures `json:"quarantine"`
 }
@@ -254,6 +258,7 @@
 			Daemons: len(n.registry.Live()), StoreCalls: n.store.Calls(), Dials: n.pool.Dials(),
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.figures(),
+			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 		}
 	})
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -197,7 +197,7 @@
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: q.Codec.Upstream(q.r.Header, s), Body: q.body,
 		HasBody:   len(q.body) > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
-		Withdrawn: func() bool { return !q.Table.MaySend(a.instance) },
+		Withdrawn: a.withdrawn,
 	}
 	exchange, err := q.Pool.Do(ctx, a.instance.Address, q.connections(), r, a.ours)
 	if err != nil {
@@ -238,6 +238,17 @@
 	return nil
 }
 
+// withdrawn reports whether the instance may not be sent to any more.
+func (a *attempt) withdrawn() bool {
+	if a.Table.MaySend(a.instance) {
+		return false
+	}
+	a.Metrics.Withdrawn.Add(1)
+	slog.Info("attempt.withdrawn", "request", a.request.facts.ID, "instance", a.instance.ID, "failure_domain", a.instance.FailureDomain,
+		"after_ms", time.Since(a.sentAt).Milliseconds(), "list", a.Table.Revision())
+	return true
+}
+
 // noteLeaving takes in what an answer says of its instance: that it leaves, or is not
 // there any more.
 func (a *attempt) noteLeaving() {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -44,6 +44,9 @@
 type Metrics struct {
 	// Open is the number of requests being served.
 	Open atomic.Int64
+	// Withdrawn is how often a request was stopped because its instance was withdrawn when
+	// it was about to go out.
+	Withdrawn atomic.Int64
 
 	mu     sync.Mutex
 	routes map[string]*routeFigures
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -177,3 +177,21 @@
 	require.Zero(t, got.SentSince)
 	require.Zero(t, got.InFlight)
 }
+
+// Guards against work for upstreams of a failure domain that the operator has emptied.
+func TestEvacuatedUpstreamsGetNothingNew(t *testing.T) {
+	policy := config.UpstreamPolicy{}
+	u := NewUpstreams(clockwork.NewFakeClock(), func() config.UpstreamPolicy { return policy })
+	all := list(4, backing.StateLive)
+	for i := range all {
+		all[i].FailureDomain = []string{"hall-a", "hall-b"}[i%2]
+	}
+	u.SetList(all)
+	require.Len(t, u.Usable(backing.RoleEngine), 4)
+	policy.Evacuated = map[string]time.Time{"hall-b": {}}
+	for _, left := range u.Usable(backing.RoleEngine) {
+		require.Equal(t, "hall-a", left.Instance.FailureDomain)
+	}
+	policy.Evacuated = nil
+	require.Len(t, u.Usable(backing.RoleEngine), 4)
+}
--- a/internal/member/upstreams.go
+++ b/internal/member/upstreams.go
@@ -237,13 +237,16 @@
 }
 
 // Usable returns copies of the upstreams that may get new work: listed, not
-// leaving, not ejected. Sorted by id.
+// leaving, not ejected, in no evacuated failure domain. Sorted by id.
 func (t *Upstreams) Usable(role backing.InstanceRole) []Upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
+	now, evacuated := t.clock.Now(), t.policy().Evacuated
 	var out []Upstream
 	for _, u := range t.table {
+		if _, empty := evacuated[u.Instance.FailureDomain]; empty {
+			continue
+		}
 		if u.Instance.Role == role && u.listed && !now.Before(u.leavingUntil) && !now.Before(u.EjectedUntil) {
 			out = append(out, u.copy())
 		}
--- a/test/routes/evacuation_test.go
+++ b/test/routes/evacuation_test.go
@@ -102,6 +102,10 @@
 	for _, d := range daemons {
 		s.evacuatedAt(d, "hall-c")
 		s.serves(d, "hall-b", "hall-c")
+		shown := s.beliefs(d).Evacuations
+		require.Len(t, shown, 2)
+		require.Equal(t, "hall-b", shown[0].FailureDomain)
+		require.GreaterOrEqual(t, shown[0].SinceMS, shown[1].SinceMS)
 	}
 	s.store.Restore("hall-b")
 	for _, d := range daemons {
