One group of readers for up to 100 daemons; work told as before

What is told of the list and the operator's rows is small; what waits at instances is told ten times as often and keeps its groups of 32 or a failure domain.

--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -16,12 +16,14 @@
 // that die, freeze or are turned away by the store delay nobody beyond the
 // bounds. With 88 daemons this takes about a tenth of the calls.
 const (
-	// wholeFleet is the number of daemons up to which they are one group;
+	// wholeFleet is the number of daemons up to which they are one group of readers;
 	// above, each failure domain is a group of its own, so that news crosses
 	// domains only through the store. A reader tells no more daemons then than in
-	// a failure domain of a large fleet. With fewer, a fleet of small domains has half
-	// of its daemons read the store.
-	wholeFleet = 32
+	// a failure domain of a large fleet.
+	wholeFleet = 100
+	// wholeWork is the same for what waits at upstream instances, which is told ten times
+	// as often and takes most of a reader's link.
+	wholeWork = 32
 	// readerDuty names the order in which daemons are chosen.
 	readerDuty = "reader"
 	// readersPerGroup is two, so that one that fails is not even noticed.
@@ -41,9 +43,16 @@
 	toldManifest = 32 << 10
 )
 
-// group reports whether a daemon is in this one's group.
-func (n *Node) group() func(member.Daemon) bool {
-	if len(n.registry.Live()) <= wholeFleet {
+// group reports whether a daemon is in this one's group of readers.
+func (n *Node) group() func(member.Daemon) bool { return n.groupOf(wholeFleet) }
+
+// workGroup reports whether a daemon is in the group that tells each other what waits at
+// upstream instances.
+func (n *Node) workGroup() func(member.Daemon) bool { return n.groupOf(wholeWork) }
+
+// groupOf is the whole fleet, up to a number of daemons, or else this failure domain.
+func (n *Node) groupOf(most int) func(member.Daemon) bool {
+	if len(n.registry.Live()) <= most {
 		return func(member.Daemon) bool { return true }
 	}
 	return func(d member.Daemon) bool { return d.FailureDomain == n.settings.FailureDomain }
@@ -154,16 +163,16 @@
 // tell sends news to the daemons of the group.
 func (n *Node) tell(ctx context.Context, news peer.News) {
 	news = n.dated(news)
-	n.callEach(ctx, beatTimeout, n.others(), func(call context.Context, address string) {
+	n.callEach(ctx, beatTimeout, n.others(n.group()), func(call context.Context, address string) {
 		if err := n.peers.News(call, address, news); err != nil {
 			slog.Debug("news.not_told", "peer", address, "error", err)
 		}
 	})
 }
 
-// others are the other daemons of the group.
-func (n *Node) others() []member.Daemon {
-	own, inGroup := n.registry.Self().PeerAddress, n.group()
+// others are the other daemons of a group.
+func (n *Node) others(inGroup func(member.Daemon) bool) []member.Daemon {
+	own := n.registry.Self().PeerAddress
 	return slices.DeleteFunc(n.registry.Live(), func(d member.Daemon) bool {
 		return d.PeerAddress == own || !inGroup(d)
 	})
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -118,12 +118,12 @@
 func (n *Node) workLoop(ctx context.Context) {
 	pause := workInterval
 	for n.pause(ctx, pause) {
-		first := n.readers(1, n.group())
+		first := n.readers(1, n.workGroup())
 		if len(first) == 0 || first[0].Incarnation != n.registry.Self().Incarnation {
 			continue
 		}
 		pause = workPause(n.tellWork(ctx, readingsIn(pause)))
-		if len(n.registry.Live()) > wholeFleet {
+		if len(n.registry.Live()) > wholeWork {
 			n.tellDomainWork(ctx, readingsIn(pause))
 		}
 	}
@@ -142,7 +142,7 @@
 	n.table.SetFleet(work)
 	n.prompts.Learn(read)
 	told := peer.GroupWork{Amounts: peer.PackWork(work), Readings: peer.PackReadings(read)}
-	n.callEach(ctx, beatTimeout, n.others(), func(call context.Context, address string) {
+	n.callEach(ctx, beatTimeout, n.others(n.workGroup()), func(call context.Context, address string) {
 		own, err := n.peers.GroupWork(call, address, told)
 		if err != nil {
 			slog.Debug("work.not_told", "peer", address, "error", err)
