Attempts that reach no instance take no repeat from the budget

What callers saw: 502 a few ms after a small model's answer had been dropped, or small models' weak answers for ten seconds after instances had gone dark. After a first run each connection that could not be made took another repeat, a daemon with 25 of them in ten seconds met 30 dark engines. What was taken for an attempt that did not arrive is now there for the next one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -368,6 +368,11 @@
 	switch {
 	case q.checkQuarantine() != nil:
 		return "quarantined"
+	case notSent:
+		// Nothing arrived, so what was taken from the budget for this attempt is there for
+		// the next one. Taken again, each instance that does not answer cost a repeat, until
+		// none was left for answers that had been dropped for a larger model's.
+		return ""
 	case !q.Retries.Take(q.service.Name):
 		return "budget"
 	}
--- a/test/routes/failures_test.go
+++ b/test/routes/failures_test.go
@@ -383,3 +383,29 @@
 		s.whole(c, s.send(c, d), "cat-1")
 	}
 }
+
+// Guards against repeats that are spent on instances to which nothing can be sent: a small
+// model's answer was dropped, the larger model's instance refused the connection, and the
+// caller got 502.
+func TestUnreachableInstancesTakeNoRepeats(t *testing.T) {
+	s := newSite(t)
+	const pieces = 3
+	confidence := map[string]int{"small": 2, "large": 90}
+	for n := range 4 {
+		dead := s.newServer(platformtest.ServerOptions{ID: fmt.Sprint("dead-", n), Service: engines, Events: pieces})
+		dead.Close()
+	}
+	s.server(platformtest.ServerOptions{ID: "live", Service: engines, Events: pieces, Confidence: confidence})
+	d := s.start(func(r *settings.Routes) {
+		// One repeat for each request.
+		r.RetryRatio, r.RetrySlack = 1.3, 0
+	})
+	s.logged(d, "daemon.offered")
+	for range 6 {
+		c := s.call(pathTurns)
+		reply := s.send(c, d)
+		require.NoError(t, reply.Err)
+		require.Equal(t, http.StatusOK, reply.Status, "%s\n%s", reply.Body, d.Log())
+		require.Equal(t, events(c.ID, pieces), reply.Body)
+	}
+}
