Soak: a failure domain is evacuated, servers come back cold

Both as faults; at the end an evacuation has to empty its failure domain at every live daemon, and no cold server may have got more than it bears.

--- a/test/routes/evacuation_test.go
+++ b/test/routes/evacuation_test.go
@@ -221,11 +221,10 @@
 // cold starts a server that is cold.
 func (s *site) cold(id, hall string, d time.Duration) *platformtest.Server {
 	server := platformtest.NewServer(platformtest.ServerOptions{
-		ID: id, Service: plain, FailureDomain: hall, Version: "v1", Slots: 8, ColdPerS: coldLimit,
+		ID: id, Service: plain, FailureDomain: hall, Version: "v1", Slots: 8, Cold: d, ColdPerS: coldLimit,
 	})
 	s.t.Cleanup(server.Close)
 	s.servers[id] = server
-	server.Cool(d)
 	server.Register(s.store, wire.StateReady)
 	return server
 }
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -95,9 +95,10 @@
 		site: newSite(t), seed: seed, random: rand.New(rand.NewPCG(seed, 1)), stores: map[*daemon]*cluster.Proxy{},
 		version: 3, ended: make(chan struct{}), serverIDs: map[string]string{}, leaving: map[*platformtest.Server]int{},
 	}
+	s.store.Declare(s.declared())
 	for i := range 3 {
-		s.soakServer(fmt.Sprint("cat-", i), seed)
-		s.soakServer(fmt.Sprint("eng-", i), seed)
+		s.soakServer(fmt.Sprint("cat-", i), seed, 0)
+		s.soakServer(fmt.Sprint("eng-", i), seed, 0)
 	}
 	for range soakDaemons {
 		s.startOne()
@@ -105,12 +106,26 @@
 	return s
 }
 
-// soakServer starts the server of a place, "cat-N" or "eng-N", which treats a few requests
-// badly, drawn by their id so that a seed plays the same.
-func (s *soak) soakServer(place string, seed uint64) {
+const (
+	// soakCold is for how long a server is cold that takes another one's place.
+	soakCold = 1500 * time.Millisecond
+	// soakHall is the failure domain that is evacuated; the first servers of each service
+	// are there.
+	soakHall = "hall-b"
+)
+
+// declared is the configuration in force.
+func (s *soak) declared() wire.Manifest { return warming(s.version) }
+
+// soakServer starts the server of a place, "cat-N" or "eng-N", which is cold for some time
+// and treats a few requests badly, drawn by their id so that a seed plays the same.
+func (s *soak) soakServer(place string, seed uint64, cold time.Duration) {
 	s.mu.Lock()
 	s.renamed++
-	o := platformtest.ServerOptions{ID: fmt.Sprint(place, "-", s.renamed), Service: plain, Work: 5 * time.Millisecond, Rest: soakRest}
+	o := platformtest.ServerOptions{ID: fmt.Sprint(place, "-", s.renamed), Service: plain, Work: 5 * time.Millisecond, Rest: soakRest, Cold: cold, ColdPerS: coldLimit}
+	if strings.HasSuffix(place, "-0") {
+		o.FailureDomain = soakHall
+	}
 	if strings.HasPrefix(place, "eng-") {
 		o.Service, o.Events, o.Confidence = engines, 8, map[string]int{"small": 80}
 	}
@@ -152,7 +167,7 @@
 	s.mu.Unlock()
 	<-time.After(restartTime)
 	s.store.Remove(wire.TableInstances, old)
-	s.soakServer(place, seed)
+	s.soakServer(place, seed, soakCold)
 }
 
 // running returns the server of a place.
@@ -216,6 +231,7 @@
 	}
 	s.heals.Wait()
 	s.recovers()
+	s.evacuates()
 	close(s.ended)
 	load.Wait()
 	s.check()
@@ -253,7 +269,7 @@
 func (s *soak) fault() {
 	d := s.pick(s.random)
 	store := s.stores[d]
-	switch s.random.IntN(14) {
+	switch s.random.IntN(15) {
 	case 0:
 		s.drop(d)
 		d.Kill()
@@ -286,7 +302,7 @@
 		s.store.Compact()
 	case 8:
 		s.version += 1 + s.random.Int64N(3)
-		s.store.Declare(declaration(s.version))
+		s.store.Declare(s.declared())
 	case 9:
 		place := s.place()
 		s.store.Remove(wire.TableInstances, s.idAt(place))
@@ -299,6 +315,9 @@
 		s.heals.Go(s.repeatCrashing)
 	case 13:
 		s.leave(s.place())
+	case 14:
+		s.store.Evacuate(soakHall)
+		s.later(func() { s.store.Restore(soakHall) })
 	}
 }
 
@@ -347,7 +366,7 @@
 	s.leaving[server] = len(server.Seen())
 	s.mu.Unlock()
 	server.Leave()
-	s.soakServer(place, s.seed)
+	s.soakServer(place, s.seed, soakCold)
 	s.later(func() { s.store.Remove(wire.TableInstances, old) })
 }
 
@@ -363,7 +382,7 @@
 	live := append([]*daemon{}, s.live...)
 	s.mu.Unlock()
 	s.version++
-	s.store.Declare(declaration(s.version))
+	s.store.Declare(s.declared())
 	for _, d := range live {
 		s.logged(d, "msg=config.in_force", fmt.Sprint("version=", s.version, " "))
 		s.eventually(func() error {
@@ -376,6 +395,47 @@
 	}
 }
 
+// evacuates requires that an evacuation empties a failure domain at every live daemon.
+func (s *soak) evacuates() {
+	s.store.Evacuate(soakHall)
+	defer s.store.Restore(soakHall)
+	s.mu.Lock()
+	live := append([]*daemon{}, s.live...)
+	s.mu.Unlock()
+	for _, d := range live {
+		s.eventually(func() error {
+			for _, e := range s.beliefs(d).Evacuations {
+				if e.FailureDomain == soakHall && e.Open == 0 {
+					return nil
+				}
+			}
+			return trace.Errorf("%s has not emptied %s\n%s", d.Name, soakHall, d.Log())
+		})
+	}
+	before := s.seenInHall()
+	for _, d := range live {
+		const requests = 20
+		for range requests {
+			s.send(s.call(pathSafe), d)
+		}
+	}
+	require.Equal(s.t, before, s.seenInHall(), "requests in an evacuated failure domain")
+}
+
+// seenInHall is the number of requests that the servers of the evacuated failure domain
+// have got.
+func (s *soak) seenInHall() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for id, server := range s.servers {
+		if strings.HasPrefix(id, "cat-0") || strings.HasPrefix(id, "eng-0") {
+			n += len(server.Seen())
+		}
+	}
+	return n
+}
+
 // check compares what callers got with what servers ran.
 func (s *soak) check() {
 	runs := map[string]int{}
@@ -386,7 +446,8 @@
 		// What each daemon had under way when the first answer told it.
 		require.LessOrEqual(s.t, len(server.Seen())-before, soakWorkers*s.started, "requests at a leaving server")
 	}
-	for _, server := range s.servers {
+	for id, server := range s.servers {
+		require.False(s.t, server.Overrun(), "%s got more than it bears while it was cold", id)
 		for _, seen := range server.Seen() {
 			if seen.Behaviour.Ran() {
 				runs[seen.ID]++
