--- a/internal/cascade/pace.go
+++ b/internal/cascade/pace.go
@@ -23,9 +23,7 @@
 )
 
 // Pace learns how fast engines work off what waits for its first event, from first
-// events observed. With 3,000 tokens of work and more, half of a large model's first
-// events on an installation of 18 engines took 0.76 to 0.88 of what was expected, nine
-// in ten at most 1.5 times as long; with less work, up to 4.6 times.
+// events observed. It expects best where some thousand tokens wait.
 //
 // Lock order: mu is taken alone.
 type Pace struct {
--- a/internal/cascade/times.go
+++ b/internal/cascade/times.go
@@ -10,9 +10,9 @@
 	// timeWeight is the weight of a new sample: about the last seven count.
 	timeWeight = 0.15
 	// timeHalfLife is how fast an expectation without new samples fades, so
-	// that what was found to take too long is tried again. One of 88 daemons sees
-	// an answer of the large model a second; with two seconds here it took the
-	// half of their real time for granted.
+	// that what was found to take too long is tried again. A daemon of a large fleet
+	// sees an answer of the large model a second; in less time it would forget most of
+	// what it has seen.
 	timeHalfLife = 8 * time.Second
 )
 
--- a/internal/entry/contact.go
+++ b/internal/entry/contact.go
@@ -18,10 +18,10 @@
 	retryPause    = 150 * time.Millisecond
 	maxRetryPause = 900 * time.Millisecond
 	// followerPause and maxFollowerPause are those of a daemon that reads only
-	// because news is late: once the store is back its readers tell it. While
-	// the store was away for seven seconds, 88 daemons made 1,700 calls for
-	// nothing. The first retry comes soon all the same, since one call may fail
-	// by itself while a server leaves of which no reader tells.
+	// because news is late: once the store is back its readers tell it, so that
+	// more calls by all daemons bring nothing. The first retry comes soon all the
+	// same, since one call may fail by itself while a server leaves of which no
+	// reader tells.
 	followerPause    = 2 * time.Second
 	maxFollowerPause = 4 * time.Second
 )
@@ -49,10 +49,10 @@
 // note takes in how a call that was made at asked ended.
 //
 // A failure tells that the store did not answer between the call and now. If it has answered
-// a later call meanwhile, it has not been lost: a question that the store holds fails up to
-// eleven seconds after whatever became of it. Taken for a loss, each such failure had entries
-// that are missing from the list kept for two seconds more, and requests sent to instances
-// that had left. A store that is lost just now is found by the next call.
+// a later call meanwhile, it has not been lost: a question that the store holds fails
+// long after whatever became of it. Taken for a loss, each such failure would have entries
+// that are missing from the list kept for doubtTime more, and requests sent to instances
+// that have left. A store that is lost just now is found by the next call.
 func (c *storeContact) note(asked, now time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/doubt.go
+++ b/internal/entry/doubt.go
@@ -12,10 +12,10 @@
 // toldDoubts bound for how long entries that are missing from the list are kept
 // because a reader doubts it.
 //
-// A reader doubts the list for two seconds after the store has answered it again.
+// A reader doubts the list for doubtTime after the store has answered it again.
 // If only the reader was cut off, the store was there all the time and missing
-// entries are those of servers that left; taken over by the others, the doubt had
-// a whole failure domain use such servers for three seconds. A daemon to which
+// entries are those of servers that left; were the doubt taken over by the others, a
+// whole group would go on using such servers. A daemon to which
 // another reader has told of the list all the while knows that. So doubt counts
 // only from news that ends a time without any.
 //
@@ -40,9 +40,8 @@
 // daemon read, or a peer gave it: not longer than a reader doubts it that has read it
 // since this daemon lost the store.
 //
-// A daemon that is not a reader asks the store seldom. It noticed two seconds late
-// that the store was back, and then doubted for two seconds more: a server that had
-// left got a request after 3.5 s.
+// A daemon that is not a reader asks the store seldom and notices late that it is back.
+// Its doubt would begin only then, and last longer than that of the readers.
 func (d *toldDoubts) bound(until, lostAt time.Time) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -33,9 +33,8 @@
 	// daemon that is not next in line tries for the duty.
 	holderSilence = 2500 * time.Millisecond
 	// takers is how many daemons, the next in line, try for the duty then. The
-	// others wait for as long again as one of these needs to take it: while a
-	// holder was turned away by the store for nine seconds, 88 daemons asked
-	// for its lease 440 times.
+	// others wait for as long again as one of these needs to take it, so that
+	// not all daemons ask for the lease of a holder that the store turns away.
 	takers      = 6
 	lastResort  = holderSilence + leaseTime + renewInterval
 	statePrefix = "shift/"
--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -10,8 +10,7 @@
 )
 
 // seenInterval is the time between two writes of what daemons have seen of a
-// roll-out, for the next holder: some 16 calls to the store in 24 s, where eight
-// daemons make 271 on a calm day of 44 s.
+// roll-out, for the next holder. Each is a call to the store.
 const seenInterval = 1500 * time.Millisecond
 
 // guardInterval is the time between two looks of a daemon that does not hold the
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -14,7 +14,7 @@
 // Few daemons read the store; they tell the others of their group. A daemon
 // that has heard nothing fresh for too long reads by itself, so that readers
 // that die, freeze or are turned away by the store delay nobody beyond the
-// bounds. With 88 daemons this takes about a tenth of the calls.
+// bounds.
 const (
 	// wholeFleet is the number of daemons up to which they are one group of readers;
 	// above, each failure domain is a group of its own, so that news crosses
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -33,8 +33,8 @@
 
 // workSums add up what daemons have under way at upstream instances, and collect
 // which beginnings of prompts they sent where. Each daemon by itself sees too little of
-// it to tell a busy instance from an idle one: of 88 daemons one sends an instance a
-// request in half a minute.
+// it to tell a busy instance from an idle one: in a large fleet it sends an instance a
+// request or two in a minute.
 //
 // Lock order: mu is taken alone.
 type workSums struct {
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -101,8 +101,8 @@
 // The table may have advanced since the changes were asked for, by news from
 // another daemon. What that news brought is not in the changes returned, so they
 // lead on only from the revision that the table had here. Passed on as leading
-// from the one asked for, they hid a leaving server from a daemon that had missed
-// the news: it got requests after three seconds.
+// from the one asked for, they would hide a leaving server from a daemon that has
+// missed the news.
 func (t *Table) Apply(changes []Change, revision int64, doubted time.Time) (news []Change, from int64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/shift/sessions.go
+++ b/internal/shift/sessions.go
@@ -12,10 +12,9 @@
 	//
 	// A new version gets few requests at first. Spread over all of its
 	// instances they find each of them idle, and an idle instance of a version
-	// that is eight times slower answers about as fast as a busy one of the old
-	// version: of 1,600 requests such a version got 1,250 before it was
-	// completed. A share of the requests on the same share of the instances
-	// meets the load that it will have later, and was found in time.
+	// that is many times slower answers about as fast as a busy one of the old
+	// version. A share of the requests on the same share of the instances meets
+	// the load that it will have later.
 	Part float64
 }
 
@@ -69,9 +68,9 @@
 // Rule tells which versions an attempt of a session's request may use now.
 //
 // It is asked for each attempt: a request may be under way when a roll-out is
-// ordered, and one that kept the rule it began with, any version, went on to the
-// new one when a larger model or another instance was asked. Its session then
-// changed its version. Of a roll-out at 435 requests a second, five did.
+// ordered, and one that kept the rule it began with, any version, would go on to the
+// new one when a larger model or another instance is asked. Its session would then
+// change its version.
 func (b *Book) Rule(service, session string) Rule {
 	hash := Hash(session)
 	b.mu.Lock()
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -160,13 +160,10 @@
 // proven reports whether a version may be completed: it has answered enough under
 // the load of all requests, and nothing speaks against it.
 //
-// A version that failed half of one kind of request had shown too little on the
-// first share, and was completed 0.4 s after all sessions had moved to it, before
-// any of their answers was counted: 844 requests met it after the fiftieth bad
-// answer. Late is better than that. A
-// holder that took the duty 11 s after the time was over moved all sessions and
-// completed a version that failed a third of its requests, both in one look; so
-// the benefit of the doubt begins when the sessions move.
+// A version that fails one kind of request may have shown too little on the first
+// share, and may not be completed before the answers to all sessions are counted. Late
+// is better than that. A holder that takes the duty after the time is over moves all
+// sessions first, so the benefit of the doubt begins when they move.
 func proven(s State, o Order, k Known) bool {
 	if Suspect(k.Fresh, k.Old) {
 		return false
--- a/internal/shift/tally.go
+++ b/internal/shift/tally.go
@@ -3,12 +3,10 @@
 // Tally adds up what daemons have seen of one roll-out, those that have ended
 // since included.
 //
-// Evidence is each daemon's memory. While three of eight daemons were restarted
-// and then all were killed, a version that failed a third of its requests lost its
-// evidence faster than it gathered any, and ran on to 390 requests after its
-// fiftieth bad answer. The holder of the duty therefore keeps the last counts of
-// every daemon, and stores their sum with the state of the roll-out for the next
-// holder.
+// Evidence is each daemon's memory. Where daemons are restarted one after the other a
+// bad version loses its evidence faster than it gathers any. The holder of the duty
+// therefore keeps the last counts of every daemon, and stores their sum with the state
+// of the roll-out for the next holder.
 type Tally struct {
 	order int64
 	// last is the newest evidence by the incarnation of its daemon.
