Requests for which no turn comes in time are not asked for again at once

Where all instances are cold and a daemon's next turn at one of them comes later than a caller can wait, the answer to another question in the same moment is the same. Each took a repeat from the budget until none was left. Found by reading the change; the test fails without it (no_retry=budget).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -348,7 +348,7 @@
 	var refused *refusedError
 	ranHere := !errors.As(err, &refused) && !notSent
 	switch {
-	case fault.Is(err, fault.NoUpstream):
+	case fault.Is(err, fault.NoUpstream), fault.Is(err, fault.NoCapacity):
 		// Asked again in the same moment, the answer is the same. Each time took a
 		// repeat from the budget of the fleet, until others that needed one had none.
 		return "no_instance"
--- a/test/routes/evacuation_test.go
+++ b/test/routes/evacuation_test.go
@@ -344,3 +344,33 @@
 	stop()
 	require.False(t, cold.Overrun())
 }
+
+// Guards against callers for whom no turn at a cold instance comes in time, and who are
+// held while the budget of repeats is spent on asking again.
+func TestCallersWithoutATurnTakeNoRepeat(t *testing.T) {
+	s := newSite(t)
+	m := warming(5)
+	for i := range m.Services {
+		// A turn in more than the time that callers have.
+		m.Services[i].ColdStartS, m.Services[i].ColdPerS = 60, 0.01
+	}
+	s.store.Declare(m)
+	s.cold("hall-a-0", "hall-a", time.Minute)
+	d := s.start(func(r *settings.Routes) { r.RetryRatio, r.RetrySlack = 0, 2 })
+	s.logged(d, "daemon.offered")
+	refused := 0
+	for range 5 {
+		c := s.call(pathSafe)
+		reply := s.send(c, d)
+		if reply.Status == http.StatusOK {
+			// The one turn.
+			continue
+		}
+		refused++
+		require.Equal(t, http.StatusServiceUnavailable, reply.Status, reply.Body)
+		require.Contains(t, reply.Body, "warm up")
+		require.Empty(t, s.runs(c.ID))
+		require.Contains(t, s.logged(d, "request.done", "request="+c.ID+" "), "no_retry=no_instance")
+	}
+	require.GreaterOrEqual(t, refused, 4)
+}
