--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -62,3 +62,44 @@
 	require.True(t, o.Unfinished)
 	require.GreaterOrEqual(t, o.Pace, time.Second/leastPaced)
 }
+
+// Guards against a version whose first events are late by seconds and that nothing speaks
+// against until they come: what waits tells the least that it will take, and takes it back
+// with each later word.
+func TestOverdueRequestTellsWhatItHasTaken(t *testing.T) {
+	a := newStreaming(&observed{})
+	now := time.Now()
+	a.headAt, a.sentAt, a.expected = time.Time{}, now.Add(-900*time.Millisecond), 500*time.Millisecond
+	_, ok := a.overdue(now)
+	require.False(t, ok, "it may still be usual")
+	later := now.Add(600 * time.Millisecond)
+	first, ok := a.overdue(later)
+	require.True(t, ok)
+	require.True(t, first.Unfinished)
+	require.Equal(t, 1500*time.Millisecond, first.Took)
+	require.Zero(t, first.Told)
+	second, ok := a.overdue(later.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, first.Took, second.Told.Took)
+	a.headAt = later.Add(2 * time.Second)
+	last, ok := a.observation(inventory.OutcomeGood)
+	require.True(t, ok)
+	require.Equal(t, 3500*time.Millisecond, last.Took)
+	require.Equal(t, second.Took, last.Told.Took)
+}
+
+// Guards against a sound version that is held for slow by instances that have just started.
+func TestWarmingInstanceSaysNothingOfItsVersion(t *testing.T) {
+	a := newStreaming(&observed{})
+	a.warming, a.sentAt = true, time.Now().Add(-time.Minute)
+	_, ok := a.overdue(time.Now())
+	require.False(t, ok)
+	for range leastPaced {
+		a.noteEvent()
+	}
+	o, ok := a.observation(inventory.OutcomeGood)
+	require.True(t, ok)
+	require.Zero(t, o.Took)
+	require.Zero(t, o.Pace)
+	require.False(t, o.Bad)
+}
--- a/internal/shift/slow_test.go
+++ b/internal/shift/slow_test.go
@@ -184,3 +184,22 @@
 		require.Zero(t, judged(Bad, sound, 8, seed), "seed %d", seed)
 	}
 }
+
+// Guards against requests that count several times because they tell of themselves while
+// they are under way.
+func TestLaterWordReplacesTheEarlier(t *testing.T) {
+	var under, once Count
+	word := Observation{Expected: time.Second, Took: 2 * time.Second, Unfinished: true}
+	under.add(word)
+	word.Told, word.Took = Told{Took: word.Took}, 3*time.Second
+	under.add(word)
+	last := Observation{Expected: time.Second, Took: 4 * time.Second, Pace: time.Second, Told: Told{Took: 3 * time.Second}}
+	under.add(last)
+	last.Told = Told{}
+	once.add(last)
+	require.Equal(t, once.Requests, under.Requests)
+	require.Equal(t, once.Timed, under.Timed)
+	require.InDelta(t, once.LogSum, under.LogSum, 1e-9)
+	require.InDelta(t, once.LogSquares, under.LogSquares, 1e-9)
+	require.Equal(t, once.Paced, under.Paced)
+}
