A stopping daemon refuses streams that come later than callers may know of it

From 2.9 s on a stream is refused at once as not run; short requests are served to the end as before.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -207,8 +207,21 @@
 	return nil
 }
 
+// lateStream is the time after the beginning of a planned stop from which streams are
+// refused: callers that go by the directory know by then, and what comes later may not end
+// in the time for the stop.
+const lateStream = 3*entriesTTL - 100*time.Millisecond
+
+// refusesStreams reports whether a planned stop has gone on for lateStream.
+func (n *Node) refusesStreams() bool {
+	since := n.leavingSince.Load()
+	return since != nil && n.clock.Since(*since) >= lateStream
+}
+
 // leave tells the peers that this daemon is on its way out.
 func (n *Node) leave(state member.State) {
+	now := n.clock.Now()
+	n.leavingSince.CompareAndSwap(nil, &now)
 	n.leaving.Store(true)
 	n.registry.SetSelf(func(d *member.Daemon) {
 		d.State = state
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -85,8 +85,9 @@
 	readyOnce sync.Once
 	// kick asks for a heartbeat round at once.
 	kick chan struct{}
-	// leaving is set when a planned stop begins.
-	leaving atomic.Bool
+	// leaving is set when a planned stop begins, at leavingSince.
+	leaving      atomic.Bool
+	leavingSince atomic.Pointer[time.Time]
 	// work is what this daemon, as a reader, knows of the work of others, and
 	// prompts which upstream instances hold which parts of prompts.
 	work    *workSums
@@ -135,7 +136,7 @@
 	n.quarantine = newQuarantined(n)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servable, AwaitReady: n.awaitReady, ReadyIn: n.readyIn, Table: n.table, Prompts: n.prompts, Pool: n.pool, Versions: n.book,
-		Quarantine: n.quarantine, Left: n.kickBeat, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
+		Quarantine: n.quarantine, Left: n.kickBeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
 		BodyBytes: limit.NewBytes(s.MemoryMB << 20 / bodyShare),
 	})
 	n.duties = newDuties(n)
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -310,3 +312,23 @@
 	n.contact.note(clock.Now(), clock.Now(), nil)
 	require.Equal(t, clock.Now().Add(doubtTime), n.doubtedUntil(clock.Now()), "no reader has told since a later outage")
 }
+
+// Guards against streams that a stopping daemon takes from callers with an old answer of the
+// directory, and cuts when its process ends. Short requests are served to the end.
+func TestStoppingDaemonRefusesLateStreams(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newFleetNode(t, clock)
+	n.know()
+	n.install(catalog.New(catalog.Declared{Version: 4, Services: []catalog.Service{{Name: "s"}}, Routes: []catalog.Route{
+		{Name: "stream", Host: "example.com", Prefix: "/x/", Kind: catalog.Stream, Public: true, Timeout: time.Second, Backends: []catalog.Backend{{Service: "s", Weight: 1}}},
+	}}), []byte("{}"), "test")
+	late := func() bool { return strings.Contains(askOnce(n).Body.String(), string(fault.Stopping)) }
+	require.False(t, n.refusesStreams())
+	n.leave(member.Leaving)
+	clock.Advance(lateStream - time.Millisecond)
+	require.False(t, n.refusesStreams())
+	clock.Advance(time.Millisecond)
+	n.leave(member.Left)
+	require.True(t, late())
+	require.Equal(t, http.StatusServiceUnavailable, askOnce(n).Code)
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -48,6 +48,9 @@
 	ReadyIn    func() time.Duration
 	Table      *inventory.Table
 	Prompts    *inventory.Prompts
+	// RefusesStreams reports whether this daemon stops before a stream that is sent now
+	// would have time to end.
+	RefusesStreams func() bool
 	// Left is called when an instance was found to be leaving by what it answers.
 	Left       func()
 	Pool       *upconn.Pool
@@ -193,6 +196,10 @@
 		return fault.New(fault.NotFound, "no route for this host and path")
 	}
 	q.route = route
+	if route.Kind == catalog.Stream && q.RefusesStreams() {
+		// Taken, it would be cut when the process ends.
+		return fault.New(fault.Stopping, "this daemon is about to stop")
+	}
 	if !route.Public {
 		if q.organisation, ok = q.catalog.Organisation(q.facts.Key); !ok {
 			return fault.New(fault.UnknownKey, "the key is not known")
