--- a/test/routes/evacuation_test.go
+++ b/test/routes/evacuation_test.go
@@ -237,6 +237,19 @@
 	})
 }
 
+// bears waits until a server has had some requests, and requires that they have not ended
+// it.
+func (s *site) bears(server *platformtest.Server, requests int) {
+	s.t.Helper()
+	s.eventually(func() error {
+		if n := len(server.Seen()); n < requests && !server.Overrun() {
+			return trace.Errorf("the server has had %d requests", n)
+		}
+		return nil
+	})
+	require.False(s.t, server.Overrun())
+}
+
 // listed waits until daemons know a server.
 func (s *site) listed(daemons []*daemon, id string) {
 	s.t.Helper()
@@ -263,16 +276,10 @@
 		daemons = append(daemons, s.serving())
 	}
 	stop := s.flood(daemons)
+	defer stop()
 	cold := s.cold("hall-a-new", "hall-a", 3*time.Second)
 	s.listed(daemons, "hall-a-new")
-	s.eventually(func() error {
-		if n := len(cold.Seen()); n < 100 && !cold.Overrun() {
-			return trace.Errorf("the new server has had %d requests", n)
-		}
-		return nil
-	})
-	stop()
-	require.False(t, cold.Overrun())
+	s.bears(cold, 100)
 }
 
 // Guards against a service that ends as a whole when all of its instances are cold, and
@@ -303,17 +310,9 @@
 		return nil
 	})
 	stop := s.flood(daemons)
-	s.eventually(func() error {
-		for _, server := range cold {
-			if n := len(server.Seen()); n < 60 && !server.Overrun() {
-				return trace.Errorf("a server has had %d requests", n)
-			}
-		}
-		return nil
-	})
-	stop()
+	defer stop()
 	for _, server := range cold {
-		require.False(t, server.Overrun())
+		s.bears(server, 60)
 	}
 }
 
@@ -333,16 +332,10 @@
 		s.evacuatedAt(d, "hall-d")
 	}
 	stop := s.flood(daemons)
+	defer stop()
 	cold.Cool(2 * time.Second)
 	s.store.Restore("hall-d")
-	s.eventually(func() error {
-		if n := len(cold.Seen()); n < 80 && !cold.Overrun() {
-			return trace.Errorf("the server has had %d requests", n)
-		}
-		return nil
-	})
-	stop()
-	require.False(t, cold.Overrun())
+	s.bears(cold, 80)
 }
 
 // Guards against callers for whom no turn at a cold instance comes in time, and who are
