--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -48,8 +48,8 @@
 		}
 		overlay, isBase = text, false
 	case c.Overlay != "":
-		var shown operator.Shown
-		if err := a.call(http.MethodGet, "/v1/config?site="+url.QueryEscape(c.Overlay), nil, &shown); err != nil {
+		shown, err := a.documents(c.Overlay)
+		if err != nil {
 			return err
 		}
 		base, overlay, isBase = []byte(shown.Base.Text), text, false
@@ -99,18 +99,24 @@
 	return ""
 }
 
+// documents returns the documents in force for a site; an empty one is the daemon's.
+func (a *app) documents(site string) (shown operator.Shown, err error) {
+	path := "/v1/config"
+	if site != "" {
+		path += "?site=" + url.QueryEscape(site)
+	}
+	err = a.call(http.MethodGet, path, nil, &shown)
+	return shown, err
+}
+
 type configShow struct {
 	leaf
 	Site string `long:"site" description:"site whose overlay is shown; default the daemon's"`
 }
 
 func (c *configShow) run(a *app) error {
-	var shown operator.Shown
-	path := "/v1/config"
-	if c.Site != "" {
-		path += "?site=" + url.QueryEscape(c.Site)
-	}
-	if err := a.call(http.MethodGet, path, nil, &shown); err != nil {
+	shown, err := a.documents(c.Site)
+	if err != nil {
 		return err
 	}
 	return a.print(shown, func(w io.Writer) {
--- a/internal/cli/evacuate.go
+++ b/internal/cli/evacuate.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/url"
 	"slices"
 	"time"
 
@@ -51,7 +50,7 @@
 // change applies a changed overlay to the revision that it was made from. Somebody else's
 // change in between is a conflict, and nothing is done.
 func (o *siteOption) change(a *app, what, domain string, edit func(overlay []byte) ([]byte, error)) error {
-	shown, err := o.shown(a)
+	shown, err := a.documents(o.Site)
 	if err != nil {
 		return err
 	}
@@ -71,15 +70,6 @@
 	})
 }
 
-func (o *siteOption) shown(a *app) (shown operator.Shown, err error) {
-	path := "/v1/config"
-	if o.Site != "" {
-		path += "?site=" + url.QueryEscape(o.Site)
-	}
-	err = a.call(http.MethodGet, path, nil, &shown)
-	return shown, err
-}
-
 // evacuatedCommand lists the evacuated failure domains with what still runs there.
 type evacuatedCommand struct {
 	leaf
@@ -87,7 +77,7 @@
 }
 
 func (c *evacuatedCommand) run(a *app) error {
-	shown, err := c.shown(a)
+	shown, err := a.documents(c.Site)
 	if err != nil {
 		return err
 	}
