--- /dev/null
+++ b/test/routes/limit_test.go
@@ -0,0 +1,268 @@
+package routes_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
+)
+
+const (
+	// limitWindow is the time over which requests at a server that names a limit count,
+	// and limitSlack how many more than one and a half times the limit may come in it.
+	limitWindow = 4 * time.Second
+	limitSlack  = 5
+	// limitTold is the time from a server's first answer that names a limit until all
+	// daemons must keep it.
+	limitTold = time.Second
+)
+
+// mostAllowed is the most requests that a server may get in limitWindow.
+func mostAllowed(perSecond float64) int {
+	return int(1.5*perSecond*limitWindow.Seconds()) + limitSlack
+}
+
+// load is callers that send through all daemons until they are stopped.
+type load struct {
+	mu      sync.Mutex
+	replies []sent
+	stop    func()
+}
+
+// steady sends about 20 requests a second through each daemon.
+func (s *site) steady(daemons []*daemon) *load {
+	l := &load{}
+	pace := time.NewTicker(50 * time.Millisecond)
+	s.t.Cleanup(pace.Stop)
+	ticks := make([]chan struct{}, len(daemons))
+	for i := range ticks {
+		ticks[i] = make(chan struct{}, 1)
+	}
+	ended := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ended:
+				return
+			case <-pace.C:
+			}
+			for _, tick := range ticks {
+				select {
+				case tick <- struct{}{}:
+				default:
+				}
+			}
+		}
+	}()
+	const perDaemon = 4
+	stop := repeatedly(perDaemon*len(daemons), func(worker int) {
+		at := worker % len(daemons)
+		select {
+		case <-ended:
+			return
+		case <-ticks[at]:
+		}
+		c := s.call([]string{pathSafe, pathOnce}[worker/len(daemons)%2])
+		reply := s.send(c, daemons[at])
+		l.mu.Lock()
+		l.replies = append(l.replies, sent{c, reply})
+		l.mu.Unlock()
+	})
+	l.stop = sync.OnceFunc(func() {
+		close(ended)
+		stop()
+	})
+	s.t.Cleanup(l.stop)
+	return l
+}
+
+// all ends the load and returns what callers got.
+func (l *load) all() []sent {
+	l.stop()
+	return l.replies
+}
+
+// lasts lets a load go on until a time.
+func (s *site) lasts(until time.Time) {
+	s.eventually(func() error {
+		if left := time.Until(until); left > 0 {
+			return trace.Errorf("%v left", left)
+		}
+		return nil
+	})
+}
+
+// allServed requires that callers were served, each by one server.
+func (s *site) allServed(replies []sent) {
+	s.t.Helper()
+	for _, r := range replies {
+		require.NoError(s.t, r.reply.Err)
+		require.Equal(s.t, http.StatusOK, r.reply.Status, r.reply.Body)
+	}
+}
+
+// limitDaemons starts a fleet.
+func (s *site) limitDaemons(n int) []*daemon {
+	var out []*daemon
+	for range n {
+		out = append(out, s.serving())
+	}
+	return out
+}
+
+// Guards against a server that gets more than the limit that it names in its answers,
+// summed over a fleet in which each daemon by itself keeps it.
+func TestServerThatNamesALimitGetsNoMore(t *testing.T) {
+	for _, perSecond := range []string{"6", "1.2", "1", "0.1", "0"} {
+		t.Run(perSecond, func(t *testing.T) {
+			s := newSite(t)
+			limited := s.threeServers("", nil)
+			daemons := s.limitDaemons(5)
+			l := s.steady(daemons)
+			s.reached(limited, daemons[0])
+			limited.Limit(perSecond)
+			from := time.Now().Add(limitTold)
+			s.lasts(from.Add(limitWindow + 2*time.Second))
+			rate, err := strconv.ParseFloat(perSecond, 64)
+			require.NoError(t, err)
+			require.LessOrEqual(t, limited.MostIn(limitWindow, from), mostAllowed(rate))
+			s.allServed(l.all())
+		})
+	}
+}
+
+// Guards against a server that is left at its limit after its answers have ceased to name
+// one.
+func TestServerThatNamesNoLimitAnyMoreIsInFullUse(t *testing.T) {
+	for _, perSecond := range []string{"2", "0"} {
+		t.Run(perSecond, func(t *testing.T) {
+			s := newSite(t)
+			limited := s.threeServers("", nil)
+			daemons := s.limitDaemons(5)
+			l := s.steady(daemons)
+			limited.Limit(perSecond)
+			from := time.Now().Add(limitTold)
+			s.lasts(from.Add(2 * time.Second))
+			limited.Limit("")
+			const noticed = 2 * time.Second
+			free := time.Now().Add(noticed)
+			s.lasts(free.Add(2 * time.Second))
+			s.allServed(l.all())
+			others := (len(s.servers["cat-2"].SeenSince(free)) + len(s.servers["cat-3"].SeenSince(free))) / 2
+			require.Greater(t, len(limited.SeenSince(free)), others/2, "requests at the server that is free again, others had %d", others)
+		})
+	}
+}
+
+// Guards against callers that are held or told something wrong where all servers of a
+// service name limits, and against limits that are not used.
+func TestAllServersNameLimits(t *testing.T) {
+	s := newSite(t)
+	s.threeServers("", nil)
+	daemons := s.limitDaemons(3)
+	l := s.steady(daemons)
+	for _, server := range s.servers {
+		server.Limit("2")
+	}
+	from := time.Now().Add(limitTold)
+	const counted = 10 * time.Second
+	s.lasts(from.Add(counted))
+	replies := l.all()
+	arrived := 0
+	for id, server := range s.servers {
+		require.LessOrEqual(t, server.MostIn(limitWindow, from), mostAllowed(2), id)
+		arrived += len(server.SeenSince(from))
+	}
+	named := 2 * counted.Seconds() * float64(len(s.servers))
+	require.GreaterOrEqual(t, float64(arrived), 0.8*named)
+	refused := 0
+	for _, r := range replies {
+		require.NoError(t, r.reply.Err)
+		if r.reply.Status == http.StatusOK {
+			continue
+		}
+		refused++
+		require.Equal(t, http.StatusServiceUnavailable, r.reply.Status, r.reply.Body)
+		require.Empty(t, s.runs(r.call.ID))
+		after, err := strconv.ParseFloat(r.reply.RetryAfter, 64)
+		require.NoError(t, err)
+		require.Positive(t, after)
+		require.Less(t, after, 10.0)
+	}
+	require.Positive(t, refused)
+}
+
+// Guards against limits whose values cannot be meant: they bound nothing, and take nothing
+// back that was named before.
+func TestLimitsThatCannotBeMeant(t *testing.T) {
+	for _, text := range []string{"soon", "-3", "NaN", "1e300", "Inf"} {
+		t.Run(text, func(t *testing.T) {
+			s := newSite(t)
+			server := s.threeServers("", nil)
+			daemons := s.limitDaemons(1)
+			server.Limit(text)
+			l := s.steady(daemons)
+			const requests = 30
+			s.eventually(func() error {
+				if n := len(server.Seen()); n < requests {
+					return trace.Errorf("the server has had %d requests", n)
+				}
+				return nil
+			})
+			s.allServed(l.all())
+		})
+	}
+}
+
+// Guards against a limit that is lost when the daemons that heard it are replaced, while
+// the store is away.
+func TestLimitOutlivesTheDaemonsThatHeardIt(t *testing.T) {
+	s := newSite(t)
+	limited := s.threeServers("", nil)
+	limited.Limit("1")
+	first := s.limitDaemons(3)
+	s.reached(limited, first[0])
+	for _, d := range first {
+		s.logged(d, "instance.limited", "instance=cat-1")
+	}
+	second := s.limitDaemons(3)
+	for _, d := range second {
+		s.logged(d, "instance.limited", "instance=cat-1")
+	}
+	s.store.SetFault(platformtest.FaultSilent)
+	for _, d := range first {
+		d.Kill()
+	}
+	l := s.steady(second)
+	from := time.Now()
+	s.lasts(from.Add(limitWindow + time.Second))
+	require.LessOrEqual(t, limited.MostIn(limitWindow, from), mostAllowed(1))
+	s.allServed(l.all())
+}
+
+// Guards against a server that starts again under its ID and is kept at the limit of its
+// earlier life.
+func TestServerThatStartsAgainHasNoLimit(t *testing.T) {
+	s := newSite(t)
+	limited := s.threeServers("", nil)
+	limited.Limit("0.1")
+	d := s.serving()
+	s.reached(limited, d)
+	s.logged(d, "instance.limited", "instance=cat-1")
+	limited.Lose()
+	again := s.newServer(platformtest.ServerOptions{ID: "cat-1", Service: plain, Born: 2})
+	const requests = 20
+	s.eventually(func() error {
+		s.send(s.call(pathSafe), d)
+		if n := len(again.Seen()); n < requests {
+			return trace.Errorf("the new life has had %d requests", n)
+		}
+		return nil
+	})
+}
