Upstream instances that name a limit get no more than that from all daemons

Callers saw nothing; servers that named 1.1 and 1.2 requests a second got 19 and 16 in 4 s (allowed 12). Cause: no code read the limit. Class: what a server says of itself in its answers, and a rate that belongs to all daemons together.

A limit is now a bound on the budget of an instance like its warm-up and its rest, in one place (inventory budget.go); internal/warmup, which shared out the warm-up only, is internal/pacing. A few owners found by rendezvous hashing send at their own pace, three at least; those of a fleet that is cut in parts share only their part. Limits are words of one life with versions, told with heartbeats, asked for when the sums differ. An owner's unused turn goes to the instance with the next request, since only an answer tells that a limit has ended; that is 0.67 requests a second at most whatever the limit. Reserved turns are revoked when the rate changes. A request with no turn in time is refused at once. A request whose turn was taken meanwhile chooses another instance instead of waiting for the next turn.

After: all within; nobody refused while others are free; where all name limits at least 80% are used.

--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -2,12 +2,9 @@
 
 import (
 	"log/slog"
-	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
-	"github.com/hornbeamsill/hornbeamsill/internal/member"
-	"github.com/hornbeamsill/hornbeamsill/internal/warmup"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
@@ -47,16 +44,3 @@
 	}
 	return n.current.Load()
 }
-
-// warmUpShare is this daemon's time between two requests to an instance that bears rate
-// requests a second; 0 if others send there.
-func (n *Node) warmUpShare(instance string, rate float64) time.Duration {
-	owners := warmup.Owners(rate, len(n.registry.Live()))
-	own := n.registry.Self().Incarnation
-	for _, d := range n.registry.Firsts("warmup/"+instance, owners, func(member.Daemon) bool { return true }) {
-		if d.Incarnation == own {
-			return warmup.Interval(rate, owners)
-		}
-	}
-	return 0
-}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -257,6 +257,11 @@
 	// request was stopped because its instance was withdrawn when it was about to go out.
 	Evacuated int   `json:"evacuated"`
 	Withdrawn int64 `json:"withdrawn"`
+	// Limited is the number of upstream instances that name a limit, and NoTurn how many
+	// requests were refused because no turn at an instance that warms up or names a limit
+	// came in time.
+	Limited int   `json:"instances_limited"`
+	NoTurn  int64 `json:"no_turn"`
 	// Quarantine is about requests that crash upstream instances.
 	Quarantine quarantineFigures `json:"quarantine"`
 }
@@ -265,6 +270,7 @@
 	n := p.node
 	telemetry.Publish("hornbeamsill", func() any {
 		operator := n.fresh.view()
+		limited, _ := n.table.Limited()
 		return figures{
 			Config: n.configVersion(), Operator: operator.read, OperatorAgeMS: n.clock.Since(operator.at).Milliseconds(), Reader: n.reader(),
 			List: n.table.Revision(), ListAgeMS: n.table.Age().Milliseconds(),
@@ -272,6 +278,7 @@
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.figures(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
+			Limited: limited, NoTurn: n.metrics.NoTurn.Load(),
 		}
 	})
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -136,7 +136,7 @@
 	n.quarantine = newQuarantined(n)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servable, AwaitReady: n.awaitReady, ReadyIn: n.readyIn, Table: n.table, Prompts: n.prompts, Pool: n.pool, Versions: n.book,
-		Quarantine: n.quarantine, Left: n.kickBeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
+		Quarantine: n.quarantine, SpreadNews: n.kickBeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, Sharers: n.sharers, Metrics: n.metrics,
 		BodyBytes: limit.NewBytes(s.MemoryMB << 20 / bodyShare),
 	})
 	n.duties = newDuties(n)
@@ -204,7 +204,7 @@
 	}
 	n.manifest = manifest
 	n.current.Store(c)
-	n.table.SetWarmUps(c.WarmUps(), n.warmUpShare)
+	n.table.SetWarmUps(c.WarmUps(), n.budgetShare)
 	slog.Info("config.in_force", "version", c.Version, "routes", c.RouteCount(), "source", source)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
@@ -155,8 +156,9 @@
 	b := peer.Beat{
 		From: n.registry.Self(), News: n.registry.News(), Digest: n.registry.Digest(),
 		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Sum(), Left: n.table.LeftLately(),
-		Evacuated: n.evacuations.Sum(),
+		Evacuated: n.evacuations.Sum(), Limits: n.table.LimitsLately(),
 	}
+	_, b.Limited = n.table.Limited()
 	_, states := n.book.Orders()
 	for _, s := range states {
 		b.Shifts += s.Order + int64(s.Step)
@@ -192,6 +194,7 @@
 	delete(n.misses, b.From.Incarnation)
 	n.missesMu.Unlock()
 	n.heardLeaving(b)
+	n.heardLimits(b.Limits, b.From.PeerAddress)
 	before := n.registry.Epoch()
 	n.registry.Learn(append(b.News, b.From))
 	if n.registry.Epoch() != before {
@@ -214,6 +217,17 @@
 	}
 }
 
+// heardLimits takes in what a peer knows of the limits of instances, and passes it on.
+func (n *Node) heardLimits(limits []inventory.Limit, source string) {
+	news := n.table.LearnLimits(limits)
+	for _, l := range news {
+		l.Log(source)
+	}
+	if len(news) > 0 {
+		n.kickBeat()
+	}
+}
+
 // lacks tells what the sender of a heartbeat knows that this daemon does not.
 func (n *Node) lacks(b, mine peer.Beat) (ask peer.BeliefsRequest, lacking bool) {
 	ask = peer.BeliefsRequest{
@@ -224,8 +238,9 @@
 		// An empty list is no news of any.
 		Quarantine:  b.Quarantine != 0 && b.Quarantine != mine.Quarantine,
 		Evacuations: b.Evacuated != 0 && b.Evacuated != mine.Evacuated,
+		Limits:      b.Limited != mine.Limited,
 	}
-	return ask, b.Config > mine.Config || ask.Instances || ask.Shifts || ask.Members || ask.Quarantine || ask.Evacuations
+	return ask, b.Config > mine.Config || ask.Instances || ask.Shifts || ask.Members || ask.Quarantine || ask.Evacuations || ask.Limits
 }
 
 // listFromPeers reports whether the list of a peer is to be taken: this daemon
@@ -258,6 +273,7 @@
 	if b.EvacuationsKnown {
 		n.evacuated(n.evacuations.LearnAll(b.Evacuations), address)
 	}
+	n.heardLimits(b.Limits, address)
 	n.takeManifest(b.Manifest, address)
 	if b.Instances != nil && n.listFromPeers() {
 		doubted := n.doubts.bound(n.clock.Now().Add(b.Doubted), n.contact.lostSince())
@@ -345,6 +361,9 @@
 	if r.Evacuations {
 		b.Evacuations, b.EvacuationsKnown = n.evacuations.Orders(), n.evacuations.Known()
 	}
+	if r.Limits {
+		b.Limits = n.table.Limits()
+	}
 	n.configMu.Lock()
 	if c := n.current.Load(); c != nil && c.Version > r.Config {
 		b.Manifest = n.manifest
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -80,18 +80,32 @@
 				group = append(group, c)
 			}
 		}
-		if left := place.Filter(place.Part(group, side.Part), q.tried); len(left) > 0 {
-			return place.Ready(left)
+		if left := q.untried(group, side.Part); len(left) > 0 {
+			return left
 		}
 	}
 	return nil
 }
 
+// untried returns the instances of a group that may take the request, those of a part of the
+// group if any of them may at once.
+func (q *request) untried(group []place.Candidate, part float64) []place.Candidate {
+	first := place.Ready(place.Filter(place.Part(group, part), q.tried))
+	if part == 0 || len(first) > 0 && first[0].Wait == 0 {
+		return first
+	}
+	all := place.Ready(place.Filter(group, q.tried))
+	if len(first) == 0 || all[0].Wait == 0 {
+		return all
+	}
+	return first
+}
+
 func (q *request) candidate(v inventory.View, p prompt) place.Candidate {
 	return place.Candidate{
 		ID: v.Instance.ID, Near: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
 		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Reads: q.reads(p, v.Instance), Ejected: v.Ejected,
-		Warming: v.Warming, Wait: v.Wait,
+		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue,
 	}
 }
 
@@ -99,7 +113,9 @@
 func (q *request) choose() (picked place.Candidate, instance inventory.Instance, ok bool) {
 	all := q.candidates()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if q.apart {
+	if probe, due := place.Probe(all); due {
+		picked, ok = probe, true
+	} else if q.apart {
 		picked, ok = place.Apart(all, random)
 	} else if key := q.subject(); key != "" {
 		if n := len(q.route.Models); n > 1 && q.model != q.route.Models[n-1] {
@@ -217,6 +233,7 @@
 		// Of a wrong one the address belongs to another instance now.
 		a.noteLeaving()
 	}
+	a.noteLimit()
 	if a.facts.Warming > 0 {
 		q.Table.NoteWarming(a.instance, a.facts.Warming)
 	}
@@ -255,7 +272,25 @@
 	if a.Table.NoteLeaving(a.instance.Life()) {
 		slog.Info("instance.leaving", "instance", a.instance.ID, "source", "answer", "request", a.request.facts.ID,
 			"list", a.Table.Revision())
-		a.Left()
+		a.SpreadNews()
+	}
+}
+
+// noteLimit takes in whether an answer names a limit of its instance.
+func (a *attempt) noteLimit() {
+	var l inventory.Limit
+	var news bool
+	switch {
+	case a.facts.WrongOne || a.facts.LimitUnreadable:
+		return
+	case a.facts.HasLimit:
+		l, news = a.Table.NoteLimit(a.instance, a.facts.Limit)
+	default:
+		l, news = a.Table.NoteNoLimit(a.instance, a.sentAt)
+	}
+	if news {
+		l.Log("answer")
+		a.SpreadNews()
 	}
 }
 
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -73,7 +73,13 @@
 	// Rest is for how long the instance, which has refused, wants nothing more.
 	Rest time.Duration
 	// Warming is for how long the instance is still cold; 0 where it says nothing.
-	Warming       time.Duration
+	Warming time.Duration
+	// Limit is how many requests a second the instance takes of all daemons together, if
+	// HasLimit is set. LimitUnreadable is set where it says something that is no number.
+	Limit           float64
+	HasLimit        bool
+	LimitUnreadable bool
+
 	Load          inventory.Load
 	HasLoad       bool
 	Confidence    int
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -51,8 +51,8 @@
 	// RefusesStreams reports whether this daemon stops before a stream that is sent now
 	// would have time to end.
 	RefusesStreams func() bool
-	// Left is called when an instance was found to be leaving by what it answers.
-	Left       func()
+	// SpreadNews is called when the answer of an instance told what peers should know.
+	SpreadNews func()
 	Pool       *upconn.Pool
 	Versions   Versions
 	Retries    *limit.FleetBudget
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -47,6 +47,9 @@
 	// Withdrawn is how often a request was stopped because its instance was withdrawn when
 	// it was about to go out.
 	Withdrawn atomic.Int64
+	// NoTurn is how many requests were refused because no turn at an instance that warms up
+	// or names a limit came in time.
+	NoTurn atomic.Int64
 
 	mu     sync.Mutex
 	routes map[string]*routeFigures
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -11,48 +11,74 @@
 
 const (
 	// waitPart is the part of the time left that a request may wait for its turn at an
-	// instance that warms up. The answer needs the rest.
+	// instance that warms up or names a limit. The answer needs the rest.
 	waitPart = 0.3
 	// maxChoices bounds the choices of an instance for one attempt: between the choice and
-	// the reservation another request may have taken the turn.
+	// the reservation another request may have taken the turn. The last one may wait.
 	maxChoices = 4
+	// maxTurns bounds the turns that an attempt waits for, each of which may be revoked.
+	maxTurns = 16
 	// evacuationRetry is when callers return where all instances are in evacuated failure
 	// domains: by then a daemon knows what the operator has changed meanwhile.
 	evacuationRetry = 2 * time.Second
 )
 
 // take chooses an instance and waits for this daemon's turn there, which comes at once but
-// where all instances warm up. A request whose turn comes too late is refused at once, and
-// its caller told when it comes.
+// where all instances warm up or name limits. A request whose turn comes too late is refused
+// at once, and its caller told when it comes.
 func (q *request) take(ctx context.Context) (picked place.Candidate, instance inventory.Instance, err error) {
-	for range maxChoices {
+	for range maxTurns {
+		var turn inventory.Turn
+		if picked, instance, turn, err = q.reserve(); err != nil {
+			return picked, instance, err
+		}
+		if turn.Wait == 0 || await(ctx, turn) {
+			return picked, instance, nil
+		}
+		if ctx.Err() != nil {
+			return picked, instance, ctx.Err()
+		}
+	}
+	return picked, instance, q.noTurn(retryLater)
+}
+
+// reserve chooses an instance and reserves a turn there.
+func (q *request) reserve() (picked place.Candidate, instance inventory.Instance, turn inventory.Turn, err error) {
+	for choice := range maxChoices {
 		var ok bool
-		most := time.Duration(waitPart * float64(time.Until(q.deadline)))
 		if picked, instance, ok = q.choose(); !ok {
 			break
 		}
-		if picked.Wait > most {
-			return picked, instance, fault.New(fault.NoCapacity, "all instances of %s warm up", q.service.Name).WithRetryAfter(picked.Wait)
+		most := time.Duration(waitPart * float64(time.Until(q.deadline)))
+		if picked.NoTurn || picked.Wait > most {
+			return picked, instance, turn, q.noTurn(picked.Wait)
 		}
-		wait, ok := q.Table.Reserve(instance, most)
-		if !ok {
-			continue
+		if picked.Wait == 0 && choice < maxChoices-1 {
+			// Another instance is better than a turn that somebody else has taken.
+			most = 0
 		}
-		if wait > 0 && !pause(ctx, wait) {
-			return picked, instance, ctx.Err()
+		if turn, ok = q.Table.Reserve(instance, most); ok {
+			return picked, instance, turn, nil
 		}
-		return picked, instance, nil
 	}
-	return picked, instance, fault.New(fault.NoUpstream, "no instance of %s may take the request", q.service.Name).WithRetryAfter(q.comeBack())
+	return picked, instance, turn, fault.New(fault.NoUpstream, "no instance of %s may take the request", q.service.Name).WithRetryAfter(q.comeBack())
 }
 
-// pause waits, and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+// noTurn refuses a request for which no turn comes in time.
+func (q *request) noTurn(retryAfter time.Duration) error {
+	q.Metrics.NoTurn.Add(1)
+	return fault.New(fault.NoCapacity, "all instances of %s warm up, or take no more for now", q.service.Name).WithRetryAfter(retryAfter)
+}
+
+// await waits for a turn, and reports whether it has come.
+func await(ctx context.Context, turn inventory.Turn) bool {
+	timer := time.NewTimer(turn.Wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
+	case <-turn.Revoked:
+		return false
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/inventory/evacuated.go
+++ b/internal/inventory/evacuated.go
@@ -38,7 +38,7 @@
 
 // maySend is MaySend for the entry of an instance's ID. The lock is held.
 func (t *Table) maySend(e *entry, i Instance, now time.Time) bool {
-	return e.instance.Born == i.Born && t.serves(e, i.Service) && !now.Before(e.restUntil)
+	return e.instance.Born == i.Born && t.serves(e, i.Service) && !e.budget.isResting(now)
 }
 
 // AllEvacuated reports whether a service has instances, and all of them are in evacuated
--- /dev/null
+++ b/internal/inventory/limit_test.go
@@ -0,0 +1,160 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/pacing"
+)
+
+// newLimitTable returns a table with two instances of a service, of whose budgets this daemon
+// has a third.
+func newLimitTable() (*Table, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	table.SetWarmUps(nil, func(_ string, rate float64) pacing.Part { return pacing.PartOf(rate, 0, 3) })
+	table.Replace(Snapshot{Revision: 1, Instances: []Instance{warmInstance("a"), warmInstance("b")}}, time.Time{})
+	return table, clock
+}
+
+// viewOf returns what placing sees of the instance in a failure domain.
+func viewOf(t *testing.T, table *Table, domain string) View {
+	t.Helper()
+	for _, v := range table.Usable("s") {
+		if v.Instance.FailureDomain == domain {
+			return v
+		}
+	}
+	require.Fail(t, "not usable", domain)
+	return View{}
+}
+
+// Guards against daemons that keep telling each other an older limit for ever, or that
+// differ in what they know for good.
+func TestAllOrdersOfLimitsLeadToTheSame(t *testing.T) {
+	life := warmInstance("a").Life()
+	limits := []Limit{
+		{Life: life, Rate: 2, Version: 1}, {Life: life, Rate: 1, Version: 1}, {Life: life, Lifted: true, Version: 2},
+		{Life: life, Rate: 3, Version: 3}, {Life: life, Lifted: true, Version: 3},
+	}
+	for i := range limits {
+		table, _ := newLimitTable()
+		for j := range limits {
+			table.LearnLimits([]Limit{limits[(i+j)%len(limits)]})
+		}
+		require.Equal(t, []Limit{limits[3]}, table.Limits())
+		require.Empty(t, table.LearnLimits(limits), "news of what is known")
+	}
+}
+
+// Guards against a limit that is lifted by an answer which was on its way when the limit was
+// named.
+func TestOlderAnswerLiftsNoLimit(t *testing.T) {
+	table, clock := newLimitTable()
+	a := warmInstance("a")
+	before := clock.Now()
+	clock.Advance(time.Second)
+	_, news := table.NoteLimit(a, 1)
+	require.True(t, news)
+	_, news = table.NoteNoLimit(a, before)
+	require.False(t, news)
+	require.True(t, viewOf(t, table, "a").Limited)
+	clock.Advance(time.Second)
+	_, news = table.NoteNoLimit(a, clock.Now())
+	require.True(t, news)
+	require.False(t, viewOf(t, table, "a").Limited)
+}
+
+// Guards against requests that wait for turns of the rate before, when an instance names a
+// lower limit or none any more.
+func TestTurnsAreRevokedWhenALimitChanges(t *testing.T) {
+	table, clock := newLimitTable()
+	a := warmInstance("a")
+	table.NoteLimit(a, 6)
+	reserve := func() Turn {
+		for {
+			turn, ok := table.Reserve(a, time.Minute)
+			require.True(t, ok)
+			if turn.Wait > 0 {
+				return turn
+			}
+		}
+	}
+	revoked := func(turn Turn) bool {
+		select {
+		case <-turn.Revoked:
+			return true
+		default:
+			return false
+		}
+	}
+	first := reserve()
+	table.NoteLimit(a, 5.9)
+	require.False(t, revoked(first), "nearly the same rate")
+	table.NoteLimit(a, 1)
+	require.True(t, revoked(first))
+	second := reserve()
+	clock.Advance(time.Second)
+	table.NoteNoLimit(a, clock.Now())
+	require.True(t, revoked(second))
+	turn, ok := table.Reserve(a, 0)
+	require.True(t, ok)
+	require.Zero(t, turn.Wait)
+}
+
+// Guards against a limit that nobody finds to have ended, because other instances are always
+// chosen or because it is so low that no turn comes.
+func TestLimitedInstanceIsProbed(t *testing.T) {
+	table, clock := newLimitTable()
+	a := warmInstance("a")
+	table.NoteLimit(a, 0)
+	const longest = 3 * time.Second / 2 * 3
+	require.LessOrEqual(t, viewOf(t, table, "a").Wait, longest)
+	clock.Advance(longest)
+	require.False(t, viewOf(t, table, "b").ProbeDue)
+	clock.Advance(probeDelay)
+	require.True(t, viewOf(t, table, "a").ProbeDue)
+	_, ok := table.Reserve(a, 0)
+	require.True(t, ok)
+	v := viewOf(t, table, "a")
+	require.False(t, v.ProbeDue)
+	require.InDelta(t, longest, v.Wait, float64(time.Millisecond))
+}
+
+// Guards against a daemon that sends to a limited instance of which it owns no part, and
+// against callers who are told nothing of when others may.
+func TestNoTurnAtAnInstanceThatOthersOwn(t *testing.T) {
+	table, _ := newLimitTable()
+	table.SetWarmUps(nil, func(string, float64) pacing.Part { return pacing.Part{} })
+	a := warmInstance("a")
+	table.NoteLimit(a, 2)
+	v := viewOf(t, table, "a")
+	require.True(t, v.NoTurn)
+	require.Positive(t, v.Wait)
+	_, ok := table.Reserve(a, time.Minute)
+	require.False(t, ok)
+}
+
+// Guards against a server that starts again under its ID and keeps the limit of its earlier
+// life, and against a limit that is lost when its entry lapses for a while.
+func TestLimitIsThatOfOneLife(t *testing.T) {
+	table, clock := newLimitTable()
+	a := warmInstance("a")
+	table.NoteLimit(a, 1)
+	table.Apply([]Change{{ID: a.ID}}, 2, time.Time{})
+	clock.Advance(time.Second)
+	table.Expire()
+	table.Apply([]Change{{ID: a.ID, Instance: &a}}, 3, time.Time{})
+	require.True(t, viewOf(t, table, "a").Limited)
+	a.Born = 7
+	table.Apply([]Change{{ID: a.ID, Instance: &a}}, 4, time.Time{})
+	require.False(t, viewOf(t, table, "a").Limited)
+	count, _ := table.Limited()
+	require.Equal(t, 1, count)
+	clock.Advance(limitTime + time.Second)
+	table.Expire()
+	require.Empty(t, table.Limits())
+}
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		s.Instances = append(s.Instances, e.instance)
-		if left := e.warming.until.Sub(now); left > 0 {
+		if left := e.budget.warmUntil.Sub(now); left > 0 {
 			s.Warming[id] = left
 		}
 		if !e.goneAt.IsZero() {
@@ -225,6 +225,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.forgetLeft(now)
+	t.forgetLimits(now)
 	for id, e := range t.entries {
 		if !e.goneAt.IsZero() && now.After(e.goneAt) {
 			e.gone = true
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/pacing"
 )
 
 const (
@@ -32,9 +33,7 @@
 	// goneAt is when a missing entry counts as gone; zero while it is listed.
 	goneAt time.Time
 	health health
-	// restUntil is until when the instance wants nothing from this daemon.
-	restUntil time.Time
-	warming   warming
+	budget budget
 
 	// inFlight counts this daemon's requests there; waiting is the work of those
 	// that have no first event yet.
@@ -68,15 +67,23 @@
 	Unannounced bool
 	// Ejected instances failed lately and get nothing while others can serve.
 	Ejected bool
-	// Warming instances bear only a part of what they will. Wait is the time until this
-	// daemon may send to one; 0 is at once.
+	// Warming instances bear only a part of what they will.
 	Warming bool
-	Wait    time.Duration
+	// Limit is the number of requests a second that the instance takes of all daemons, by
+	// its own word, if Limited is set.
+	Limited bool
+	Limit   float64
+	// Wait is the time until this daemon may send to the instance; 0 is at once. Where
+	// NoTurn is set only others may send there, and it is the time until one of them may.
+	Wait   time.Duration
+	NoTurn bool
+	// ProbeDue is set where only another request can tell whether Limit still holds.
+	ProbeDue bool
 }
 
 // Table is the table of upstream instances.
 //
-// Lock order: mu is taken alone.
+// Lock order: mu is held while a Share is called, which may take the locks of its own.
 type Table struct {
 	clock clockwork.Clock
 
@@ -93,8 +100,10 @@
 	leftAt map[Life]time.Time
 	// evacuated are the failure domains whose instances get nothing new.
 	evacuated map[string]bool
+	// limits has what lives have said of their limits.
+	limits map[Life]limitWord
 	// warmUps is what instances bear while they warm up, by service, and share this
-	// daemon's part of it.
+	// daemon's part of budgets.
 	warmUps map[string]catalog.WarmUp
 	share   Share
 }
@@ -103,7 +112,7 @@
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}, leftAt: map[Life]time.Time{},
-		evacuated: map[string]bool{}, share: func(string, float64) time.Duration { return 0 },
+		evacuated: map[string]bool{}, limits: map[Life]limitWord{}, share: func(string, float64) pacing.Part { return pacing.Part{} },
 	}
 }
 
@@ -114,9 +123,11 @@
 	now := t.clock.Now()
 	var out []View
 	for _, e := range t.entries {
-		if !t.serves(e, service) || now.Before(e.restUntil) {
+		if !t.serves(e, service) || e.budget.isResting(now) {
 			continue
 		}
+		turn := t.turn(e, now)
+		limit, limited := t.limitOf(e)
 		out = append(out, View{
 			Instance: e.instance,
 			Load:     float64(e.inFlight) + decayed(e.others, now.Sub(e.reportedAt), reportHalfLife),
@@ -125,7 +136,11 @@
 			Waiting:  t.waitingNow(e, now),
 			Ejected:  e.health.ejected(now),
 			Warming:  t.isWarming(e, now),
-			Wait:     t.wait(e, now),
+			Limited:  limited,
+			Limit:    limit,
+			Wait:     turn.Wait,
+			NoTurn:   turn.None,
+			ProbeDue: t.isProbeDue(e, now),
 
 			Unannounced: t.unannounced(e.instance, now),
 		})
@@ -150,16 +165,6 @@
 	return e.serves(service) && !t.evacuated[e.instance.FailureDomain]
 }
 
-// Rest leaves an instance out for the time that it has asked for. A request sent all the
-// same would be refused, and cost its caller the time of an attempt.
-func (t *Table) Rest(i Instance, d time.Duration) {
-	t.with(i, func(e *entry) {
-		if until := t.clock.Now().Add(d); until.After(e.restUntil) {
-			e.restUntil = until
-		}
-	})
-}
-
 // AllRest reports whether all instances of a service are left out by Rest, and the least
 // time until one is not.
 func (t *Table) AllRest(service string) (least time.Duration, all bool) {
@@ -170,7 +175,7 @@
 		if !t.serves(e, service) {
 			continue
 		}
-		left := e.restUntil.Sub(now)
+		left := e.budget.restUntil.Sub(now)
 		if left <= 0 {
 			return 0, false
 		}
--- a/internal/inventory/warmup_test.go
+++ b/internal/inventory/warmup_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/pacing"
 )
 
 const coldTime = 3 * time.Second
@@ -17,7 +18,7 @@
 func newWarmTable() (*Table, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	table := NewTable(clock)
-	share := func(string, float64) time.Duration { return time.Second }
+	share := func(string, float64) pacing.Part { return pacing.Part{Interval: time.Second} }
 	table.SetWarmUps(map[string]catalog.WarmUp{"s": {Time: coldTime, Rate: 9}}, share)
 	table.Replace(Snapshot{Revision: 1, Instances: []Instance{warmInstance("a"), warmInstance("b")}}, time.Time{})
 	return table, clock
@@ -101,20 +102,20 @@
 	a := warmInstance("a")
 	first, ok := table.Reserve(a, coldTime)
 	require.True(t, ok)
-	require.LessOrEqual(t, first, time.Second)
+	require.LessOrEqual(t, first.Wait, time.Second)
 	second, ok := table.Reserve(a, coldTime)
 	require.True(t, ok)
-	require.Equal(t, first+time.Second, second)
+	require.Equal(t, first.Wait+time.Second, second.Wait)
 	_, ok = table.Reserve(a, time.Second)
 	require.False(t, ok, "the turn comes too late")
 	third, ok := table.Reserve(a, coldTime)
 	require.True(t, ok)
-	require.Equal(t, first+2*time.Second, third, "no turn was taken by who could not wait")
+	require.Equal(t, first.Wait+2*time.Second, third.Wait, "no turn was taken by who could not wait")
 	clock.Advance(coldTime)
 	for range 10 {
-		wait, ok := table.Reserve(a, 0)
+		turn, ok := table.Reserve(a, 0)
 		require.True(t, ok)
-		require.Zero(t, wait)
+		require.Zero(t, turn.Wait)
 	}
 }
 
--- a/internal/warmup/warmup_test.go
+++ b/internal/pacing/pacing_test.go
@@ -1,4 +1,4 @@
-package warmup
+package pacing
 
 import (
 	"fmt"
@@ -11,11 +11,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-// The load that sharing out a warm-up answers: a fleet before instances that have all
-// started at once, each of which bears 9 requests a second and ends above 18. There is
-// always a request that would go to any instance as soon as it may.
+// The load that sharing out answers: a fleet before instances that have all started at
+// once, each of which is to get 6.3 requests a second and ends above 18. There is always a
+// request that would go to any instance as soon as it may.
 const (
-	playRate  = 9.0
+	playRate  = 9.0 * 0.7
 	playLimit = 18
 	playTime  = 3 * time.Second
 	// playSkew is how far apart daemons learn that an instance has started.
@@ -31,15 +31,15 @@
 	return out
 }
 
-// owns reports whether a daemon is among the owners of an instance, of those it knows.
-func owns(rank []uint64, daemon int, known []int, owners int) bool {
+// rankOf is a daemon's place in the order of an instance's owners, of those it knows.
+func rankOf(rank []uint64, daemon int, known []int) int {
 	better := 0
 	for _, d := range known {
 		if rank[d] < rank[daemon] {
 			better++
 		}
 	}
-	return better < owners
+	return better
 }
 
 // play returns the most requests that one instance got in a second, and how many a daemon
@@ -52,30 +52,30 @@
 		for d := range daemons {
 			fleet := known(d)
 			owners := Owners(playRate, len(fleet))
-			if !owns(rank, d, fleet, owners) {
+			if rankOf(rank, d, fleet) >= owners {
 				continue
 			}
 			start := time.Unix(0, 0).Add(time.Duration(random.Int64N(int64(playSkew))))
+			part := PartOf(playRate, rankOf(rank, d, fleet), owners)
 			var p Pace
-			interval := Interval(playRate, owners)
-			p.next = start.Add(time.Duration(random.Int64N(int64(interval))))
+			p.Start(start, part)
 			end := time.Unix(0, 0).Add(playTime)
-			for now := start.Add(p.Take(start, interval)); now.Before(end); now = now.Add(p.Take(now, interval)) {
+			for now := start.Add(p.Take(start, part.Interval)); now.Before(end); now = now.Add(p.Take(now, part.Interval)) {
 				sent = append(sent, now.Sub(time.Unix(0, 0)))
 				perDaemon[d]++
 			}
 		}
-		most = max(most, inASecond(sent))
+		most = max(most, inAWindow(sent, time.Second))
 	}
 	return most, perDaemon
 }
 
-// inASecond is the most events in any second.
-func inASecond(sent []time.Duration) int {
+// inAWindow is the most events in any window of some length.
+func inAWindow(sent []time.Duration, window time.Duration) int {
 	slices.Sort(sent)
 	most, first := 0, 0
 	for i := range sent {
-		for sent[i]-sent[first] > time.Second {
+		for sent[i]-sent[first] > window {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -133,6 +133,61 @@
 		require.Positive(t, n, "daemon %d", d)
 		served += n
 	}
-	planned := plannedPart * playRate * instances * (playTime - playSkew/2).Seconds()
+	planned := playRate * instances * (playTime - playSkew/2).Seconds()
 	require.InEpsilon(t, planned, served, 0.15)
 }
+
+// The load that sharing out a limit answers: a fleet before one instance that names a few
+// requests a second or less. In any 4 s it may get one and a half times that, and 5.
+const (
+	limitTime   = time.Minute
+	limitWindow = 4 * time.Second
+	limitSlack  = 5
+)
+
+// mostInWindow is the most requests in any window, of all daemons together, at an instance
+// that is to get some a second.
+func mostInWindow(rate float64, views [][]int, random *rand.Rand) (most, sent int) {
+	rank := ranks(random.Int(), len(views))
+	var all []time.Duration
+	for d, fleet := range views {
+		owners := Owners(rate, len(fleet))
+		at := rankOf(rank, d, fleet)
+		if at >= owners {
+			continue
+		}
+		part := PartOf(rate, at, owners)
+		var p Pace
+		now := time.Unix(0, 0).Add(time.Duration(random.Int64N(int64(playSkew))))
+		p.Start(now, part)
+		for now = now.Add(p.Take(now, part.Interval)); now.Before(time.Unix(0, 0).Add(limitTime)); now = now.Add(p.Take(now, part.Interval)) {
+			all = append(all, now.Sub(time.Unix(0, 0)))
+		}
+	}
+	return inAWindow(all, limitWindow), len(all)
+}
+
+// Guards against an instance with a small limit that gets a multiple of it because there are
+// more daemons than it takes requests, or because they know different parts of the fleet.
+func TestSmallLimitsHoldInLargeFleets(t *testing.T) {
+	for _, daemons := range []int{1, 5, 8, 77, 1300} {
+		for _, rate := range []float64{0.67, 0.9, 1.08, 5.4} {
+			t.Run(fmt.Sprintf("%d/%v", daemons, rate), func(t *testing.T) {
+				for seed := range uint64(5) {
+					random := rand.New(rand.NewPCG(seed, 4))
+					views := make([][]int, daemons)
+					for d := range views {
+						for other := range daemons {
+							if other == d || random.Float64() < 0.9 {
+								views[d] = append(views[d], other)
+							}
+						}
+					}
+					most, sent := mostInWindow(rate, views, random)
+					require.LessOrEqual(t, most, int(1.5*rate*limitWindow.Seconds())+limitSlack)
+					require.GreaterOrEqual(t, float64(sent), 0.8*rate*(limitTime-playSkew).Seconds())
+				}
+			})
+		}
+	}
+}
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -33,6 +33,10 @@
 	Evacuated uint64
 	// Left are upstream instances that were found to be leaving in the last seconds.
 	Left []inventory.Life
+	// Limits are those of upstream instances that changed in the last seconds, and Limited
+	// is equal at daemons that know the same ones in force.
+	Limits  []inventory.Limit
+	Limited uint64
 }
 
 // BeliefsRequest asks for what the asker lacks. A list of upstream instances or
@@ -53,6 +57,8 @@
 	Quarantine bool
 	// Evacuations asks for the operator's orders about failure domains.
 	Evacuations bool
+	// Limits asks for what is known of the limits of upstream instances.
+	Limits bool
 }
 
 // Beliefs is what a daemon knows of the installation. It is what a daemon
@@ -72,6 +78,8 @@
 	// Evacuations are all orders about failure domains if EvacuationsKnown is set.
 	Evacuations      []evacuation.Order
 	EvacuationsKnown bool
+	// Limits are those of upstream instances, lifted ones included.
+	Limits []inventory.Limit
 }
 
 // News is what a daemon that reads the store tells those that do not.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -30,10 +30,15 @@
 	Reads   float64
 	// Ejected instances failed lately.
 	Ejected bool
-	// Warming instances bear only a part of what they will. Wait is the time until this
-	// daemon may send to one; 0 is at once.
+	// Warming instances bear only a part of what they will.
 	Warming bool
-	Wait    time.Duration
+	// Wait is the time until this daemon may send to the instance; 0 is at once. Where
+	// NoTurn is set only others may send there, and it is the time until one of them may.
+	Wait   time.Duration
+	NoTurn bool
+	// ProbeDue is set where only another request can tell whether an instance still takes
+	// fewer requests than it could.
+	ProbeDue bool
 	// Trial instances are those of a new version that serve a part of the sessions
 	// before the others of that version get any.
 	Trial bool
@@ -81,7 +86,8 @@
 }
 
 // Ready leaves out instances to which nothing may be sent yet, as long as there are others.
-// Of several that all have to be waited for the first one is left.
+// Of several that all have to be waited for the first one is left, if possible one that this
+// daemon will have a turn at.
 func Ready(all []Candidate) []Candidate {
 	var ready []Candidate
 	for _, c := range all {
@@ -92,7 +98,24 @@
 	if len(ready) > 0 || len(all) == 0 {
 		return ready
 	}
-	return []Candidate{slices.MinFunc(all, func(a, b Candidate) int { return cmp.Compare(a.Wait, b.Wait) })}
+	return []Candidate{slices.MinFunc(all, func(a, b Candidate) int {
+		if a.NoTurn != b.NoTurn {
+			if b.NoTurn {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Wait, b.Wait)
+	})}
+}
+
+// Probe picks an instance that is due to be probed, if there is one.
+func Probe(all []Candidate) (Candidate, bool) {
+	at := slices.IndexFunc(all, func(c Candidate) bool { return c.ProbeDue && c.Wait == 0 && !c.NoTurn })
+	if at < 0 {
+		return Candidate{}, false
+	}
+	return all[at], true
 }
 
 // load is a candidate's load in requests, with the work that waits there.
--- a/test/routes/limit_test.go
+++ b/test/routes/limit_test.go
@@ -121,6 +121,7 @@
 func TestServerThatNamesALimitGetsNoMore(t *testing.T) {
 	for _, perSecond := range []string{"6", "1.2", "1", "0.1", "0"} {
 		t.Run(perSecond, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			limited := s.threeServers("", nil)
 			daemons := s.limitDaemons(5)
@@ -142,6 +143,7 @@
 func TestServerThatNamesNoLimitAnyMoreIsInFullUse(t *testing.T) {
 	for _, perSecond := range []string{"2", "0"} {
 		t.Run(perSecond, func(t *testing.T) {
+			t.Parallel()
 			s := newSite(t)
 			limited := s.threeServers("", nil)
 			daemons := s.limitDaemons(5)
