Leases: fencing numbers rise also after the table has lost a lease

A table that comes back from a copy may lack the row of a lease; the next holder began with fence 1 again. A lease remembers the highest number that it has seen. Test: TestFenceRisesAfterTheTableLostTheLease.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -41,6 +41,8 @@
 
 	seen   int64
 	seenAt time.Time
+	// fence is the highest fencing number seen. The table may have lost it.
+	fence int64
 
 	// Gone reports whether the process of a holder has certainly ended; nil
 	// leaves that to time.
@@ -74,13 +76,14 @@
 	if revision != l.seen {
 		l.seen, l.seenAt = revision, l.clock.Now()
 	}
+	l.fence = max(l.fence, now.Fence)
 	mine := now.Holder == l.self && now.Fence == l.held.Fence && revision != 0
 	if !mine && !l.lapsed(ctx, revision, now.Holder) {
 		return false, nil
 	}
 	next := row{Holder: l.self, Fence: now.Fence, Renewals: now.Renewals + 1}
 	if !mine {
-		next.Fence++
+		next.Fence = l.fence + 1
 	}
 	return l.write(ctx, revision, next)
 }
@@ -113,6 +116,7 @@
 		return l.Held(), trace.Wrap(err)
 	}
 	l.held, l.revision, l.renewed = next, written, sent
+	l.fence = max(l.fence, next.Fence)
 	l.seen, l.seenAt = written, sent
 	return true, nil
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -104,3 +104,20 @@
 	require.True(t, renew(t, b))
 	require.Greater(t, b.Fence(), a.Fence())
 }
+
+// Guards against fencing numbers that are given out twice because the table has lost a lease.
+func TestFenceRisesAfterTheTableLostTheLease(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := backing.NewMemory()
+	a, b := New("duty", "a", duration, table, clock), New("duty", "b", duration, table, clock)
+	require.True(t, renew(t, a))
+	require.False(t, renew(t, b))
+	clock.Advance(duration)
+	require.True(t, renew(t, b))
+	before := b.Fence()
+	_, err := table.Commit(context.Background(), backing.Txn{Deletes: []string{b.Key()}})
+	require.NoError(t, err)
+	clock.Advance(duration)
+	require.True(t, renew(t, b))
+	require.Greater(t, b.Fence(), before)
+}
