Roll-outs: an order that a later era of the store has is the same order

Orders were told apart by the revision of their row. A store that came back from a copy has the same row, or has it written again, under another number; the roll-out began again and took sessions back. An order with the same wish in a later era keeps its first ID and remembers the other one; daemons that start in between adopt the first ID from peers or from the stored state. An ended roll-out can be told again. Tests: TestRestatedOrderIsTheSame, TestDaemonThatStartsAdoptsAnOrder, TestStoredStateOfARestatedOrder.

--- a/internal/shift/book.go
+++ b/internal/shift/book.go
@@ -79,7 +79,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before, ok := b.services[o.Service]
-	if ok && before.order.ID >= o.ID {
+	switch {
+	case !ok:
+	case o.restates(before.order):
+		before.restate(before.order.ID, o.newest(), o.Era)
+		return false
+	case o.ID < before.order.ID && o.Restated == before.order.ID:
+		before.restate(o.ID, o.Restated, o.Era)
+		return false
+	case before.order.newest() >= o.ID:
 		before.aged(o.ID, b.clock.Now().Add(-o.Age))
 		return false
 	}
@@ -101,6 +109,33 @@
 	return true
 }
 
+// restate gives an order the ID under which it was first known, and that of a later era.
+//
+// Taken for another order, the roll-out would begin again, and take sessions back to the old
+// version.
+func (r *rollout) restate(first, restated, era int64) {
+	r.order.ID, r.order.Restated, r.order.Era = first, restated, era
+	r.state.Order, r.state.Restated = first, restated
+}
+
+// Contradicts reports whether another order is known about the same service.
+func (b *Book) Contradicts(o Order) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.services[o.Service]
+	return ok && !o.sameWish(r.order)
+}
+
+// Retell has the operator told again of all roll-outs that have ended: what tells of them may
+// be lost.
+func (b *Book) Retell() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.services {
+		r.state.Told = false
+	}
+}
+
 // Aged takes in how long ago an order was given. The longest time told counts;
 // it reports whether this is news.
 func (b *Book) Aged(service string, order int64, age time.Duration) bool {
@@ -132,6 +167,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.services[s.Service]
+	if ok && s.Order < r.order.ID && s.Restated == r.order.ID {
+		r.restate(s.Order, s.Restated, r.order.Era)
+	}
 	switch {
 	case !ok:
 		return false
--- /dev/null
+++ b/internal/shift/restate_test.go
@@ -0,0 +1,77 @@
+package shift
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// Orders as two eras of the store have them.
+var (
+	wished   = Order{ID: 30, Service: "s", To: "v2", Allowed: time.Minute}
+	restated = Order{ID: 1029, Era: 1, Service: "s", To: "v2", Allowed: time.Minute}
+)
+
+func newRestateBook() *Book {
+	return NewBook(clockwork.NewFakeClock(), time.Second, Exposure(0.1), func(string, func(string) bool) int { return 0 })
+}
+
+func known(t *testing.T, b *Book) (Order, State) {
+	t.Helper()
+	orders, states := b.Orders()
+	require.Len(t, orders, 1)
+	return orders[0], states[0]
+}
+
+// Guards against a roll-out that begins again because the store, back from a copy, has its
+// order under another number.
+func TestRestatedOrderIsTheSame(t *testing.T) {
+	b := newRestateBook()
+	require.True(t, b.Ordered(wished))
+	require.True(t, b.Learn(State{Order: 30, Service: "s", To: "v2", Phase: Completed, Share: 1, Step: 4, Told: true}))
+	require.False(t, b.Ordered(restated))
+	require.False(t, b.Ordered(restated))
+	o, s := known(t, b)
+	require.Equal(t, int64(30), o.ID)
+	require.Equal(t, Completed, s.Phase)
+
+	again := restated
+	again.ID++
+	require.True(t, b.Ordered(again), "the operator has ordered it again")
+	other := Order{ID: 2040, Era: 2, Service: "s", To: "v3", Allowed: time.Minute}
+	require.True(t, b.Contradicts(other))
+	require.True(t, b.Ordered(other))
+}
+
+// Guards against a daemon that starts after the store came back, and does not know that the
+// order it reads is the one that the others carry out.
+func TestDaemonThatStartsAdoptsAnOrder(t *testing.T) {
+	old, fresh := newRestateBook(), newRestateBook()
+	old.Ordered(wished)
+	old.Learn(State{Order: 30, Service: "s", To: "v2", Phase: Running, Share: 1, Step: 3})
+	old.Ordered(restated)
+	fresh.Ordered(restated)
+	o, s := known(t, fresh)
+	require.False(t, old.Ordered(o))
+	require.False(t, old.Learn(s))
+	o, s = known(t, old)
+	require.False(t, fresh.Ordered(o))
+	require.True(t, fresh.Learn(s))
+	o, s = known(t, fresh)
+	require.Equal(t, int64(30), o.ID)
+	require.Equal(t, 1.0, s.Share)
+	require.Empty(t, s.Withdrawn)
+}
+
+// Guards against daemons that have all started since the store came back, and begin again
+// with a roll-out whose stored state has the order's first number.
+func TestStoredStateOfARestatedOrder(t *testing.T) {
+	b := newRestateBook()
+	b.Ordered(restated)
+	require.True(t, b.Learn(State{Order: 30, Restated: 1029, Service: "s", To: "v2", Phase: Completed, Share: 1, Step: 4}))
+	_, s := known(t, b)
+	require.Equal(t, Completed, s.Phase)
+	require.False(t, b.Ordered(restated))
+}
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -31,6 +31,24 @@
 	Allowed time.Duration
 	// Age is how long ago the order was given, as far as its teller knows.
 	Age time.Duration
+	// Era rises when the store that holds the orders comes back from an older copy. An
+	// order of an earlier era that is found there again, or written again, has another ID
+	// then, which is Restated; 0 is none.
+	Era      int64
+	Restated int64
+}
+
+// newest is the highest ID of the order.
+func (o Order) newest() int64 { return max(o.ID, o.Restated) }
+
+// restates reports whether an order is an earlier one, as a later era has it.
+func (o Order) restates(earlier Order) bool {
+	return o.Era > earlier.Era && o.sameWish(earlier)
+}
+
+// sameWish reports whether two orders ask for the same.
+func (o Order) sameWish(other Order) bool {
+	return o.Service == other.Service && o.To == other.To && o.Allowed == other.Allowed
 }
 
 // State is a roll-out as all daemons know it.
@@ -61,6 +79,8 @@
 	// OrderedMS is when the order was given, in milliseconds of the store's
 	// clock; 0 is not known.
 	OrderedMS int64 `json:"ordered_ms,omitempty"`
+	// Restated is the ID of the order in a later era of the store, 0 where it has none.
+	Restated int64 `json:"restated,omitempty"`
 	// Step counts the changes, so that an older state never replaces a newer.
 	Step int `json:"step"`
 }
