--- a/internal/evacuation/book.go
+++ b/internal/evacuation/book.go
@@ -89,6 +89,19 @@
 	return news
 }
 
+// Confirm takes in all evacuations that a copy of the store has which may be older than what
+// is known: those of failure domains about which nothing is known, and those known to be in
+// force. It returns what was news.
+func (b *Book) Confirm(inForce []Order) []Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known = true
+	return b.learn(slices.DeleteFunc(slices.Clone(inForce), func(o Order) bool {
+		old, known := b.words[o.FailureDomain]
+		return known && old.lifted != o.Lifted
+	}))
+}
+
 // learn returns the orders that say something new of whether a failure domain is
 // evacuated. The lock is held.
 func (b *Book) learn(orders []Order) []Order {
--- a/internal/evacuation/book_test.go
+++ b/internal/evacuation/book_test.go
@@ -94,3 +94,25 @@
 	clock.Advance(time.Second)
 	require.Equal(t, 4*time.Second, second.InForce()[0].Age)
 }
+
+// Guards against an older copy of the store that ends an evacuation, or brings one back.
+func TestCopyContradictsNothing(t *testing.T) {
+	b := NewBook(clockwork.NewFakeClock())
+	b.Learn([]Order{{FailureDomain: "a", Revision: 30}, {FailureDomain: "b", Revision: 20}, {FailureDomain: "b", Revision: 31, Lifted: true}})
+	news := b.Confirm([]Order{{FailureDomain: "b", Revision: 1020}, {FailureDomain: "c", Revision: 1010}})
+	require.Len(t, news, 1)
+	require.Equal(t, "c", news[0].FailureDomain)
+	require.Equal(t, []string{"a", "c"}, domains(b.InForce()))
+	b.Learn([]Order{{FailureDomain: "b", Revision: 1040}})
+	require.Equal(t, []string{"a", "b", "c"}, domains(b.InForce()))
+	b.Replace([]Order{{FailureDomain: "c", Revision: 1010}, {FailureDomain: "b", Revision: 1040}}, 1050)
+	require.Equal(t, []string{"b", "c"}, domains(b.InForce()))
+}
+
+func domains(orders []Order) []string {
+	var out []string
+	for _, o := range orders {
+		out = append(out, o.FailureDomain)
+	}
+	return out
+}
