Inventory: an older copy of the list brings no life back that was taken off it

While the list may be a copy, only an entry that is written again, or another life, comes back. Test: TestCopyBringsNobodyBack.

--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -76,6 +76,9 @@
 	}
 	for _, i := range s.Instances {
 		listed[i.ID] = true
+		if t.isStale(i) {
+			continue
+		}
 		if e := t.set(i); e != nil {
 			t.noteWarming(e, s.Warming[i.ID])
 		}
@@ -203,7 +206,7 @@
 	if !ok || e.gone {
 		return false
 	}
-	e.gone, e.goneAt = true, time.Time{}
+	t.remove(e)
 	return true
 }
 
@@ -212,7 +215,7 @@
 	switch {
 	case e.gone:
 	case e.instance.Leaving || e.left || !t.clock.Now().Before(doubted):
-		e.gone = true
+		t.remove(e)
 	case e.goneAt.IsZero():
 		e.goneAt = doubted
 	}
@@ -226,9 +229,10 @@
 	now := t.clock.Now()
 	t.forgetLeft(now)
 	t.forgetLimits(now)
+	t.forgetGone(now)
 	for id, e := range t.entries {
 		if !e.goneAt.IsZero() && now.After(e.goneAt) {
-			e.gone = true
+			t.remove(e)
 		}
 		if e.gone && e.inFlight == 0 {
 			delete(t.entries, id)
--- /dev/null
+++ b/internal/inventory/stale_test.go
@@ -0,0 +1,38 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an older copy of the list that brings back a server which has left, and
+// against one that is left out for good though it lives.
+func TestCopyBringsNobodyBack(t *testing.T) {
+	table, clock := newLimitTable()
+	a, b := warmInstance("a"), warmInstance("b")
+	table.Apply([]Change{{ID: a.ID}}, 2, time.Time{})
+	table.Expire()
+	table.Settle(clock.Now().Add(time.Minute))
+	whole := Snapshot{Revision: 1000, Instances: []Instance{a, b}, Doubted: map[string]time.Duration{a.ID: time.Minute}}
+	require.True(t, table.Replace(whole, time.Time{}))
+	require.Len(t, table.Usable("s"), 1)
+
+	again := a
+	again.Born = 7
+	whole.Revision++
+	whole.Instances, whole.Doubted = []Instance{again, b}, nil
+	table.Replace(whole, time.Time{})
+	require.Len(t, table.Usable("s"), 2, "another life")
+
+	table.Apply([]Change{{ID: b.ID}}, 1002, time.Time{})
+	table.Apply([]Change{{ID: b.ID, Instance: &b}}, 1003, time.Time{})
+	require.Len(t, table.Usable("s"), 2, "its entry was written again")
+
+	table.Apply([]Change{{ID: b.ID}}, 1004, time.Time{})
+	clock.Advance(2 * time.Minute)
+	whole.Revision = 1005
+	table.Replace(whole, time.Time{})
+	require.Len(t, table.Usable("s"), 2, "the copy has had its time")
+}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -98,6 +98,10 @@
 	versions map[string]map[string]time.Time
 	// leftAt has the lives that were found to be leaving, and when.
 	leftAt map[Life]time.Time
+	// goneAt has the lives that were taken off the list, and when. Until settledAt a list
+	// may be an older copy, which has them still.
+	goneAt    map[Life]time.Time
+	settledAt time.Time
 	// evacuated are the failure domains whose instances get nothing new.
 	evacuated map[string]bool
 	// limits has what lives have said of their limits.
@@ -111,7 +115,7 @@
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
-		clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}, leftAt: map[Life]time.Time{},
+		clock: clock, entries: map[string]*entry{}, versions: map[string]map[string]time.Time{}, leftAt: map[Life]time.Time{}, goneAt: map[Life]time.Time{},
 		evacuated: map[string]bool{}, limits: map[Life]limitWord{}, share: func(string, float64) pacing.Part { return pacing.Part{} },
 	}
 }
