A store that comes back from an older copy is another era

Callers' requests reached servers 3.0 and 2.4 s after the store had acknowledged that they leave (allowed 2). Cause: revisions fell from 30 to 27 and were given out again. Whole lists below the revision known were refused, and once the count had passed it the feed led on from there; the server's word lay in between and was never seen. Class: revisions compared across eras.

Daemons hear of an era from each other. For 4 s after it the copy contradicts nothing that is known, then whole reads settle what was not written again. Entries of live servers that it lacks are doubted. The daemons write again what they keep there: their rows, quarantined requests, states of roll-outs, what the operator is told. A list read whole is told to the group instead of being read by each daemon.

--- a/internal/entry/contact.go
+++ b/internal/entry/contact.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// restored notes that the store came back from an older copy, which may lack entries of live
+// instances, whether or not it was missed.
+func (c *storeContact) restored(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lostAt, c.regained = now, now
+}
+
 // doubted is until when the list may lack entries of live instances.
 func (c *storeContact) doubted(now time.Time) time.Time {
 	c.mu.Lock()
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -53,8 +53,9 @@
 	revision int64
 	// told is the last phase that the operator was told.
 	told shift.Phase
-	// order is the order that the above is about.
+	// order is the order that the above is about, and era that of the store.
 	order int64
+	era   int64
 	// tally is what daemons have seen, as far as this one has heard. stored is
 	// the sum that the last holder stored, resumed is set once it is in the
 	// tally, and seenAt is when this daemon last stored it.
@@ -140,6 +141,10 @@
 		one = d.newDuty(active.Order)
 		d.byService[service] = one
 	}
+	if era := d.store.Era(); one.era != era {
+		// The lease, the state and what the operator was told may be lost.
+		one.era, one.loaded, one.told, one.renewed = era, false, "", time.Time{}
+	}
 	if !d.mine(ctx, service, one) {
 		d.guard(ctx, one, active)
 		return
@@ -159,7 +164,7 @@
 	self := d.registry.Self()
 	one := &duty{
 		lease: lease.New("shift/"+order.Service, holderName(self.Incarnation, self.PeerAddress), leaseTime, d.table, d.clock),
-		order: order.ID, began: d.clock.Now(), tally: shift.NewTally(order.ID),
+		order: order.ID, era: d.store.Era(), began: d.clock.Now(), tally: shift.NewTally(order.ID),
 	}
 	one.lease.Gone = d.holderGone
 	return one
--- a/internal/entry/evacuate.go
+++ b/internal/entry/evacuate.go
@@ -12,14 +12,27 @@
 // and reports whether it is news.
 func (n *Node) takeEvacuations(news platform.OperatorNews) bool {
 	before := n.evacuations.Sum()
-	if news.Whole {
+	switch {
+	case news.Whole && n.isSettling():
+		n.evacuated(n.evacuations.Confirm(news.Evacuations), "store")
+	case news.Whole:
 		n.evacuated(n.evacuations.Replace(news.Evacuations, news.Revision), "store")
-	} else {
+	default:
 		n.evacuated(n.evacuations.Learn(news.Evacuations), "store")
 	}
 	return n.evacuations.Sum() != before
 }
 
+// learnEvacuations takes in the orders about failure domains that a peer knows, which may
+// have them from an older copy of the store.
+func (n *Node) learnEvacuations(orders []evacuation.Order, source string) {
+	if n.isSettling() {
+		n.evacuated(n.evacuations.Confirm(orders), source)
+		return
+	}
+	n.evacuated(n.evacuations.LearnAll(orders), source)
+}
+
 // evacuated puts orders about failure domains in force.
 func (n *Node) evacuated(orders []evacuation.Order, source string) {
 	for _, o := range orders {
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -31,7 +31,7 @@
 			n.pause(ctx, checkInterval)
 			continue
 		}
-		err := n.readList(ctx, lost)
+		err := n.readList(ctx, lost || n.settling.takeListDue(n.clock.Now()))
 		lost = errors.Is(err, platform.ErrCompacted)
 		switch {
 		case ctx.Err() != nil:
@@ -75,8 +75,11 @@
 	}
 	doubted := n.doubtedUntil(n.clock.Now())
 	if whole {
-		n.table.Replace(snapshot(news), doubted)
-		slog.Info("instances.read", "count", len(news.Changes), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()))
+		taken := n.table.Replace(snapshot(news), doubted)
+		slog.Info("instances.read", "count", len(news.Changes), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()), "taken", taken)
+		if taken {
+			n.tellWholeList(ctx)
+		}
 		return nil
 	}
 	told, ok := n.takeChanges(news, doubted)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -108,6 +108,8 @@
 	lostHistory bool
 	// doubts are those that readers told of the list.
 	doubts toldDoubts
+	// settling is on after the store has come back from an older copy.
+	settling settling
 	// contact is when the store last answered and when it last did not.
 	contact storeContact
 
@@ -140,6 +142,7 @@
 		BodyBytes: limit.NewBytes(s.MemoryMB << 20 / bodyShare),
 	})
 	n.duties = newDuties(n)
+	store.OnRestore(n.storeRestored)
 	return n
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -47,6 +47,9 @@
 // reads for others lets the store hold the question until there is something.
 func (n *Node) readOperator(ctx context.Context) error {
 	view := n.fresh.view()
+	if n.settling.takeOperatorDue(n.clock.Now()) {
+		n.lostHistory = true
+	}
 	if n.lostHistory || view.at.IsZero() {
 		return n.readAllOperator(ctx)
 	}
@@ -82,6 +85,7 @@
 		n.logNotRead(0, asked, err)
 		return err
 	}
+	news = n.withoutStale(news)
 	// An order without its state looks like one that has just begun, which
 	// keeps everything on old instances: after a restart of all daemons
 	// those may be gone, and every request would be refused until the duty
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -46,16 +46,22 @@
 
 // announce writes this daemon's row once it is one of those that read the store
 // for the others: a few rows are enough to find everybody.
+//
+// The row is written again after the store has come back from a copy that may lack it.
 func (n *Node) announce(ctx context.Context) {
+	const never = -1
+	announced := int64(never)
 	for n.pause(ctx, announcePause) {
-		if !n.reader() {
+		era := n.store.Era()
+		if announced == era || !n.reader() {
 			continue
 		}
-		err := n.announceOnce(ctx)
-		if err == nil {
-			return
+		if err := n.announceOnce(ctx); err != nil {
+			slog.Warn("daemon.not_announced", "error", err)
+			continue
 		}
-		slog.Warn("daemon.not_announced", "error", err)
+		announced = era
+		slog.Info("daemon.announced", "era", era)
 	}
 }
 
@@ -161,7 +167,7 @@
 	_, b.Limited = n.table.Limited()
 	_, states := n.book.Orders()
 	for _, s := range states {
-		b.Shifts += s.Order + int64(s.Step)
+		b.Shifts += max(s.Order, s.Restated) + int64(s.Step)
 		if s.Stopped {
 			b.Shifts += stoppedSteps
 		}
@@ -193,6 +199,7 @@
 	n.missesMu.Lock()
 	delete(n.misses, b.From.Incarnation)
 	n.missesMu.Unlock()
+	n.store.NoteRevision(b.List)
 	n.heardLeaving(b)
 	n.heardLimits(b.Limits, b.From.PeerAddress)
 	before := n.registry.Epoch()
@@ -271,7 +278,7 @@
 	}
 	n.registry.Learn(b.Members)
 	if b.EvacuationsKnown {
-		n.evacuated(n.evacuations.LearnAll(b.Evacuations), address)
+		n.learnEvacuations(b.Evacuations, address)
 	}
 	n.heardLimits(b.Limits, address)
 	n.takeManifest(b.Manifest, address)
--- a/internal/entry/quarantine_store.go
+++ b/internal/entry/quarantine_store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
@@ -19,6 +20,8 @@
 	// outage of the store takes some ten seconds. Daemons that run know it anyway.
 	storeTries    = 30
 	storeTryPause = 2 * time.Second
+	// maxPuts is how many rows one transaction writes.
+	maxPuts = 100
 	// maxUnsaved bounds the decisions that wait for the store.
 	maxUnsaved = 64
 )
@@ -42,6 +45,22 @@
 	}
 }
 
+// saveAgain has what is quarantined written again, by one daemon of those that read the store.
+func (q *quarantined) saveAgain() {
+	first := q.readers(1, q.group())
+	entries := q.list.Entries()
+	if len(entries) == 0 || len(first) == 0 || first[0].Incarnation != q.registry.Self().Incarnation {
+		return
+	}
+	for part := range slices.Chunk(entries, maxPuts) {
+		select {
+		case q.unsaved <- part:
+		default:
+			slog.Warn("quarantine.not_stored", "count", len(part))
+		}
+	}
+}
+
 func (q *quarantined) save(ctx context.Context, decided []quarantine.Entry) {
 	for range storeTries {
 		now, ok := q.store.Clock()
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -131,6 +131,19 @@
 	n.tell(ctx, told)
 }
 
+// toldInstances is the largest number of instances of which a whole list is passed on.
+const toldInstances = 300
+
+// tellWholeList passes a list on that was read whole, so that the daemons of the group do not
+// all read it.
+func (n *Node) tellWholeList(ctx context.Context) {
+	whole := n.table.Snapshot()
+	if !n.reader() || len(whole.Instances) > toldInstances {
+		return
+	}
+	n.tell(ctx, peer.News{Whole: &whole, List: whole.Revision, ListAge: n.table.Age(), Doubted: n.doubt()})
+}
+
 // tellOperator passes on what the operator wrote.
 //
 // Told whole, news leads on from the revision base, so that daemons which know all up to
@@ -196,6 +209,7 @@
 
 // OnNews implements peer.RoutesHandler.
 func (n *Node) OnNews(news peer.News) {
+	n.store.NoteRevision(max(news.List, news.OperatorRead))
 	if len(news.Evacuations) > 0 {
 		n.evacuated(n.evacuations.LearnAll(news.Evacuations), news.From)
 	}
@@ -213,6 +227,9 @@
 	n.doubts.heard(n.clock.Now(), news.Doubted)
 	revision := n.table.Revision()
 	switch {
+	case news.Whole != nil && revision < news.List:
+		n.table.Replace(*news.Whole, n.clock.Now())
+		n.table.Confirm(news.ListAge)
 	case !n.table.Known() || revision < news.Base:
 		// Something was missed; this daemon reads, or asks, for all of it.
 	case revision >= news.List:
--- /dev/null
+++ b/internal/entry/restore.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/shift"
+	"github.com/hornbeamsill/hornbeamsill/platform"
+)
+
+// restoreTime is how long after its return from an older copy the store may contradict what it
+// has acknowledged before: the operator and live instances write again what it has lost, and
+// entries of instances that have left lapse.
+const restoreTime = 4 * time.Second
+
+// settling is for how long the store may be older than what is known.
+//
+// Lock order: mu is taken alone.
+type settling struct {
+	mu    sync.Mutex
+	until time.Time
+	// readOperator and readList ask for whole reads once it is over.
+	readOperator, readList bool
+}
+
+func (s *settling) begin(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until, s.readOperator, s.readList = until, true, true
+}
+
+func (s *settling) isOn(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.until)
+}
+
+// takeOperatorDue reports, once, whether the operator's rows are to be read whole.
+func (s *settling) takeOperatorDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.readOperator && !now.Before(s.until)
+	s.readOperator = s.readOperator && !due
+	return due
+}
+
+// takeListDue reports, once, whether the list is to be read whole.
+func (s *settling) takeListDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.readList && !now.Before(s.until)
+	s.readList = s.readList && !due
+	return due
+}
+
+// isSettling reports whether whole reads of the store may be older than what is known.
+func (n *Node) isSettling() bool { return n.settling.isOn(n.clock.Now()) }
+
+// storeRestored is called when the store has come back from an older copy.
+//
+// What this daemon knows stays in force until the copy has had time to be brought up to date;
+// changes that are written from now on count at once. What daemons keep in the store is
+// written again by those that know it: rows of daemons, quarantined requests, states of
+// roll-outs and what the operator is told of them.
+func (n *Node) storeRestored(era int64) {
+	now := n.clock.Now()
+	slog.Warn("store.restored", "era", era, "operator", n.fresh.view().read, "list", n.table.Revision())
+	until := now.Add(restoreTime)
+	n.contact.restored(now)
+	n.settling.begin(until)
+	n.table.Settle(until)
+	n.book.Retell()
+	n.quarantine.saveAgain()
+	n.question.abandon()
+	n.clock.AfterFunc(restoreTime, n.question.abandon)
+}
+
+// withoutStale leaves the orders out of a whole read that may be older than those known.
+func (n *Node) withoutStale(news platform.OperatorNews) platform.OperatorNews {
+	if !n.isSettling() {
+		return news
+	}
+	var orders []shift.Order
+	for _, o := range news.Orders {
+		if !n.book.Contradicts(o) {
+			orders = append(orders, o)
+		}
+	}
+	news.Orders = orders
+	return news
+}
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -102,6 +102,8 @@
 	// equal at daemons that know the same of them.
 	Evacuations []evacuation.Order
 	Evacuated   uint64
+	// Whole is the whole list where it was read whole; there are no Changes then.
+	Whole *inventory.Snapshot
 	// Changes lead from the revision Base of the list to List, which was the
 	// newest ListAge ago.
 	Changes []inventory.Change
