--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -35,11 +35,20 @@
 	soakKept = 2500 * time.Millisecond
 )
 
+// soakKinds is the number of kinds of faults.
+const soakKinds = 17
+
+// soakCase is a seed, with the number of kinds of faults from which its faults are drawn.
+type soakCase struct {
+	seed  uint64
+	kinds int
+}
+
 // soakCases are seeds that failed once, with the cause.
-var soakCases = []uint64{
+var soakCases = []soakCase{
 	// The line that tells which configuration came into force was dropped among those of
 	// refused requests.
-	7012,
+	{seed: 7012, kinds: 14},
 }
 
 func envInt(name string, otherwise int) int {
@@ -51,12 +60,12 @@
 }
 
 func TestSoak(t *testing.T) {
-	seeds := append([]uint64{}, soakCases...)
+	cases := append([]soakCase{}, soakCases...)
 	for i := range envInt("SOAK_SEEDS", 2) {
-		seeds = append(seeds, uint64(envInt("SOAK_FIRST", 1)+i))
+		cases = append(cases, soakCase{seed: uint64(envInt("SOAK_FIRST", 1) + i), kinds: soakKinds})
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { newSoak(t, seed).run() })
+	for _, c := range cases {
+		t.Run(fmt.Sprint("seed-", c.seed), func(t *testing.T) { newSoak(t, c).run() })
 	}
 }
 
@@ -68,7 +77,7 @@
 
 type soak struct {
 	*site
-	seed   uint64
+	soakCase
 	random *rand.Rand
 	// stores are the proxies between daemons and the store, by daemon.
 	stores  map[*daemon]*cluster.Proxy
@@ -94,16 +103,16 @@
 	renamed int
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, c soakCase) *soak {
 	s := &soak{
-		site: newSite(t), seed: seed, random: rand.New(rand.NewPCG(seed, 1)), stores: map[*daemon]*cluster.Proxy{},
+		site: newSite(t), soakCase: c, random: rand.New(rand.NewPCG(c.seed, 1)), stores: map[*daemon]*cluster.Proxy{},
 		version: 3, ended: make(chan struct{}), serverIDs: map[string]string{}, leaving: map[*platformtest.Server]int{},
 		limited: map[*platformtest.Server]int{}, limitedFor: map[*platformtest.Server]int{},
 	}
 	s.store.Declare(s.declared())
 	for i := range 3 {
-		s.soakServer(fmt.Sprint("cat-", i), seed, 0)
-		s.soakServer(fmt.Sprint("eng-", i), seed, 0)
+		s.soakServer(fmt.Sprint("cat-", i), c.seed, 0)
+		s.soakServer(fmt.Sprint("eng-", i), c.seed, 0)
 	}
 	for range soakDaemons {
 		s.startOne()
@@ -114,6 +123,10 @@
 const (
 	// soakCold is for how long a server is cold that takes another one's place.
 	soakCold = 1500 * time.Millisecond
+	// soakCopyAge is how much the store loses when it comes back from a copy, and soakAway
+	// how long it is away before, and how long what it lost is missing.
+	soakCopyAge = 1 * time.Second
+	soakAway    = 500 * time.Millisecond
 	// soakHall is the failure domain that is evacuated; the first servers of each service
 	// are there.
 	soakHall = "hall-b"
@@ -274,7 +287,7 @@
 func (s *soak) fault() {
 	d := s.pick(s.random)
 	store := s.stores[d]
-	switch s.random.IntN(16) {
+	switch s.random.IntN(s.kinds) {
 	case 0:
 		s.drop(d)
 		d.Kill()
@@ -325,9 +338,26 @@
 		s.later(func() { s.store.Restore(soakHall) })
 	case 15:
 		s.limit(s.place())
+	case 16:
+		s.restoreStore()
 	}
 }
 
+// restoreStore has the store come back from a copy after an outage, and the operator and the
+// servers write again what it has lost.
+func (s *soak) restoreStore() {
+	copied := s.store.Copy()
+	s.heals.Go(func() {
+		<-time.After(soakCopyAge)
+		s.store.SetFault(platformtest.FaultReset)
+		<-time.After(soakAway)
+		lost := s.store.RestoreFrom(copied)
+		s.store.SetFault(platformtest.FaultNone)
+		<-time.After(soakAway)
+		s.store.WriteAgain(lost)
+	})
+}
+
 // limit has a server name a limit for a while, which changes once.
 func (s *soak) limit(place string) {
 	server := s.running(place)
