Whole lists told by a reader are doubted like those that a daemon reads itself

Found by reading: a reader that has just started and lacks entries of live servers told its whole list, and others dropped them at once. Tests of the time in which a copy settles: TestWholeListOfAReaderIsDoubted (fails with the line taken out), TestCopyUndoesNoOrders, TestOrdersOfTheNewEraCountAtOnce.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -53,7 +53,8 @@
 // readList reads the whole list, or what changed in it.
 func (n *Node) readList(ctx context.Context, whole bool) error {
 	base := n.table.Revision()
-	whole = whole || !n.table.Known()
+	first := !n.table.Known()
+	whole = whole || first
 	asked := n.clock.Now()
 	var news platform.InstanceNews
 	var err error
@@ -77,7 +78,8 @@
 	if whole {
 		taken := n.table.Replace(snapshot(news), doubted)
 		slog.Info("instances.read", "count", len(news.Changes), "revision", news.Revision, "doubted", doubted.After(n.clock.Now()), "taken", taken)
-		if taken {
+		if taken && !first {
+			// The first list of a daemon that has just started is no news to others.
 			n.tellWholeList(ctx)
 		}
 		return nil
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -207,6 +207,17 @@
 	n.fresh.note(n.clock.Now().Add(-news.OperatorAge), news.OperatorRead, view.read < news.OperatorChanged)
 }
 
+// keptUntil is until when entries are kept that a reader's whole list lacks: as long as the
+// reader doubts it, or this daemon would if it had read it.
+func (n *Node) keptUntil(told time.Duration) time.Time {
+	now := n.clock.Now()
+	until := n.doubts.take(now, told, n.listIsLate())
+	if own := n.doubtedUntil(now); own.After(until) {
+		return own
+	}
+	return until
+}
+
 // OnNews implements peer.RoutesHandler.
 func (n *Node) OnNews(news peer.News) {
 	n.store.NoteRevision(max(news.List, news.OperatorRead))
@@ -228,7 +239,7 @@
 	revision := n.table.Revision()
 	switch {
 	case news.Whole != nil && revision < news.List:
-		n.table.Replace(*news.Whole, n.clock.Now())
+		n.table.Replace(*news.Whole, n.keptUntil(news.Doubted))
 		n.table.Confirm(news.ListAge)
 	case !n.table.Known() || revision < news.Base:
 		// Something was missed; this daemon reads, or asks, for all of it.
