Roll-outs: an ended one is stored before the operator is told, and stored in the end

The write that the operator had been told failed as well, and was never tried again, since no phase was left to tell. The store said running; daemons that all started anew at 35 s moved all sessions to a version without instances, and completed it at 40.9 s.

A holder knows the step that is stored; an ended roll-out is stored, then told, then stored as told, each tried until it is done.

--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -49,8 +49,9 @@
 	renewed time.Time
 	// loaded is set once the stored state was read under the present lease.
 	loaded bool
-	// revision is that of the stored state.
+	// revision is that of the stored state, and step its step.
 	revision int64
+	step     int
 	// told is the last phase that the operator was told.
 	told shift.Phase
 	// order is the order that the above is about, and era that of the store.
@@ -220,18 +221,21 @@
 	row, err := d.table.Get(ctx, statePrefix+active.Order.Service)
 	switch {
 	case trace.IsNotFound(err):
-		one.revision = 0
+		one.revision, one.step = 0, 0
 	case err != nil:
 		slog.Warn("rollout.state_not_read", "service", active.Order.Service, "error", err)
 		return false
 	default:
-		one.revision = row.Revision
+		one.revision, one.step = row.Revision, 0
 		var s storedState
 		if err := unmarshal(row, &s); err != nil {
 			slog.Error("rollout.state_unreadable", "service", active.Order.Service, "error", err)
 		} else {
 			d.learnState(s.State, "store")
 			one.stored = s.seen(one.order)
+			if s.Order == one.order {
+				one.step = s.Step
+			}
 		}
 	}
 	one.loaded = true
@@ -271,14 +275,32 @@
 		d.spread(ctx, next)
 		state = next
 	}
-	if state.Phase == shift.Running && d.clock.Since(one.seenAt) > seenInterval {
-		d.write(ctx, one, &state, known.Elapsed)
+	if state.Phase == shift.Running {
+		if d.clock.Since(one.seenAt) > seenInterval {
+			d.write(ctx, one, &state, known.Elapsed)
+		}
+		if one.told != shift.Running {
+			d.tell(ctx, one, order, state.Phase)
+		}
+		return
+	}
+	d.conclude(ctx, one, order, state, known.Elapsed)
+}
+
+// conclude stores the state of a roll-out that has ended, tells the operator, and stores that
+// the operator has been told.
+//
+// In this order: told of what is not stored, the operator ends instances that daemons which
+// all start anew would still bring in.
+func (d *duties) conclude(ctx context.Context, one *duty, order shift.Order, state shift.State, elapsed time.Duration) {
+	if one.step < state.Step && !d.write(ctx, one, &state, elapsed) {
+		return
 	}
-	if state.Phase == one.told || !d.tell(ctx, one, order, state.Phase) || state.Phase == shift.Running {
+	if one.told != state.Phase && !d.tell(ctx, one, order, state.Phase) {
 		return
 	}
 	state = state.AfterTelling()
-	if d.write(ctx, one, &state, known.Elapsed) {
+	if d.write(ctx, one, &state, elapsed) {
 		d.spread(ctx, state)
 	}
 }
@@ -306,7 +328,7 @@
 		one.loaded = false
 		return false
 	}
-	one.revision, one.seenAt = revision, d.clock.Now()
+	one.revision, one.step, one.seenAt = revision, next.Step, d.clock.Now()
 	return true
 }
 
