--- a/internal/shift/restate_test.go
+++ b/internal/shift/restate_test.go
@@ -75,3 +75,14 @@
 	require.Equal(t, Completed, s.Phase)
 	require.False(t, b.Ordered(restated))
 }
+
+// Guards against a version without instances that is completed in the end: nobody is served
+// any more then.
+func TestVersionWithoutInstancesIsNotCompleted(t *testing.T) {
+	o := Order{ID: 1, Service: "s", To: "v2", Allowed: time.Minute}
+	s := State{Order: 1, Service: "s", To: "v2", Phase: Running, Share: 1, MovedMS: 70_000, Step: 2}
+	k := Known{Elapsed: time.Hour, Fresh: Counts{}, Old: Counts{"": {Requests: 400}}, OldInFlight: 12}
+	require.Equal(t, Running, Next(s, o, k, Exposure(0.1)).Phase)
+	k.OldInFlight = 0
+	require.Equal(t, Completed, Next(s, o, k, Exposure(0.1)).Phase)
+}
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -189,6 +189,10 @@
 		return false
 	}
 	fresh, old := k.Fresh.Total().Requests, k.Old.Total().Requests
+	if fresh == s.FreshBefore && k.OldInFlight > 0 {
+		// All sessions prefer it and none of them is there: it has no instances.
+		return false
+	}
 	needed := min(int(provenPart*float64(fresh+old)), provenMost)
 	moved := time.Duration(s.MovedMS) * time.Millisecond
 	return fresh-s.FreshBefore >= needed || k.Elapsed > max(moved, o.Allowed)+provenLate
