A judge that does not answer keeps no other from deciding

TestFrozenDaemonLearnsWhatIsQuarantined failed in 2 of 25 runs beside load: 7 servers ended where 6 may. Trace: a daemon told both judges of a crash and waited for both answers, that of the frozen one for 0.5 s; a crash in that time reached the judge that lives after its next look, and one server more ended.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -43,6 +43,8 @@
 	reports []*report
 	// waiting are requests whose next attempt waits for what is decided.
 	waiting map[quarantine.Digest][]chan struct{}
+	// telling are the judges that are being told, by incarnation.
+	telling map[string]bool
 	ended   int64
 }
 
@@ -58,7 +60,7 @@
 func newCrashes(n *Node) *crashes {
 	return &crashes{
 		Node: n, news: make(chan struct{}, 1), broken: map[inventory.Number][]quarantine.Suspect{},
-		waiting: map[quarantine.Digest][]chan struct{}{},
+		waiting: map[quarantine.Digest][]chan struct{}{}, telling: map[string]bool{},
 	}
 }
 
@@ -177,7 +179,8 @@
 	}
 }
 
-// tellLoop tells the judges what they do not know yet.
+// tellLoop tells the judges what they do not know yet, each by itself: one that does not
+// answer must not keep the other from deciding.
 func (c *crashes) tellLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -187,11 +190,33 @@
 		case <-c.clock.After(tidyInterval):
 		}
 		c.forget()
-		var all sync.WaitGroup
 		for _, judge := range c.judges() {
-			all.Go(func() { c.tellJudge(ctx, judge) })
+			if c.beginTelling(judge) {
+				go c.inform(ctx, judge)
+			}
 		}
-		all.Wait()
+	}
+}
+
+// beginTelling reports whether a judge is not being told yet, and notes that it is.
+func (c *crashes) beginTelling(judge member.Daemon) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.telling[judge.Incarnation] {
+		return false
+	}
+	c.telling[judge.Incarnation] = true
+	return true
+}
+
+// inform tells a judge all that it does not know, and what comes meanwhile.
+func (c *crashes) inform(ctx context.Context, judge member.Daemon) {
+	answered := c.tellJudge(ctx, judge)
+	c.mu.Lock()
+	delete(c.telling, judge.Incarnation)
+	c.mu.Unlock()
+	if told, _ := c.untold(judge.Incarnation); answered && len(told) > 0 {
+		c.signal()
 	}
 }
 
@@ -217,11 +242,11 @@
 
 // tellJudge tells a judge what it does not know. Requests that were on no other ended
 // instance go on at once; that they are many, and the one at fault is among them, is
-// found out by the next crash.
-func (c *crashes) tellJudge(ctx context.Context, judge member.Daemon) {
+// found out by the next crash. It reports whether the judge knows all that there was.
+func (c *crashes) tellJudge(ctx context.Context, judge member.Daemon) bool {
 	told, counts := c.untold(judge.Incarnation)
 	if len(told) == 0 {
-		return
+		return true
 	}
 	report := peer.CrashReport{Crashes: told}
 	var reply peer.CrashReply
@@ -233,7 +258,7 @@
 		var err error
 		if reply, err = c.peers.Crashes(call, judge.PeerAddress, report); err != nil {
 			slog.Debug("crashes.not_told", "peer", judge.PeerAddress, "error", err)
-			return
+			return false
 		}
 	}
 	c.goOn(reply.First)
@@ -242,6 +267,7 @@
 	for r, n := range counts {
 		r.told[judge.Incarnation] = n
 	}
+	return true
 }
 
 // untold returns what a judge has not been told, and how many suspects of each report it
