Limits that change all the time; whole reads after a restore that fail are tried again

Found on reading the change: each change of a rate began the turns anew, the first owner's at once, so that an instance which named 1 and 1.5 by turns got 130 requests of one owner in a minute where 31 are its part. Turns go on at the new interval. Test: TestLimitThatChangesAllTheTime (fails before). A whole read of the list that is due once a copy has settled, and fails, was not tried again, and a list of the same revision that a reader told was not taken in.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -25,14 +25,16 @@
 // watchInstances follows the list of upstream instances.
 func (n *Node) watchInstances(ctx context.Context) {
 	var wait backoff
-	lost := false
+	whole := false
 	for ctx.Err() == nil {
 		if !n.mustReadList() {
 			n.pause(ctx, checkInterval)
 			continue
 		}
-		err := n.readList(ctx, lost || n.settling.takeListDue(n.clock.Now()))
-		lost = errors.Is(err, platform.ErrCompacted)
+		whole = whole || n.settling.takeListDue(n.clock.Now())
+		err := n.readList(ctx, whole)
+		lost := errors.Is(err, platform.ErrCompacted)
+		whole = lost || whole && err != nil
 		switch {
 		case ctx.Err() != nil:
 			return
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -238,7 +238,7 @@
 	n.doubts.heard(n.clock.Now(), news.Doubted)
 	revision := n.table.Revision()
 	switch {
-	case news.Whole != nil && revision < news.List:
+	case news.Whole != nil && revision <= news.List:
 		n.table.Replace(*news.Whole, n.keptUntil(news.Doubted))
 		n.table.Confirm(news.ListAge)
 	case !n.table.Known() || revision < news.Base:
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -37,20 +37,17 @@
 }
 
 // takeOperatorDue reports, once, whether the operator's rows are to be read whole.
-func (s *settling) takeOperatorDue(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	due := s.readOperator && !now.Before(s.until)
-	s.readOperator = s.readOperator && !due
-	return due
-}
+func (s *settling) takeOperatorDue(now time.Time) bool { return s.take(&s.readOperator, now) }
 
 // takeListDue reports, once, whether the list is to be read whole.
-func (s *settling) takeListDue(now time.Time) bool {
+func (s *settling) takeListDue(now time.Time) bool { return s.take(&s.readList, now) }
+
+// take reports whether a read is asked for and due, and takes it off.
+func (s *settling) take(asked *bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	due := s.readList && !now.Before(s.until)
-	s.readList = s.readList && !due
+	due := *asked && !now.Before(s.until)
+	*asked = *asked && !due
 	return due
 }
 
--- a/internal/inventory/budget.go
+++ b/internal/inventory/budget.go
@@ -136,8 +136,11 @@
 	if changed {
 		b.revoke()
 	}
-	if changed || old.Interval == 0 {
+	switch {
+	case old.Interval == 0:
 		b.pace.Start(now, b.part)
+	case changed:
+		b.pace.Adjust(now, b.part.Interval)
 	}
 	b.rate = rate
 	return rate
--- a/internal/inventory/limit_test.go
+++ b/internal/inventory/limit_test.go
@@ -158,3 +158,23 @@
 	table.Expire()
 	require.Empty(t, table.Limits())
 }
+
+// Guards against an instance whose limit goes up and down with each answer, and that gets
+// more than the higher one because its turns begin anew each time.
+func TestLimitThatChangesAllTheTime(t *testing.T) {
+	table, clock := newLimitTable()
+	a := warmInstance("a")
+	rates := []float64{1, 1.5}
+	table.NoteLimit(a, rates[0])
+	sent := 0
+	const step, total = 10 * time.Millisecond, time.Minute
+	for range int(total / step) {
+		clock.Advance(step)
+		if _, ok := table.Reserve(a, 0); ok {
+			sent++
+			table.NoteLimit(a, rates[sent%len(rates)])
+		}
+	}
+	// A third of it is this daemon's.
+	require.LessOrEqual(t, float64(sent), rates[1]*total.Seconds()/3+1)
+}
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -52,6 +52,13 @@
 	p.next = now.Add(time.Duration(part.Phase * float64(part.Interval)))
 }
 
+// Adjust goes on at another interval. Requests that were reserved count no more.
+func (p *Pace) Adjust(now time.Time, interval time.Duration) {
+	if latest := now.Add(interval); p.next.After(latest) {
+		p.next = latest
+	}
+}
+
 // Wait is the time until the next request may be sent.
 func (p *Pace) Wait(now time.Time) time.Duration { return max(p.next.Sub(now), 0) }
 
--- a/test/routes/limit_test.go
+++ b/test/routes/limit_test.go
@@ -373,3 +373,27 @@
 		})
 	}
 }
+
+// Guards against a server whose limit goes up and down with each answer, and that gets more
+// than the higher one.
+func TestServerWhoseLimitChangesAllTheTime(t *testing.T) {
+	s := newSite(t)
+	var limited *platformtest.Server
+	var mu sync.Mutex
+	answers := 0
+	limited = s.threeServers("", func(platformtest.Seen) platformtest.Behaviour {
+		mu.Lock()
+		defer mu.Unlock()
+		answers++
+		limited.Limit([]string{"1", "1.5"}[answers%2])
+		return platformtest.Answer
+	})
+	limited.Limit("1")
+	daemons := s.limitDaemons(5)
+	l := s.steady(daemons)
+	s.reached(limited, daemons[0])
+	from := time.Now().Add(limitTold)
+	s.lasts(from.Add(limitWindow + 2*time.Second))
+	require.LessOrEqual(t, limited.MostIn(limitWindow, from), mostAllowed(1))
+	s.allServed(l.all())
+}
