--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -103,9 +103,10 @@
 	// behind is set when a peer told of operator's rows that this daemon has
 	// not got.
 	behind atomic.Bool
-	// lostHistory asks for all of the operator's rows. Only watchOperator uses
-	// it.
+	// lostHistory asks for all of the operator's rows, which were last read at
+	// readWholeAt. Only watchOperator uses them.
 	lostHistory bool
+	readWholeAt time.Time
 	// doubts are those that readers told of the list.
 	doubts toldDoubts
 	// settling is on after the store has come back from an older copy.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -68,6 +68,10 @@
 		return nil
 	case errors.Is(err, platform.ErrCompacted):
 		n.lostHistory = true
+		if n.clock.Since(n.readWholeAt) < n.listPace() {
+			// The store keeps no history; all rows are read at the pace of the list.
+			n.pause(ctx, n.listPace())
+		}
 		return nil
 	}
 	return err
@@ -95,7 +99,7 @@
 		n.contact.note(asked, n.clock.Now(), err)
 		return err
 	}
-	n.lostHistory = false
+	n.lostHistory, n.readWholeAt = false, n.clock.Now()
 	// Orders that are not in force any more are not among the rows, so what is told leads
 	// on from nothing.
 	const fromNothing = math.MaxInt64
--- a/test/routes/restore_test.go
+++ b/test/routes/restore_test.go
@@ -281,3 +281,22 @@
 		return nil
 	})
 }
+
+// Guards against daemons that ask a store which keeps no history as often as it answers.
+func TestStoreWithoutHistory(t *testing.T) {
+	s := newSite(t)
+	s.threeServers("", nil)
+	daemons := s.limitDaemons(3)
+	s.store.Forget()
+	for _, d := range daemons[:1] {
+		s.logged(d, "store.history_gone")
+	}
+	before, _ := s.store.Counts()
+	s.lasts(time.Now().Add(2 * time.Second))
+	after, _ := s.store.Counts()
+	require.Less(t, after-before, 100, "reads in 2 s")
+	s.store.Declare(declaration(7))
+	for _, d := range daemons {
+		s.logged(d, "config.in_force", "version=7 ")
+	}
+}
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +17,7 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/entry"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
@@ -460,15 +463,8 @@
 	s.mu.Lock()
 	live := append([]*daemon{}, s.live...)
 	s.mu.Unlock()
-	for _, d := range live {
-		s.eventually(func() error {
-			for _, e := range s.beliefs(d).Evacuations {
-				if e.FailureDomain == soakHall && e.Open == 0 {
-					return nil
-				}
-			}
-			return trace.Errorf("%s has not emptied %s\n%s", d.Name, soakHall, d.Log())
-		})
+	for _, d := range s.daemons {
+		s.eventually(func() error { return s.emptied(d, slices.Contains(live, d)) })
 	}
 	before := s.seenInHall()
 	for _, d := range live {
@@ -480,6 +476,29 @@
 	require.Equal(s.t, before, s.seenInHall(), "requests in an evacuated failure domain")
 }
 
+// emptied reports whether a daemon has emptied the evacuated failure domain. One that is
+// stopping is told nothing by others: it finds out by itself, or ends before.
+func (s *soak) emptied(d *daemon, live bool) error {
+	resp, err := s.client.Get("http://" + d.metrics + entry.BeliefsPath)
+	if err != nil {
+		if live {
+			return trace.Wrap(err)
+		}
+		return nil
+	}
+	defer resp.Body.Close()
+	var b entry.Beliefs
+	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+		return trace.Wrap(err)
+	}
+	for _, e := range b.Evacuations {
+		if e.FailureDomain == soakHall && e.Open == 0 {
+			return nil
+		}
+	}
+	return trace.Errorf("%s has not emptied %s\n%s", d.Name, soakHall, d.Log())
+}
+
 // seenInHall is the number of requests that the servers of the evacuated failure domain
 // have got.
 func (s *soak) seenInHall() int {
