--- a/test/routes/restore_test.go
+++ b/test/routes/restore_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// newSiteAheadOfCopy returns a site whose store has moved on by many revisions from a copy, as
+// all daemons know, and the first of three servers.
+func newSiteAheadOfCopy(t *testing.T) (s *site, first *platformtest.Server, daemons []*daemon, copied platformtest.Copy) {
+	s = newSite(t)
+	first = s.threeServers("", nil)
+	copied = s.store.Copy()
+	daemons = s.limitDaemons(3)
+	s.advance(32)
+	s.store.Declare(declaration(5))
+	s.upToDate(daemons)
+	return s, first, daemons, copied
+}
+
 // awayAndBack takes the store away for some time, brings it back from a copy, and waits until
 // daemons have noticed.
 func (s *site) awayAndBack(from platformtest.Copy, daemons ...*daemon) {
@@ -63,13 +76,7 @@
 // Guards against a leaving server's word that is never seen because the store, back from an
 // older copy, gives revisions out again.
 func TestServerLeavesAfterTheStoreCameBackOlder(t *testing.T) {
-	s := newSite(t)
-	leaving := s.threeServers("", nil)
-	copied := s.store.Copy()
-	daemons := s.limitDaemons(3)
-	s.advance(32)
-	s.store.Declare(declaration(5))
-	s.upToDate(daemons)
+	s, leaving, daemons, copied := newSiteAheadOfCopy(t)
 	s.awayAndBack(copied, daemons[0])
 	s.store.Declare(declaration(5))
 	l := s.steady(daemons)
@@ -79,13 +86,7 @@
 // Guards against a second return of the store, shortly after the first, that leaves daemons
 // with revisions of the first.
 func TestServerLeavesAfterTheStoreCameBackTwice(t *testing.T) {
-	s := newSite(t)
-	leaving := s.threeServers("", nil)
-	copied := s.store.Copy()
-	daemons := s.limitDaemons(3)
-	s.advance(32)
-	s.store.Declare(declaration(5))
-	s.upToDate(daemons)
+	s, leaving, daemons, copied := newSiteAheadOfCopy(t)
 	s.awayAndBack(copied, daemons[0])
 	s.advance(16)
 	s.store.Declare(declaration(7))
@@ -101,13 +102,7 @@
 // Guards against a daemon that is frozen while the store comes back older, and compares its
 // revisions with those of before when it wakes.
 func TestDaemonThatWasFrozenWhileTheStoreCameBackOlder(t *testing.T) {
-	s := newSite(t)
-	leaving := s.threeServers("", nil)
-	copied := s.store.Copy()
-	daemons := s.limitDaemons(3)
-	s.advance(32)
-	s.store.Declare(declaration(5))
-	s.upToDate(daemons)
+	s, leaving, daemons, copied := newSiteAheadOfCopy(t)
 	require.NoError(t, daemons[2].Freeze())
 	s.awayAndBack(copied, daemons[0])
 	s.store.Declare(declaration(5))
