--- a/test/routes/restore_test.go
+++ b/test/routes/restore_test.go
@@ -16,8 +16,7 @@
 // nothing.
 const leftBound = 2 * time.Second
 
-// advance has the operator write the same configuration again and again, so that the store's
-// revisions rise.
+// advance has the operator write rows that mean nothing, so that the store's revisions rise.
 func (s *site) advance(revisions int) {
 	for range revisions {
 		s.store.Put(wire.TableOperator, "note", "nothing")
