Tests: one way to ask a daemon what it believes

The soak fetched beliefs with a copy of what the harness has. Same assertions; TestSoak, TestPeersHearThatAServerLeaves and TestLostEvacuationEnds pass.

--- a/test/routes/server_words_test.go
+++ b/test/routes/server_words_test.go
@@ -157,10 +157,18 @@
 // beliefs asks a daemon what it believes.
 func (s *site) beliefs(d *daemon) entry.Beliefs {
 	s.t.Helper()
-	resp, err := s.client.Get("http://" + d.metrics + entry.BeliefsPath)
+	b, err := s.askBeliefs(d)
 	require.NoError(s.t, err)
-	defer resp.Body.Close()
-	var b entry.Beliefs
-	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&b))
 	return b
 }
+
+// askBeliefs is beliefs for a daemon that may have ended.
+func (s *site) askBeliefs(d *daemon) (b entry.Beliefs, err error) {
+	resp, err := s.client.Get("http://" + d.metrics + entry.BeliefsPath)
+	if err != nil {
+		return b, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&b)
+	return b, err
+}
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -17,7 +16,6 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/entry"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
@@ -479,19 +477,10 @@
 // emptied reports whether a daemon has emptied the evacuated failure domain. One that is
 // stopping is told nothing by others: it finds out by itself, or ends before.
 func (s *soak) emptied(d *daemon, live bool) error {
-	resp, err := s.client.Get("http://" + d.metrics + entry.BeliefsPath)
-	if err != nil {
-		if live {
-			return trace.Wrap(err)
-		}
-		return nil
-	}
-	defer resp.Body.Close()
-	var b entry.Beliefs
-	err = json.NewDecoder(resp.Body).Decode(&b)
+	b, err := s.askBeliefs(d)
 	switch {
 	case b.Instance != d.Name && !live:
-		// It has ended, and another process has its port.
+		// It has ended; another process may have its port.
 		return nil
 	case err != nil:
 		return trace.Wrap(err)
