member, peer: table of daemons changed in place, stable neighbours, idle connections closed

Cause: each message that changed the table rebuilt, sorted and hashed it (591 us at 1,000 daemons), and each round of heartbeats went to other daemons drawn at random, so that a daemon had connections to all others after some rounds: buffers and decoders of n connections on each of n daemons. Change: insertion and replacement in place with a running digest; the best n of a ranking without a copy and a sort; neighbours are kept for 16 rounds each, half of them of the own failure domain, and drawn again when the table has doubled; connections without a call for some seconds can be closed.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -77,8 +77,8 @@
 	// RingTargets is the number of daemons, next on the ring, to which each daemon sends a
 	// heartbeat in every round. Each daemon detects the failure of its ring targets.
 	RingTargets int
-	// RandomTargets is the number of further daemons, drawn at random, that get a heartbeat in
-	// every round, so that updates spread quickly.
+	// RandomTargets is the number of further daemons, drawn at random and kept for some rounds,
+	// that get a heartbeat in every round, so that updates spread quickly.
 	RandomTargets int
 	// MaxUpdates is the maximum number of membership updates in one heartbeat.
 	MaxUpdates int
@@ -106,16 +106,22 @@
 	// changedAt is when epoch was last incremented.
 	changedAt time.Time
 	digest    uint64
-	// sorted has all daemons ordered by incarnation. Each change of the table replaces the
-	// slice; its elements are never modified.
+	// sorted has all daemons ordered by incarnation, and states how many are in each state.
 	sorted []Daemon
+	states [Left + 1]int
+	// neighbours are the incarnations that get heartbeats besides the ring targets, drawn when
+	// the table had neighboursOf daemons. round counts the rounds of heartbeats.
+	neighbours   []string
+	neighboursOf int
+	round        int
 }
 
 // NewRegistry returns a registry that contains only self.
 func NewRegistry(self Daemon, clock clockwork.Clock, options Options, random *rand.Rand) *Registry {
 	r := &Registry{clock: clock, options: options, self: self, records: map[string]*record{}, rng: random}
 	r.records[self.Incarnation] = &record{daemon: self, learnedAt: clock.Now()}
-	r.refresh()
+	r.insert(self)
+	r.noteChange()
 	return r
 }
 
@@ -132,8 +138,9 @@
 	defer r.mu.Unlock()
 	change(&r.self)
 	rec := r.records[r.self.Incarnation]
-	rec.daemon, rec.transmissions, rec.learnedAt = r.self, 0, r.clock.Now()
-	r.refresh()
+	r.replace(rec, r.self)
+	rec.learnedAt = r.clock.Now()
+	r.noteChange()
 }
 
 // Merge merges received updates into the table. A suspicion of this daemon itself is refuted;
@@ -147,13 +154,13 @@
 		changed = r.merge(d) || changed
 	}
 	if changed {
-		r.refresh()
+		r.noteChange()
 	}
 }
 
 // merge merges one update and reports whether the table changed.
 func (r *Registry) merge(d Daemon) bool {
-	if d.Incarnation == "" {
+	if d.Incarnation == "" || d.State < Alive || d.State > Left {
 		return false
 	}
 	if d.Incarnation == r.self.Incarnation {
@@ -162,6 +169,7 @@
 	rec, known := r.records[d.Incarnation]
 	if !known {
 		r.records[d.Incarnation] = &record{daemon: d, learnedAt: r.clock.Now()}
+		r.insert(d)
 		return true
 	}
 	if !d.supersedes(rec.daemon) {
@@ -170,7 +178,8 @@
 	if d.Successor == "" {
 		d.Successor = rec.daemon.Successor
 	}
-	rec.daemon, rec.transmissions, rec.learnedAt = d, 0, r.clock.Now()
+	r.replace(rec, d)
+	rec.learnedAt = r.clock.Now()
 	return true
 }
 
@@ -181,23 +190,52 @@
 		return false
 	}
 	r.self.Version = d.Version + 1
-	rec := r.records[r.self.Incarnation]
-	rec.daemon, rec.transmissions = r.self, 0
+	r.replace(r.records[r.self.Incarnation], r.self)
 	return true
 }
 
-// refresh recomputes epoch, digest and sorted after a change of the table.
-func (r *Registry) refresh() {
+// noteChange counts a change of the table.
+func (r *Registry) noteChange() {
 	r.epoch++
 	r.changedAt = r.clock.Now()
-	r.digest = 0
-	r.sorted = make([]Daemon, 0, len(r.records))
-	for _, rec := range r.records {
-		d := rec.daemon
-		r.sorted = append(r.sorted, d)
-		r.digest ^= xxhash.Sum64String(d.Incarnation + d.State.String() + string(rune(d.Version)))
-	}
-	slices.SortFunc(r.sorted, func(a, b Daemon) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+}
+
+// position returns the index of an incarnation in sorted, or where it would be inserted.
+func (r *Registry) position(incarnation string) (int, bool) {
+	return slices.BinarySearchFunc(r.sorted, incarnation, func(d Daemon, id string) int {
+		return cmp.Compare(d.Incarnation, id)
+	})
+}
+
+// insert adds a daemon to sorted, states and digest.
+func (r *Registry) insert(d Daemon) {
+	at, _ := r.position(d.Incarnation)
+	r.sorted = slices.Insert(r.sorted, at, d)
+	r.states[d.State]++
+	r.digest ^= d.hash()
+}
+
+// replace replaces the daemon of a record, in sorted, states and digest too.
+func (r *Registry) replace(rec *record, d Daemon) {
+	at, _ := r.position(d.Incarnation)
+	r.sorted[at] = d
+	r.states[rec.daemon.State]--
+	r.states[d.State]++
+	r.digest ^= rec.daemon.hash() ^ d.hash()
+	rec.daemon, rec.transmissions = d, 0
+}
+
+// remove removes the daemon of a record from sorted, states and digest.
+func (r *Registry) remove(rec *record) {
+	at, _ := r.position(rec.daemon.Incarnation)
+	r.sorted = slices.Delete(r.sorted, at, at+1)
+	r.states[rec.daemon.State]--
+	r.digest ^= rec.daemon.hash()
+}
+
+// hash returns the daemon's part of the digest.
+func (d Daemon) hash() uint64 {
+	return xxhash.Sum64String(d.Incarnation + d.State.String() + string(rune(d.Version)))
 }
 
 // Digest returns a digest of incarnations, states and versions. Daemons with the same table
@@ -233,7 +271,7 @@
 	d := rec.daemon
 	d.State = Suspect
 	if r.merge(d) {
-		r.refresh()
+		r.noteChange()
 	}
 }
 
@@ -263,6 +301,34 @@
 	return r.list(func(d Daemon) bool { return d.State == Alive })
 }
 
+// LiveCount returns the number of daemons in state Alive.
+func (r *Registry) LiveCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.states[Alive]
+}
+
+// PresentCount returns the number of daemons that have not left.
+func (r *Registry) PresentCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sorted) - r.states[Left]
+}
+
+// Count returns the number of all daemons in the table.
+func (r *Registry) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sorted)
+}
+
+// IsKnownAddress reports whether a daemon that has not left has the given peer address.
+func (r *Registry) IsKnownAddress(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.sorted, func(d Daemon) bool { return d.PeerAddress == address && d.State != Left })
+}
+
 // list returns the daemons that keep accepts.
 func (r *Registry) list(keep func(Daemon) bool) []Daemon {
 	out := make([]Daemon, 0, len(r.sorted))
@@ -323,54 +389,121 @@
 func (r *Registry) TopRanked(name string, n int, keep func(Daemon) bool) []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	live := r.list(func(d Daemon) bool { return d.State == Alive && keep(d) })
-	slices.SortFunc(live, func(a, b Daemon) int {
-		return cmp.Compare(weight(name, b.Incarnation), weight(name, a.Incarnation))
-	})
-	return live[:min(n, len(live))]
+	top := ranking{size: n}
+	for i := range r.sorted {
+		if d := &r.sorted[i]; d.State == Alive && keep(*d) {
+			top.add(d, weight(name, d.Incarnation))
+		}
+	}
+	return top.daemons()
+}
+
+// ranking keeps the daemons with the highest weights, in descending order.
+type ranking struct {
+	size    int
+	weights []uint64
+	top     []*Daemon
+}
+
+func (r *ranking) add(d *Daemon, weight uint64) {
+	at, _ := slices.BinarySearchFunc(r.weights, weight, func(a, b uint64) int { return cmp.Compare(b, a) })
+	if at >= r.size {
+		return
+	}
+	if len(r.top) == r.size {
+		r.weights, r.top = r.weights[:r.size-1], r.top[:r.size-1]
+	}
+	r.weights = slices.Insert(r.weights, at, weight)
+	r.top = slices.Insert(r.top, at, d)
+}
+
+func (r *ranking) daemons() []Daemon {
+	out := make([]Daemon, len(r.top))
+	for i, d := range r.top {
+		out[i] = *d
+	}
+	return out
 }
 
-// HeartbeatTargets returns the daemons to send the next heartbeat to: the next ones on the
-// ring of daemons sorted by incarnation, whose failure this daemon detects, and some drawn at
-// random. In a small installation these are all other daemons that have not left.
+// HeartbeatTargets returns the daemons to send the next heartbeat to: the next ones of the own
+// failure domain on the ring of daemons sorted by incarnation, whose failure this daemon
+// detects, and its neighbours. In a small installation these are all other daemons that have not
+// left.
 func (r *Registry) HeartbeatTargets() []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	self, _ := slices.BinarySearchFunc(r.sorted, r.self.Incarnation, func(d Daemon, id string) int {
-		return cmp.Compare(d.Incarnation, id)
-	})
-	n := len(r.sorted)
 	wanted := r.options.RingTargets + r.options.RandomTargets
+	targets := r.nextOnRing(r.options.RingTargets, func(d Daemon) bool { return d.FailureDomain == r.self.FailureDomain })
+	if len(r.sorted)-1 <= wanted {
+		return r.nextOnRing(wanted, func(Daemon) bool { return true })
+	}
+	if len(targets) < r.options.RingTargets {
+		targets = r.nextOnRing(r.options.RingTargets, func(Daemon) bool { return true })
+	}
+	return r.addNeighbours(targets, wanted)
+}
+
+// nextOnRing returns the next n daemons on the ring that have not left and that keep accepts.
+func (r *Registry) nextOnRing(n int, keep func(Daemon) bool) []Daemon {
+	self, _ := r.position(r.self.Incarnation)
 	var out []Daemon
-	for i := 1; i < n && len(out) < wanted; i++ {
-		// Further targets are drawn at random, unless few daemons remain.
-		if len(out) == r.options.RingTargets && n-i > wanted {
-			break
-		}
-		if d := r.sorted[(self+i)%n]; d.State != Left {
+	for i := 1; i < len(r.sorted) && len(out) < n; i++ {
+		if d := r.sorted[(self+i)%len(r.sorted)]; d.State != Left && keep(d) {
 			out = append(out, d)
 		}
 	}
-	return r.addRandom(out, wanted)
+	return out
 }
 
-// addRandom appends daemons drawn at random until there are wanted targets. The number of
-// draws is bounded, as most draws may hit daemons that have left or are already targets.
-func (r *Registry) addRandom(targets []Daemon, wanted int) []Daemon {
-	const tries = 32
-	for range tries {
-		if len(targets) >= wanted || len(r.sorted) <= wanted {
-			break
-		}
+// neighbourRounds is the number of heartbeat rounds after which one neighbour is replaced.
+const neighbourRounds = 16
+
+// addNeighbours appends the neighbours of this daemon to its ring targets until there are wanted
+// targets.
+//
+// Neighbours are drawn at random and then kept for a while. If each round had other ones, a
+// daemon would soon have connections to all others, each with its buffers and decoders, so that
+// the memory of a fleet would grow with the square of its size. A neighbour is replaced from
+// time to time, and all are after the table has doubled: a daemon that starts knows only the
+// seeds, which would otherwise stay the neighbours of the whole fleet.
+func (r *Registry) addNeighbours(targets []Daemon, wanted int) []Daemon {
+	if len(r.sorted) >= 2*r.neighboursOf {
+		r.neighbours, r.neighboursOf = nil, len(r.sorted)
+	}
+	if r.round++; r.round%neighbourRounds == 0 && len(r.neighbours) > 0 {
+		r.neighbours = r.neighbours[1:]
+	}
+	r.neighbours = slices.DeleteFunc(r.neighbours, func(id string) bool {
+		rec, known := r.records[id]
+		return !known || rec.daemon.State == Left || containsDaemon(targets, id)
+	})
+	for _, id := range r.neighbours {
+		targets = append(targets, r.records[id].daemon)
+	}
+	return r.drawNeighbours(targets, wanted)
+}
+
+// drawNeighbours draws daemons at random until there are wanted targets, every other one from
+// the own failure domain. The number of draws is bounded, as most draws may hit daemons that have
+// left or are already targets.
+func (r *Registry) drawNeighbours(targets []Daemon, wanted int) []Daemon {
+	const tries = 64
+	for try := 0; try < tries && len(targets) < wanted; try++ {
 		d := r.sorted[r.rng.IntN(len(r.sorted))]
-		known := slices.ContainsFunc(targets, func(t Daemon) bool { return t.Incarnation == d.Incarnation })
-		if d.State != Left && d.Incarnation != r.self.Incarnation && !known {
+		local := len(targets)%2 == 0 && try < tries/2
+		usable := d.State != Left && d.Incarnation != r.self.Incarnation && !containsDaemon(targets, d.Incarnation)
+		if usable && (!local || d.FailureDomain == r.self.FailureDomain) {
 			targets = append(targets, d)
+			r.neighbours = append(r.neighbours, d.Incarnation)
 		}
 	}
 	return targets
 }
 
+func containsDaemon(daemons []Daemon, incarnation string) bool {
+	return slices.ContainsFunc(daemons, func(d Daemon) bool { return d.Incarnation == incarnation })
+}
+
 // NextUpdates returns the updates to send in the next heartbeat, least often sent first, and
 // counts them as sent. With a RetransmitFactor of 3 an update reaches all daemons with high
 // probability.
@@ -402,11 +535,12 @@
 	for id, rec := range r.records {
 		inactive := rec.daemon.State == Left || rec.daemon.State == Suspect
 		if inactive && now.Sub(rec.learnedAt) > r.options.ForgetAfter {
+			r.remove(rec)
 			delete(r.records, id)
 			changed = true
 		}
 	}
 	if changed {
-		r.refresh()
+		r.noteChange()
 	}
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -197,3 +197,81 @@
 	policy.Evacuated = nil
 	require.Len(t, u.Usable(backing.RoleEngine), 4)
 }
+
+// Guards against memory and connections that grow with the fleet: a daemon that sends each round
+// of heartbeats to other daemons drawn at random soon has a connection to all of them.
+func TestHeartbeatTargetsChangeSlowly(t *testing.T) {
+	const fleet, rounds = 1000, 160
+	r := registry(0, clockwork.NewFakeClock())
+	var others []Daemon
+	for i := 1; i < fleet; i++ {
+		d := daemon(i)
+		d.FailureDomain = fmt.Sprint(i % 6)
+		others = append(others, d)
+	}
+	r.Merge(others)
+	targets := map[string]bool{}
+	for range rounds {
+		for _, d := range r.HeartbeatTargets() {
+			targets[d.Incarnation] = true
+		}
+	}
+	require.LessOrEqual(t, len(targets), r.options.RingTargets+r.options.RandomTargets+rounds/neighbourRounds)
+}
+
+// Guards against the seeds as neighbours of all daemons of a fleet that starts: they are the only
+// ones that each daemon knows at first.
+func TestNeighboursAreDrawnAgainWhenTheFleetHasGrown(t *testing.T) {
+	r := registry(0, clockwork.NewFakeClock())
+	r.Merge([]Daemon{daemon(1), daemon(2), daemon(3), daemon(4), daemon(5), daemon(6)})
+	r.HeartbeatTargets()
+	var others []Daemon
+	for i := 7; i < 1000; i++ {
+		others = append(others, daemon(i))
+	}
+	r.Merge(others)
+	neighbours := r.HeartbeatTargets()[r.options.RingTargets:]
+	seeds := 0
+	for _, d := range neighbours {
+		if d.Incarnation < "d0007" {
+			seeds++
+		}
+	}
+	require.Less(t, seeds, len(neighbours))
+}
+
+// BenchmarkMergeOneChange is the cost of a change of one daemon in a table of the given size.
+func BenchmarkMergeOneChange(b *testing.B) {
+	for _, size := range []int{88, 1000, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := registry(0, clockwork.NewRealClock())
+			for i := 1; i < size; i++ {
+				r.Merge([]Daemon{daemon(i)})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				d := daemon(1 + i%(size-1))
+				d.Version = uint64(i + 1)
+				r.Merge([]Daemon{d})
+			}
+		})
+	}
+}
+
+// BenchmarkTopRanked is the cost of ranking two of the given number of daemons.
+func BenchmarkTopRanked(b *testing.B) {
+	for _, size := range []int{88, 1000, 2000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := registry(0, clockwork.NewRealClock())
+			for i := 1; i < size; i++ {
+				r.Merge([]Daemon{daemon(i)})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				r.TopRanked("reader", 2, func(Daemon) bool { return true })
+			}
+		})
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -36,12 +36,20 @@
 	traffic *Traffic
 
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
+	conns map[string]*clientConn
+}
+
+// clientConn is a connection to a peer.
+type clientConn struct {
+	*rpc.Client
+	// calls is the number of calls in progress, and usedAt when the last one began or ended.
+	calls  int
+	usedAt time.Time
 }
 
 // NewClient returns a client without connections. Without tlsConfig they are plain TCP.
 func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, traffic: NewTraffic(), conns: map[string]*rpc.Client{}}
+	return &Client{tls: tlsConfig, traffic: NewTraffic(), conns: map[string]*clientConn{}}
 }
 
 // Traffic returns the counters of the calls that this client makes.
@@ -60,28 +68,59 @@
 	}
 }
 
-// connect returns the connection to address and dials it if there is none. If two calls dial
-// at the same time, the connection established later is closed.
-func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+// CloseIdle closes the connections that have not been used for the given time.
+func (c *Client) CloseIdle(unused time.Duration) {
+	now := time.Now()
 	c.mu.Lock()
-	conn, ok := c.conns[address]
-	c.mu.Unlock()
-	if ok {
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		if conn.calls == 0 && now.Sub(conn.usedAt) > unused {
+			conn.Close()
+			delete(c.conns, address)
+		}
+	}
+}
+
+// connect returns the connection to address and dials it if there is none. If two calls dial
+// at the same time, the connection established later is closed. The caller calls release after
+// the call.
+func (c *Client) connect(ctx context.Context, address string) (*clientConn, error) {
+	if conn := c.acquire(address, nil); conn != nil {
 		return conn, nil
 	}
 	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "cannot connect to peer %v", address)
 	}
-	created := rpc.NewClientWithCodec(&clientCodec{frameConn: newFrameConn(raw, c.traffic)})
+	created := &clientConn{Client: rpc.NewClientWithCodec(&clientCodec{frameConn: newFrameConn(raw, c.traffic)})}
+	conn := c.acquire(address, created)
+	if conn != created {
+		created.Close()
+	}
+	return conn, nil
+}
+
+// acquire returns the connection to address for a call, or else stores and returns created.
+func (c *Client) acquire(address string, created *clientConn) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		created.Close()
-		return conn, nil
+	conn := c.conns[address]
+	if conn == nil && created != nil {
+		conn, c.conns[address] = created, created
 	}
-	c.conns[address] = created
-	return created, nil
+	if conn != nil {
+		conn.calls++
+		conn.usedAt = time.Now()
+	}
+	return conn
+}
+
+// release ends the use of a connection by a call.
+func (c *Client) release(conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.calls--
+	conn.usedAt = time.Now()
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -93,7 +132,7 @@
 
 // closeConn closes a connection that failed or timed out, so that the next call dials a new
 // one.
-func (c *Client) closeConn(address string, conn *rpc.Client) {
+func (c *Client) closeConn(address string, conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns[address] == conn {
@@ -120,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.release(conn)
 	start := time.Now()
 	call := conn.Go(service+"."+method, in, out, make(chan *rpc.Call, 1))
 	select {
