inventory, forward: placement among a bounded sample of instances

Change: an index by service, version and failure domain, kept at each change; a request is placed among 192 instances, a third of them local, taken in hash order from a position that follows from the prompt's shared part (the same ones at all daemons, so that they have it cached) or a random one; the sample grows while none of it may get the request. Services with no more instances are considered whole, as before. Sets of busy and missing entries and a count of addresses replace the walks; names are interned; the list's changes are logged for peers, parts of it can be read. Replace no longer lets a doubted entry of an older incarnation mark the newer one for removal.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -281,8 +281,7 @@
 		n.rollouts.ExpireSessions()
 		n.registry.RemoveExpired()
 		n.quarantine.list.Expire()
-		addresses := n.table.Addresses()
-		n.pool.Sweep(func(address string) bool { return addresses[address] })
+		n.pool.Sweep(n.table.HasAddress)
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -16,7 +15,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/place"
-	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 )
 
@@ -51,74 +49,6 @@
 
 func (e *refusedError) Error() string { return "refused by " + e.instance }
 
-// candidates returns the instances that may get the request: untried ones of the most
-// preferred group of versions that has any. Instances of an unannounced version, for which an
-// order may still be on its way, are used only if there are no others.
-//
-// A version is used at once if its order is known. If it were treated as unannounced, it would
-// get none of the sessions that begin in the half second after its first share opens, and
-// these sessions would change versions with their next request.
-func (q *request) candidates() []place.Candidate {
-	rule := q.Versions.Rule(q.service.Name, q.sessionID())
-	usable := q.Table.Usable(q.service.Name)
-	announced := slices.DeleteFunc(slices.Clone(usable), func(v inventory.View) bool {
-		return v.Unannounced && !rule.IsTarget(v.Instance.Version)
-	})
-	if found := q.allowedCandidates(rule, announced); len(found) > 0 {
-		return found
-	}
-	return q.allowedCandidates(rule, usable)
-}
-
-// allowedCandidates returns the candidates of the first group of versions in rule that has
-// any.
-func (q *request) allowedCandidates(rule shift.Rule, views []inventory.View) []place.Candidate {
-	work := q.promptWork()
-	for _, group := range rule.Groups() {
-		var candidates []place.Candidate
-		for _, v := range views {
-			if group.Accept(v.Instance.Version) {
-				c := q.candidate(v, work)
-				c.Canary = group.InstanceFraction > 0
-				candidates = append(candidates, c)
-			}
-		}
-		if ready := q.readyCandidates(candidates, group.InstanceFraction); len(ready) > 0 {
-			return ready
-		}
-	}
-	return nil
-}
-
-// readyCandidates returns the untried instances of a group that may get the request, out of a
-// subset of the group. If none of the subset can receive it now, it returns those of the whole
-// group that can. If none can and the wait would be too long, it also considers ejected
-// instances, which failed recently.
-func (q *request) readyCandidates(group []place.Candidate, fraction float64) []place.Candidate {
-	best := place.Ready(place.Filter(place.Subset(group, fraction), q.tried))
-	if len(best) == 0 || best[0].Wait == 0 {
-		return best
-	}
-	if others := place.Ready(place.Filter(group, q.tried)); others[0].Wait == 0 {
-		return others
-	}
-	if !q.isTooLate(best[0]) {
-		return best
-	}
-	if others := place.Ready(place.Untried(group, q.tried)); others[0].Wait == 0 {
-		return others
-	}
-	return best
-}
-
-func (q *request) candidate(v inventory.View, work promptWork) place.Candidate {
-	return place.Candidate{
-		ID: v.Instance.ID, Local: v.Instance.FailureDomain == q.FailureDomain, Slots: v.Instance.Slots,
-		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Prefill: q.uncachedPrefill(work, v.Instance), Ejected: v.Ejected,
-		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue,
-	}
-}
-
 // chooseInstance picks the instance for the next attempt: one that is due for a probe; the
 // better of two random ones if an instance has ended under the request; the one with the
 // lowest prefill cost if the prompt has shared parts; otherwise the least loaded one.
@@ -129,11 +59,11 @@
 		picked, ok = probe, true
 	} else if q.instanceEnded {
 		picked, ok = place.TwoChoices(candidates, random)
-	} else if key := q.sharedPartID(); key != "" {
+	} else if key := q.placementKey(); key != "" {
 		if n := len(q.route.Models); n > 1 && q.model != q.route.Models[n-1] {
 			candidates = place.Local(candidates)
 		}
-		picked, ok = place.LowestCost(candidates, key+"\x00"+q.model, random)
+		picked, ok = place.LowestCost(candidates, key, random)
 	} else {
 		picked, ok = place.LeastLoaded(candidates, random)
 	}
--- a/internal/inventory/leaving.go
+++ b/internal/inventory/leaving.go
@@ -34,6 +34,7 @@
 	defer t.mu.Unlock()
 	if e, ok := t.entries[inc.ID]; ok && e.instance.Born == inc.Born {
 		e.leaving = true
+		t.reindex(e, false)
 	}
 	if _, known := t.leavingAt[inc]; known || len(t.leavingAt) >= maxLeaving {
 		return false
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -16,13 +16,14 @@
 }
 
 // Snapshot returns the current list, including missing entries that are still kept.
-func (t *Table) Snapshot() Snapshot {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Table) Snapshot() Snapshot { return t.Part(0, 1) }
+
+// snapshot returns the part of the list that keep accepts. The lock is held.
+func (t *Table) snapshot(keep func(*entry) bool) Snapshot {
 	now := t.clock.Now()
 	s := Snapshot{Revision: t.revision, Doubted: map[string]time.Duration{}, Warming: map[string]time.Duration{}}
 	for id, e := range t.entries {
-		if e.removed {
+		if e.removed || !keep(e) {
 			continue
 		}
 		s.Instances = append(s.Instances, e.instance)
@@ -70,31 +71,49 @@
 	if s.Revision < t.revision {
 		return false
 	}
-	listed := map[string]bool{}
+	first := t.confirmedAt.IsZero()
+	var changed []Change
+	apply := func(c Change) {
+		if t.applyChange(c, keepUntil, true) && !first {
+			changed = append(changed, c)
+		}
+	}
+	listed := make(map[string]bool, len(s.Instances))
 	for _, id := range s.Unreadable {
-		t.removeUnreadable(id)
+		apply(Change{ID: id, Unreadable: true})
 	}
 	for _, i := range s.Instances {
 		listed[i.ID] = true
 		if t.isStale(i) {
 			continue
 		}
-		if e := t.update(i); e != nil {
-			t.noteWarming(e, s.Warming[i.ID])
-		}
+		apply(Change{ID: i.ID, Instance: &i, Warming: s.Warming[i.ID]})
 		if left, missing := s.Doubted[i.ID]; missing {
-			t.entries[i.ID].removeAt = t.clock.Now().Add(left)
+			t.doubt(i, t.clock.Now().Add(left))
 		}
 	}
-	for id, e := range t.entries {
+	for id := range t.entries {
 		if !listed[id] {
-			t.noteMissing(e, keepUntil)
+			apply(Change{ID: id})
 		}
 	}
+	if first {
+		t.log.reset(s.Revision)
+	} else {
+		t.log.add(changed, s.Revision)
+	}
 	t.setRevision(s.Revision)
 	return true
 }
 
+// doubt marks an instance as missing from the list and keeps it until the given time. It does
+// nothing if another incarnation has taken its place.
+func (t *Table) doubt(i Instance, until time.Time) {
+	if e := t.entries[i.ID]; e != nil && e.instance.Born == i.Born {
+		t.keepUntil(e, until)
+	}
+}
+
 // Apply applies changes that lead from the current revision to a newer one. Removed entries
 // are kept until keepUntil, as in Replace. It returns the changes with new content, since most
 // entries change only in their heartbeat, and the revision to which these changes apply. ok is
@@ -113,25 +132,11 @@
 		return nil, from, false
 	}
 	for _, c := range changes {
-		e := t.entries[c.ID]
-		switch {
-		case c.Instance != nil:
-			// A warming instance reports its remaining warm-up time with each heartbeat.
-			if e == nil || e.removed || !e.removeAt.IsZero() || e.instance != *c.Instance || c.Warming > 0 || t.isWarming(e, t.clock.Now()) {
-				changed = append(changed, c)
-			}
-			if e := t.update(*c.Instance); e != nil {
-				t.noteWarming(e, c.Warming)
-			}
-		case c.Unreadable:
-			if t.removeUnreadable(c.ID) {
-				changed = append(changed, c)
-			}
-		case e != nil:
+		if t.applyChange(c, keepUntil, false) {
 			changed = append(changed, c)
-			t.noteMissing(e, keepUntil)
 		}
 	}
+	t.log.add(changed, revision)
 	t.setRevision(revision)
 	return changed, from, true
 }
@@ -145,6 +150,13 @@
 	}
 }
 
+// SetAge records that the current list was read from the store the given time ago.
+func (t *Table) SetAge(age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmedAt = t.clock.Now().Add(-age)
+}
+
 func (t *Table) setRevision(revision int64) {
 	t.revision = revision
 	t.confirmedAt = t.clock.Now()
@@ -156,25 +168,77 @@
 // A server that restarts under its ID has lost its prompt cache, its requests and its
 // failures. State of the earlier incarnation would keep it ejected or leaving, so a new
 // incarnation gets a new entry. If i is of an earlier incarnation than the entry, update
-// ignores it and returns nil; otherwise it returns the instance's entry.
-func (t *Table) update(i Instance) *entry {
+// ignores it and returns nil; otherwise it returns the instance's entry. bulk is set while a
+// whole list is applied.
+func (t *Table) update(i Instance, bulk bool) *entry {
 	e, ok := t.entries[i.ID]
 	switch {
 	case ok && i.Born < e.instance.Born:
 		return nil
 	case !ok || i.Born > e.instance.Born:
-		e = &entry{}
+		if ok {
+			t.drop(e)
+		}
+		e = &entry{position: positionOf(i.ID), hash: i.Hash(), removed: true}
 		t.entries[i.ID] = e
 	}
+	i.Service, i.Version, i.FailureDomain = t.intern(i.Service), t.intern(i.Version), t.intern(i.FailureDomain)
 	t.noteVersion(i)
 	i.Leaving = i.Leaving || e.instance.Leaving
+	t.setAddress(e, i.Address)
 	e.instance, e.removed, e.removeAt = i, false, time.Time{}
+	delete(t.missing, e)
 	if _, left := t.leavingAt[i.Incarnation()]; left {
 		e.leaving = true
 	}
+	t.reindex(e, bulk)
 	return e
 }
 
+// intern returns the table's copy of a name that many instances have in common. Decoded lists
+// contain a copy for each instance.
+func (t *Table) intern(name string) string {
+	if known, ok := t.names[name]; ok {
+		return known
+	}
+	t.names[name] = name
+	return name
+}
+
+// setAddress counts the address of an entry that is listed, in place of its former one.
+func (t *Table) setAddress(e *entry, address string) {
+	if !e.removed {
+		if e.instance.Address == address {
+			return
+		}
+		t.forgetAddress(e)
+	}
+	t.addresses[address]++
+}
+
+func (t *Table) forgetAddress(e *entry) {
+	if t.addresses[e.instance.Address]--; t.addresses[e.instance.Address] <= 0 {
+		delete(t.addresses, e.instance.Address)
+	}
+}
+
+// drop removes an entry that is replaced by that of a later incarnation, or deleted.
+func (t *Table) drop(e *entry) {
+	if !e.removed {
+		t.forgetAddress(e)
+	}
+	e.removed = true
+	t.reindex(e, false)
+	delete(t.missing, e)
+	delete(t.busy, e)
+}
+
+// keepUntil keeps an entry that is no longer listed until the given time.
+func (t *Table) keepUntil(e *entry, until time.Time) {
+	e.removeAt = until
+	t.missing[e] = struct{}{}
+}
+
 // noteVersion records when the instance's version was first listed; see Table.firstListed.
 func (t *Table) noteVersion(i Instance) {
 	versions := t.firstListed[i.Service]
@@ -192,10 +256,10 @@
 	versions[i.Version] = first
 }
 
-// isUnannounced reports whether the instance's version was first listed less than announceTime
+// isUnannounced reports whether a version of a service was first listed less than announceTime
 // ago.
-func (t *Table) isUnannounced(i Instance, now time.Time) bool {
-	first := t.firstListed[i.Service][i.Version]
+func (t *Table) isUnannounced(service, version string, now time.Time) bool {
+	first := t.firstListed[service][version]
 	return !first.IsZero() && now.Sub(first) < announceTime
 }
 
@@ -212,15 +276,18 @@
 }
 
 // noteMissing records that an instance is no longer listed. It is removed at once if it is
-// leaving or keepUntil has passed, otherwise at keepUntil.
-func (t *Table) noteMissing(e *entry, keepUntil time.Time) {
+// leaving or keepUntil has passed, otherwise at keepUntil. noteMissing reports whether the
+// instance was in the list until now.
+func (t *Table) noteMissing(e *entry, keepUntil time.Time) bool {
+	present := !e.removed
 	switch {
 	case e.removed:
 	case e.instance.Leaving || e.leaving || !t.clock.Now().Before(keepUntil):
 		t.remove(e)
 	case e.removeAt.IsZero():
-		e.removeAt = keepUntil
+		t.keepUntil(e, keepUntil)
 	}
+	return present
 }
 
 // Expire removes missing entries that have been kept for their time, and deletes removed
@@ -233,12 +300,13 @@
 	t.forgetLeaving(now)
 	t.forgetLimits(now)
 	t.forgetRemoved(now)
-	for id, e := range t.entries {
+	for e := range t.missing {
 		if !e.removeAt.IsZero() && now.After(e.removeAt) {
 			t.remove(e)
 		}
 		if e.removed && e.inFlight == 0 {
-			delete(t.entries, id)
+			delete(t.entries, e.instance.ID)
+			delete(t.missing, e)
 		}
 	}
 }
--- a/internal/inventory/stale.go
+++ b/internal/inventory/stale.go
@@ -26,7 +26,12 @@
 
 // remove marks an entry as removed and records its incarnation. The lock is held.
 func (t *Table) remove(e *entry) {
+	if !e.removed {
+		t.forgetAddress(e)
+	}
 	e.removed, e.removeAt = true, time.Time{}
+	t.missing[e] = struct{}{}
+	t.reindex(e, false)
 	if len(t.removedAt) < maxRemoved {
 		t.removedAt[e.instance.Incarnation()] = t.clock.Now()
 	}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -1,7 +1,7 @@
 package inventory
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -26,6 +26,12 @@
 // entry is an instance with its load, health and budget.
 type entry struct {
 	instance Instance
+	// position orders entries in the index, and hash identifies the instance in messages.
+	position uint64
+	hash     InstanceHash
+	// indexed is set while the entry is in the index, at indexPlace.
+	indexed    bool
+	indexPlace indexPlace
 	// leaving is set if the instance was found to be leaving or absent by other means than the
 	// list. It is separate from instance.Leaving so that the same change in the list still
 	// counts as new and is passed on to other daemons.
@@ -41,11 +47,6 @@
 	// those that have no first event yet.
 	inFlight int
 	waiting  float64
-	// fleet is the work of all daemons at Table.fleetAt. fleetOwnOpen and fleetOwnWaiting are
-	// this daemon's part of it.
-	fleet           Amount
-	fleetOwnOpen    int
-	fleetOwnWaiting float64
 	// othersLoad is the number of requests of other daemons there, as reported by the instance
 	// at reportedAt.
 	othersLoad float64
@@ -94,10 +95,22 @@
 
 	mu          sync.Mutex
 	entries     map[string]*entry
+	index       index
 	revision    int64
 	confirmedAt time.Time
-	// fleetAt is when the work of all daemons was last received.
-	fleetAt time.Time
+	log         changeLog
+	// names contains one copy of each service, version and failure domain.
+	names map[string]string
+	// addresses is the number of entries by address, without removed ones.
+	addresses map[string]int
+	// missing contains the entries that are no longer listed.
+	missing map[*entry]struct{}
+	// busy contains the entries with open requests of this daemon.
+	busy map[*entry]struct{}
+	// fleet is the work of all daemons, received at fleetAt. fleetOwn is this daemon's part of
+	// it.
+	fleet, fleetOwn Work
+	fleetAt         time.Time
 	// firstListed is when each version of a service was first listed. It is zero for versions
 	// that were listed when this daemon started, or that were the first of their service.
 	firstListed map[string]map[string]time.Time
@@ -120,47 +133,41 @@
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
-		clock: clock, entries: map[string]*entry{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
+		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
+		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
 		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
 
-// Usable returns the instances of a service that may get new requests, sorted by ID.
+// Usable returns all instances of a service that may get new requests, sorted by ID. Its cost
+// grows with the number of instances; requests use Sample.
 func (t *Table) Usable(service string) []View {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	var out []View
-	for _, e := range t.entries {
-		if !t.mayServe(e, service) || e.budget.isBackingOff(now) {
-			continue
-		}
-		turn := t.turn(e, now)
-		limit, limited := t.limitOf(e)
-		out = append(out, View{
-			Instance: e.instance,
-			Load:     float64(e.inFlight) + decayed(e.othersLoad, now.Sub(e.reportedAt), reportHalfLife),
-			Open:     t.fleetOpen(e, now),
-			InFlight: e.inFlight,
-			Waiting:  t.fleetWaiting(e, now),
-			Ejected:  e.health.ejected(now),
-			Warming:  t.isWarming(e, now),
-			Limited:  limited,
-			Limit:    limit,
-			Wait:     turn.Wait,
-			NoTurn:   turn.NotOwner,
-			ProbeDue: t.isProbeDue(e, now),
+	any := func(string, bool) bool { return true }
+	views, _ := t.Sample(service, Selection{Accept: any, Size: math.MaxInt})
+	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
+	return views
+}
 
-			Unannounced: t.isUnannounced(e.instance, now),
-		})
+// view returns the state of an instance. The lock is held.
+func (t *Table) view(e *entry, now time.Time) View {
+	turn := t.turn(e, now)
+	limit, limited := t.limitOf(e)
+	return View{
+		Instance: e.instance,
+		Load:     float64(e.inFlight) + decayed(e.othersLoad, now.Sub(e.reportedAt), reportHalfLife),
+		Open:     t.fleetOpen(e, now),
+		InFlight: e.inFlight,
+		Waiting:  t.fleetWaiting(e, now),
+		Ejected:  e.health.ejected(now),
+		Warming:  t.isWarming(e, now),
+		Limited:  limited,
+		Limit:    limit,
+		Wait:     turn.Wait,
+		NoTurn:   turn.NotOwner,
+		ProbeDue: t.isProbeDue(e, now),
+
+		Unannounced: t.isUnannounced(e.instance.Service, e.instance.Version, now),
 	}
-	slices.SortFunc(out, func(a, b View) int {
-		if a.Instance.ID < b.Instance.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
 }
 
 // serves reports whether the instance belongs to the service, is present and is not leaving.
@@ -209,6 +216,7 @@
 	t.withEntry(i, func(e *entry) {
 		e.inFlight++
 		e.waiting += work
+		t.busy[e] = struct{}{}
 	})
 }
 
@@ -228,7 +236,9 @@
 // End counts the end of a request and records its outcome.
 func (t *Table) End(i Instance, outcome Outcome) {
 	t.withEntry(i, func(e *entry) {
-		e.inFlight--
+		if e.inFlight--; e.inFlight == 0 {
+			delete(t.busy, e)
+		}
 		e.health.note(outcome, t.clock.Now())
 	})
 }
@@ -249,7 +259,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for _, e := range t.entries {
+	for e := range t.busy {
 		if e.instance.Service == service && keep(e.instance.Version) {
 			n += e.inFlight
 		}
@@ -257,17 +267,11 @@
 	return n
 }
 
-// Addresses returns the addresses of all instances that were not removed.
-func (t *Table) Addresses() map[string]bool {
+// HasAddress reports whether an instance that was not removed has the address.
+func (t *Table) HasAddress(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]bool{}
-	for e := range maps.Values(t.entries) {
-		if !e.removed {
-			out[e.instance.Address] = true
-		}
-	}
-	return out
+	return t.addresses[address] > 0
 }
 
 // Get returns an instance by ID.
--- a/internal/inventory/work.go
+++ b/internal/inventory/work.go
@@ -1,6 +1,11 @@
 package inventory
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // Amount is the open requests at one instance and their waiting work.
 type Amount struct {
@@ -22,6 +27,22 @@
 	w[instance] = sum
 }
 
+// Busiest returns the n instances with the most work that waits, and of those with the same
+// the ones with most open requests.
+func (w Work) Busiest(n int) Work {
+	if len(w) <= n {
+		return w
+	}
+	ranked := slices.SortedFunc(maps.Keys(w), func(a, b InstanceHash) int {
+		return cmp.Or(cmp.Compare(w[b].Waiting, w[a].Waiting), cmp.Compare(w[b].Open, w[a].Open), cmp.Compare(a, b))
+	})
+	out := make(Work, n)
+	for _, instance := range ranked[:n] {
+		out[instance] = w[instance]
+	}
+	return out
+}
+
 const (
 	// fleetWorkTTL is how long the reported work of all daemons is used.
 	fleetWorkTTL = 3 * time.Second
@@ -36,7 +57,7 @@
 	if !t.fleetKnown(now) {
 		return e.waiting
 	}
-	others := max(e.fleet.Waiting-e.fleetOwnWaiting, 0)
+	others := max(t.fleet[e.hash].Waiting-t.fleetOwn[e.hash].Waiting, 0)
 	return e.waiting + decayed(others, now.Sub(t.fleetAt), fleetHalfLife)
 }
 
@@ -48,7 +69,7 @@
 	if !t.fleetKnown(now) {
 		return e.inFlight
 	}
-	return e.inFlight + max(e.fleet.Open-e.fleetOwnOpen, 0)
+	return e.inFlight + max(t.fleet[e.hash].Open-t.fleetOwn[e.hash].Open, 0)
 }
 
 func (t *Table) fleetKnown(now time.Time) bool {
@@ -59,23 +80,23 @@
 func (t *Table) OwnWork() Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := Work{}
-	for _, e := range t.entries {
-		if e.inFlight > 0 {
-			out[e.instance.Hash()] = Amount{Waiting: e.waiting, Open: e.inFlight}
-		}
+	return t.ownWork()
+}
+
+// ownWork is OwnWork with the lock held.
+func (t *Table) ownWork() Work {
+	out := make(Work, len(t.busy))
+	for e := range t.busy {
+		out[e.hash] = Amount{Waiting: e.waiting, Open: e.inFlight}
 	}
 	return out
 }
 
-// SetFleetWork sets the outstanding work of all daemons, including this one.
+// SetFleetWork sets the outstanding work of all daemons, including this one. The table keeps w.
 func (t *Table) SetFleetWork(w Work) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fleetAt = t.clock.Now()
-	for _, e := range t.entries {
-		e.fleet, e.fleetOwnOpen, e.fleetOwnWaiting = w[e.instance.Hash()], e.inFlight, e.waiting
-	}
+	t.fleetAt, t.fleet, t.fleetOwn = t.clock.Now(), w, t.ownWork()
 }
 
 // WorkSum adds up the work that daemons report of themselves.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -173,18 +173,13 @@
 // a fault of the version that it runs.
 const minSubset = 2
 
-// Subset returns a fraction of the instances, the same ones at all daemons. A fraction of 0
+// SubsetSize returns how many of a group of instances make up a fraction of it. A fraction of 0
 // means all.
-func Subset(all []Candidate, fraction float64) []Candidate {
-	n := max(int(math.Round(fraction*float64(len(all)))), minSubset)
-	if fraction == 0 || n >= len(all) {
-		return all
+func SubsetSize(total int, fraction float64) int {
+	if fraction == 0 {
+		return total
 	}
-	ranked := slices.Clone(all)
-	slices.SortFunc(ranked, func(a, b Candidate) int {
-		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
-	})
-	return ranked[:n]
+	return min(max(int(math.Round(fraction*float64(total))), minSubset), total)
 }
 
 // cost returns the expected time until the first event at the instance, as work. key identifies
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -31,15 +31,12 @@
 	require.Len(t, Filter(all, nil), 4, "when most fail, the cause is probably elsewhere")
 }
 
-// A subset must have the wanted fraction of the instances, always the same ones, and at least
-// minSubset of them.
-func TestSubset(t *testing.T) {
-	all := candidates(18)
-	require.Len(t, Subset(all, 0), 18)
-	require.Len(t, Subset(all, 0.3), 5)
-	require.Len(t, Subset(all, 0.01), minSubset)
-	require.Len(t, Subset(all[:1], 0.5), 1)
-	require.Equal(t, Subset(all, 0.3), Subset(all, 0.3))
+// A subset must have the wanted fraction of the instances, and at least minSubset of them.
+func TestSubsetSize(t *testing.T) {
+	require.Equal(t, 18, SubsetSize(18, 0))
+	require.Equal(t, 5, SubsetSize(18, 0.3))
+	require.Equal(t, minSubset, SubsetSize(18, 0.01))
+	require.Equal(t, 1, SubsetSize(1, 0.5))
 }
 
 // Prompts that no instance has cached must go to the same instance from every daemon, and
