entry: two store readers for the whole fleet, relays in each group, lists in parts from peers

Cause: the store was read by two daemons of each failure domain, and by all daemons when a list had more than 300 instances or a configuration 32 kB: heartbeats of m servers times 2k readers, whole lists times n daemons (986 lists of 3 MB after each compaction). A list from a peer had to fit into one call of 500 ms. Change: in a fleet of more than 100 daemons two store readers read for all; readers of each group relay what they send. Late daemons take the changes from a peer that has them (own relays, then two other groups) before they read the store; the readers of a group do so 0.4 s before its other daemons. A re-read list is sent as its changes. Whole lists come in parts of 300 instances, resumable with another peer, and the log of changes closes the gap between parts. A configuration is relayed if the link carries it within 0.3 s. A daemon that starts in a large fleet awaits its state from peers; store readers wait until they know the fleet. Readers are ranked once for each change of the registry. Work told is that of the 1,000 busiest instances.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -26,11 +26,15 @@
 func (n *Node) watchInstances(ctx context.Context) {
 	var wait backoff
 	whole := false
+	n.startup.awaitHeartbeats(ctx)
 	for ctx.Err() == nil {
-		if !n.mustReadList() {
+		if !n.mustReadList() || !n.table.Loaded() && n.mustAwaitPeers() {
 			n.sleep(ctx, checkInterval)
 			continue
 		}
+		if n.isSplit() && !n.isStoreReader() && n.table.Loaded() && n.catchUpList(ctx) {
+			continue
+		}
 		whole = whole || n.staleWindow.takeListDue(n.clock.Now())
 		err := n.readList(ctx, whole)
 		compacted := errors.Is(err, platform.ErrCompacted)
@@ -83,7 +87,7 @@
 		slog.Info("instances.read", "count", len(rows.Changes), "revision", rows.Revision, "doubted", graceEnd.After(n.clock.Now()), "taken", replaced)
 		if replaced && !first {
 			// The first list of a daemon that has just started is not new to the others.
-			n.sendWholeList(ctx)
+			n.sendReread(ctx, base)
 		}
 		return nil
 	}
@@ -97,6 +101,15 @@
 	return nil
 }
 
+// sendReread sends the changes that were found by reading the whole list, since a revision. If
+// they are too many, the other daemons fetch the list.
+func (n *Node) sendReread(ctx context.Context, base int64) {
+	changes, revision, ok := n.table.ChangesSince(base)
+	if ok {
+		n.sendListChanges(ctx, peer.StoreUpdate{Changes: changes, Reread: true, Base: base, List: revision})
+	}
+}
+
 // applyChanges applies the changes of a read and returns the update for the daemons of the
 // group. ok is false if this daemon already has a newer list.
 func (n *Node) applyChanges(rows platform.InstanceUpdate, graceEnd time.Time) (update peer.StoreUpdate, ok bool) {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -274,7 +274,7 @@
 		return debugVars{
 			Config: n.configVersion(), Operator: operator.readRevision, OperatorAgeMS: n.clock.Since(operator.confirmedAt).Milliseconds(), Reader: n.isReader(),
 			List: n.table.Revision(), ListAgeMS: n.table.Age().Milliseconds(),
-			Daemons: len(n.registry.Live()), StoreCalls: n.store.Calls(), Dials: n.pool.Dials(),
+			Daemons: n.registry.LiveCount(), StoreCalls: n.store.Calls(), Dials: n.pool.Dials(),
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -78,6 +78,8 @@
 	lastPeerSearch time.Time
 	// startedAt is when this daemon started.
 	startedAt time.Time
+	// loggedLive is the number of live daemons that was logged last. Only cleanupLoop uses it.
+	loggedLive int
 	// callerAddress is the address of the listener for callers.
 	callerAddress string
 	// ready is closed once this daemon can serve requests.
@@ -112,6 +114,14 @@
 	staleWindow staleWindow
 	// storeHealth tracks when the store last answered and last failed.
 	storeHealth storeHealth
+	// startup is the state of a daemon that has just started.
+	startup *startup
+	// listTransfer is the list that is being fetched from peers.
+	listTransfer listTransfer
+	// relayQueue contains the updates to relay to the group, and readerCache the readers of
+	// groups.
+	relayQueue  chan peer.StoreUpdate
+	readerCache readerCache
 
 	missedMu         sync.Mutex
 	missedHeartbeats map[string]int
@@ -122,7 +132,8 @@
 	n := &Node{
 		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
 		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
-		evacuations:    evacuation.NewRegistry(clock),
+		evacuations: evacuation.NewRegistry(clock),
+		startup:     newStartup(clock), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
 		lastPeerSearch: clock.Now(), startedAt: clock.Now(), workTotals: newWorkTotals(), peers: peer.NewClient(nil), heartbeatNow: make(chan struct{}, 1), ready: make(chan struct{}), missedHeartbeats: map[string]int{},
 	}
 	incarnation := ident.NewIncarnation()
@@ -134,6 +145,9 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.rollouts = shift.NewTracker(clock, settings.Seconds(s.SessionS), shift.ExposureLimit(s.ExposureShare), n.table.InFlight)
 	n.seeds.Store(&s.Seeds)
+	if len(s.Seeds) == 0 {
+		n.startup.noteHeartbeats()
+	}
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
 	n.handler = forward.New(forward.Deps{
@@ -148,15 +162,7 @@
 
 // senderCount returns the number of daemons that may send requests to upstream instances. This
 // includes daemons that are leaving or suspected.
-func (n *Node) senderCount() int {
-	count := 0
-	for _, d := range n.registry.All() {
-		if d.State != member.Left {
-			count++
-		}
-	}
-	return max(count, 1)
-}
+func (n *Node) senderCount() int { return max(n.registry.PresentCount(), 1) }
 
 // Ready reports whether callers may be sent to this daemon.
 func (n *Node) Ready() bool {
@@ -263,7 +269,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop,
+		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
@@ -274,6 +280,19 @@
 // cleanupInterval is the interval at which expired state is removed.
 const cleanupInterval = 500 * time.Millisecond
 
+// peerIdleTimeout is how long a connection to a peer is kept without a call. Heartbeats to a
+// neighbour come more often.
+const peerIdleTimeout = 5 * time.Second
+
+// logMembership logs the number of live daemons if it has changed. The many changes that arrive
+// while a large fleet starts share one line.
+func (n *Node) logMembership() {
+	if live := n.registry.LiveCount(); live != n.loggedLive {
+		n.loggedLive = live
+		slog.Info("daemons.changed", "live", live)
+	}
+}
+
 // cleanupLoop removes expired state and closes unused connections.
 func (n *Node) cleanupLoop(ctx context.Context) {
 	for n.sleep(ctx, cleanupInterval) {
@@ -282,6 +301,8 @@
 		n.registry.RemoveExpired()
 		n.quarantine.list.Expire()
 		n.pool.Sweep(n.table.HasAddress)
+		n.peers.CloseIdle(peerIdleTimeout)
+		n.logMembership()
 	}
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -26,11 +26,15 @@
 // watchOperator keeps the operator's rows up to date.
 func (n *Node) watchOperator(ctx context.Context) {
 	var wait backoff
+	n.startup.awaitHeartbeats(ctx)
 	for ctx.Err() == nil {
-		if !n.mustReadOperator() {
+		if !n.mustReadOperator() || n.freshness.view().confirmedAt.IsZero() && n.mustAwaitPeers() {
 			n.sleep(ctx, checkInterval)
 			continue
 		}
+		if n.isSplit() && !n.isStoreReader() && n.catchUpOperator(ctx) {
+			continue
+		}
 		err := n.readOperator(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -54,7 +58,7 @@
 		return n.readAllOperator(ctx)
 	}
 	hold := time.Duration(0)
-	if n.isReader() {
+	if n.isStoreReader() {
 		hold = longPollTime
 	}
 	call, done := n.operatorPoll.begin(ctx)
@@ -276,6 +280,13 @@
 	}
 }
 
+// noteChanged records the revision at which the rows have changed.
+func (f *freshness) noteChanged(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changedRevision = max(f.changedRevision, revision)
+}
+
 func (f *freshness) view() operatorView {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -34,8 +34,11 @@
 	// between two searches. A daemon searches only while it knows no peers.
 	noPeersTime = 1500 * time.Millisecond
 	// heartbeatBatchDelay combines the changes of a short time into one round of heartbeats.
-	// Otherwise each of many daemons that start at the same time would trigger many rounds.
+	// Otherwise each of many daemons that start at the same time would trigger many rounds. In a
+	// large fleet, whose daemons have more changes to spread, it is batchDelayPerDaemon for each
+	// daemon.
 	heartbeatBatchDelay = 30 * time.Millisecond
+	batchDelayPerDaemon = 100 * time.Microsecond
 )
 
 // daemonRow is the row through which daemons that start later find this one.
@@ -77,7 +80,7 @@
 // no peers and has not searched the store for noPeersTime, the addresses in the rows of other
 // daemons.
 func (n *Node) findPeers(ctx context.Context) []string {
-	noPeers := len(n.registry.All()) == 1
+	noPeers := n.registry.Count() == 1
 	if !noPeers || n.clock.Since(n.lastPeerSearch) < noPeersTime {
 		return n.unknownAddresses(*n.seeds.Load())
 	}
@@ -102,16 +105,9 @@
 
 // unknownAddresses returns those addresses at which no daemon is known.
 func (n *Node) unknownAddresses(addresses []string) []string {
-	known := map[string]bool{n.registry.Self().PeerAddress: true}
-	for _, d := range n.registry.All() {
-		if d.State != member.Left {
-			known[d.PeerAddress] = true
-		}
-	}
 	var out []string
 	for _, address := range addresses {
-		if !known[address] {
-			known[address] = true
+		if address != n.registry.Self().PeerAddress && !slices.Contains(out, address) && !n.registry.IsKnownAddress(address) {
 			out = append(out, address)
 		}
 	}
@@ -129,9 +125,10 @@
 func (n *Node) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.heartbeatRound(ctx)
+		n.startup.noteHeartbeats()
 		select {
 		case <-n.heartbeatNow:
-			n.sleep(ctx, heartbeatBatchDelay)
+			n.sleep(ctx, max(heartbeatBatchDelay, time.Duration(n.registry.LiveCount())*batchDelayPerDaemon))
 		case <-n.clock.After(heartbeatInterval):
 		case <-ctx.Done():
 		}
@@ -165,7 +162,7 @@
 	h := peer.RoutesHeartbeat{
 		From: n.registry.Self(), News: n.registry.NextUpdates(), Digest: n.registry.Digest(),
 		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Checksum(), Left: n.table.RecentlyLeaving(),
-		Evacuated: n.evacuations.Checksum(), Limits: n.table.RecentLimits(),
+		Evacuated: n.evacuations.Checksum(), Limits: n.table.RecentLimits(), Live: n.registry.LiveCount(),
 	}
 	_, h.Limited = n.table.LimitsInForce()
 	_, states := n.rollouts.Orders()
@@ -197,6 +194,9 @@
 	n.applyHeartbeat(reply)
 	if request, lacking := n.missingFrom(reply, mine); lacking {
 		n.syncFromPeer(ctx, address, request)
+		if request.Instances {
+			n.fetchList(ctx, address)
+		}
 	}
 }
 
@@ -206,12 +206,12 @@
 	delete(n.missedHeartbeats, h.From.Incarnation)
 	n.missedMu.Unlock()
 	n.store.NoteRevision(h.List)
+	n.startup.noteFleet(h.Live)
 	n.mergeLeaving(h)
 	n.mergeLimits(h.Limits, h.From.PeerAddress)
 	before := n.registry.Epoch()
 	n.registry.Merge(append(h.News, h.From))
 	if n.registry.Epoch() != before {
-		slog.Info("daemons.changed", "live", len(n.registry.Live()), "from", h.From.PeerAddress)
 		n.requestHeartbeat()
 	}
 }
@@ -249,6 +249,7 @@
 	request = peer.SyncRequest{
 		Config: mine.Config, List: mine.List,
 		Instances: h.List > mine.List && n.useListFromPeers(),
+		Operator:  n.lacksOperatorRows() && h.Config > 0,
 		Shifts:    h.Shifts > mine.Shifts,
 		Members:   h.Digest != n.registry.Digest() && n.membersSettled(),
 		// The checksum 0 means that the peer has no quarantined requests or does not know the
@@ -257,7 +258,7 @@
 		Evacuations: h.Evacuated != 0 && h.Evacuated != mine.Evacuated,
 		Limits:      h.Limited != mine.Limited,
 	}
-	return request, h.Config > mine.Config || request.Instances || request.Shifts || request.Members || request.Quarantine || request.Evacuations || request.Limits
+	return request, h.Config > mine.Config || request.Instances || request.Operator || request.Shifts || request.Members || request.Quarantine || request.Evacuations || request.Limits
 }
 
 // useListFromPeers reports whether this daemon uses instance lists of peers: it has none, or
@@ -274,7 +275,7 @@
 // membersSettled reports whether the known daemons have not changed for membershipSettleTime,
 // or this daemon knows at most one other.
 func (n *Node) membersSettled() bool {
-	return len(n.registry.All()) <= 2 || n.clock.Since(n.registry.ChangedAt()) > membershipSettleTime
+	return n.registry.Count() <= 2 || n.clock.Since(n.registry.ChangedAt()) > membershipSettleTime
 }
 
 // syncFromPeer requests the state that a peer has and this daemon lacks, and applies it.
@@ -292,12 +293,6 @@
 	}
 	n.mergeLimits(reply.Limits, address)
 	n.applyManifest(reply.Manifest, address)
-	if reply.Instances != nil && n.useListFromPeers() {
-		graceEnd := n.readerGrace.limit(n.clock.Now().Add(reply.Doubted), n.storeHealth.lastLostAt())
-		if n.table.Replace(*reply.Instances, graceEnd) {
-			slog.Info("instances.from_peer", "peer", address, "revision", reply.Instances.Revision, "count", len(reply.Instances.Instances))
-		}
-	}
 	for _, o := range reply.Orders {
 		n.addOrder(o, address)
 	}
@@ -305,6 +300,7 @@
 		n.applyRolloutState(s, address)
 	}
 	n.quarantine.applyEntries(reply.Quarantine, address)
+	n.adoptFreshness(reply)
 	n.publishCallerURL()
 }
 
@@ -368,6 +364,11 @@
 // OnSync implements peer.RoutesHandler.
 func (n *Node) OnSync(r peer.SyncRequest) peer.SyncReply {
 	var reply peer.SyncReply
+	// The revisions are read before the rows, which may be newer then.
+	if view := n.freshness.view(); r.Operator && !view.confirmedAt.IsZero() && !n.behind.Load() {
+		reply.OperatorKnown, reply.OperatorRead, reply.OperatorChanged = true, view.readRevision, view.changedRevision
+		reply.OperatorAge = n.clock.Since(view.confirmedAt)
+	}
 	if r.Members {
 		reply.Members = n.registry.All()
 	}
@@ -388,11 +389,6 @@
 		reply.Manifest = n.manifest
 	}
 	n.configMu.Unlock()
-	if r.Instances {
-		if s := n.table.Snapshot(); s.Revision > r.List {
-			reply.Instances, reply.Doubted = &s, n.graceLeft()
-		}
-	}
 	return reply
 }
 
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
@@ -11,15 +12,18 @@
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
-// Only a few daemons, the readers, read the store; they send store updates (peer.StoreUpdate)
-// to the other daemons of their group. A daemon that has not received an update for too long
-// reads the store itself, so that readers that crash, freeze or are rejected by the store delay
-// no daemon beyond the required times.
+// Only two daemons, the store readers, read the store. They send store updates
+// (peer.StoreUpdate) to all others. In a large fleet, which is split into groups, they send them
+// to the readers of each group, who relay them to the group.
+//
+// A daemon that has not received an update for too long takes it from a peer that has, or else
+// reads the store itself. The readers of a group do so first and send what they have read to
+// their group. Daemons that crash, freeze or are rejected by the store thus delay no other
+// daemon beyond the required times.
 const (
 	// maxFleetGroup is the number of daemons up to which the whole fleet is one reader group.
-	// In a larger fleet each failure domain is a group, and updates cross domains only through
-	// the store. A reader thus sends updates to no more daemons than a failure domain of a
-	// large fleet has.
+	// In a larger fleet each failure domain is a group. A reader thus sends updates to no more
+	// daemons than a failure domain of a large fleet has.
 	maxFleetGroup = 100
 	// maxFleetWorkGroup is the same limit for the exchange of outstanding work at upstream
 	// instances. These updates are sent ten times as often and take most of a reader's
@@ -33,46 +37,113 @@
 	// should have. Hosts come in a few kinds whose links differ by more than this factor.
 	fastLinkFraction = 0.5
 	// lateUpdateMargin is added to the interval between two reads of the list; a daemon that
-	// gets no update for longer reads the store itself.
+	// gets no update for longer reads the store itself. In a group, the daemons that are not its
+	// readers wait for another relayMargin, so that a failure of the store readers does not make
+	// all daemons read the store.
 	lateUpdateMargin = 400 * time.Millisecond
+	relayMargin      = 400 * time.Millisecond
 	// checkInterval is how often a daemon checks whether it must read the store.
 	checkInterval = 150 * time.Millisecond
-	// maxSentManifest is the size of the longest encoded configuration that readers send, in
-	// bytes. Each daemon reads a longer one itself: on a link of 10 Mbit/s, which some daemons
-	// have, 400 kB for a dozen peers take four seconds and delay all other updates.
-	maxSentManifest = 32 << 10
+	// minSentManifest is the size, in bytes, up to which an encoded configuration is always sent,
+	// and manifestSendTime the time that sending a longer one may take on this daemon's link.
+	// Other daemons read a configuration that takes longer themselves: on a link of 10 Mbit/s,
+	// 400 kB for a dozen peers take four seconds and delay all other updates.
+	minSentManifest  = 32 << 10
+	manifestSendTime = 300 * time.Millisecond
+	// maxRelayQueue limits the updates that wait to be relayed. A daemon that misses one takes it
+	// from a peer.
+	maxRelayQueue = 16
 )
 
-// readerGroup returns a filter for the daemons of this daemon's reader group.
-func (n *Node) readerGroup() func(member.Daemon) bool { return n.groupUpTo(maxFleetGroup) }
+// wholeFleet is the reader group of all daemons.
+const wholeFleet = ""
+
+// readerGroup returns this daemon's reader group: a failure domain, or wholeFleet.
+func (n *Node) readerGroup() string { return n.groupUpTo(maxFleetGroup) }
 
-// workGroup returns a filter for the daemons with which this daemon exchanges the outstanding
+// workGroup returns the group of the daemons with which this daemon exchanges the outstanding
 // work at upstream instances.
-func (n *Node) workGroup() func(member.Daemon) bool { return n.groupUpTo(maxFleetWorkGroup) }
+func (n *Node) workGroup() string { return n.groupUpTo(maxFleetWorkGroup) }
 
-// groupUpTo returns a filter for the whole fleet if it has at most the given number of
-// daemons, or else for this daemon's failure domain.
-func (n *Node) groupUpTo(limit int) func(member.Daemon) bool {
-	if len(n.registry.Live()) <= limit {
-		return func(member.Daemon) bool { return true }
+// groupUpTo returns wholeFleet if there are at most the given number of daemons, or else this
+// daemon's failure domain.
+func (n *Node) groupUpTo(limit int) string {
+	if max(n.registry.LiveCount(), n.startup.fleetHint()) <= limit {
+		return wholeFleet
 	}
-	return func(d member.Daemon) bool { return d.FailureDomain == n.settings.FailureDomain }
+	return n.settings.FailureDomain
+}
+
+// isSplit reports whether the fleet is split into several reader groups.
+func (n *Node) isSplit() bool { return n.readerGroup() != wholeFleet }
+
+// inGroup returns a filter for the daemons of a group.
+func inGroup(group string) func(member.Daemon) bool {
+	return func(d member.Daemon) bool { return group == wholeFleet || d.FailureDomain == group }
 }
 
 // isReader reports whether this daemon is one of the readers of its group and is not leaving.
-func (n *Node) isReader() bool {
+func (n *Node) isReader() bool { return n.isReaderOf(n.readerGroup()) }
+
+// isStoreReader reports whether this daemon reads the store for the whole fleet.
+func (n *Node) isStoreReader() bool { return n.isReaderOf(wholeFleet) }
+
+func (n *Node) isReaderOf(group string) bool {
 	own := n.registry.Self().Incarnation
-	return !n.leaving.Load() && slices.ContainsFunc(n.readers(readersPerGroup, n.readerGroup()),
+	return !n.leaving.Load() && slices.ContainsFunc(n.readers(readersPerGroup, group),
 		func(d member.Daemon) bool { return d.Incarnation == own })
 }
 
-// readers returns the first count readers of a group: daemons with fast links, and others only
-// if there are too few of these.
+// readerCache contains the readers of groups as of an epoch of the registry.
+//
+// Lock order: no other lock is taken while mu is held.
+type readerCache struct {
+	mu       sync.Mutex
+	epoch    uint64
+	byGroups map[readerKey][]member.Daemon
+}
+
+type readerKey struct {
+	group string
+	count int
+}
+
+// get returns the cached readers as of an epoch.
+func (c *readerCache) get(epoch uint64, key readerKey) ([]member.Daemon, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	readers, ok := c.byGroups[key]
+	return readers, ok && c.epoch == epoch
+}
+
+func (c *readerCache) put(epoch uint64, key readerKey, readers []member.Daemon) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.epoch != epoch || c.byGroups == nil {
+		c.epoch, c.byGroups = epoch, map[readerKey][]member.Daemon{}
+	}
+	c.byGroups[key] = readers
+}
+
+// readers returns the first count readers of a group. They are computed again only after a
+// change of the registry.
+func (n *Node) readers(count int, group string) []member.Daemon {
+	epoch, key := n.registry.Epoch(), readerKey{group: group, count: count}
+	readers, ok := n.readerCache.get(epoch, key)
+	if !ok {
+		readers = n.rankReaders(count, inGroup(group))
+		n.readerCache.put(epoch, key, readers)
+	}
+	return slices.Clone(readers)
+}
+
+// rankReaders returns the first count readers of a group: daemons with fast links, and others
+// only if there are too few of these.
 //
 // A reader sends updates to its whole group several times a second over the link that also
 // carries its callers' answers. If few daemons have fast links, readers drawn from all daemons
 // mostly have slow links, and the updates delay their callers' answers.
-func (n *Node) readers(count int, inGroup func(member.Daemon) bool) []member.Daemon {
+func (n *Node) rankReaders(count int, inGroup func(member.Daemon) bool) []member.Daemon {
 	fastest := 0.0
 	for _, d := range n.registry.Live() {
 		if inGroup(d) {
@@ -98,14 +169,20 @@
 	if n.storeHealth.isLost() && n.freshness.view().confirmedAt.IsZero() {
 		return false
 	}
-	return n.isReader() || n.listIsLate()
+	return n.isStoreReader() || n.listIsLate()
 }
 
 // listIsLate reports whether the list has not been confirmed for too long.
 func (n *Node) listIsLate() bool { return n.table.Age() > n.maxUpdateAge() }
 
 // maxUpdateAge is the age of the last update from which it counts as late.
-func (n *Node) maxUpdateAge() time.Duration { return n.listInterval() + lateUpdateMargin }
+func (n *Node) maxUpdateAge() time.Duration {
+	age := n.listInterval() + lateUpdateMargin
+	if n.isSplit() && !n.isReader() {
+		age += relayMargin
+	}
+	return age
+}
 
 // mustReadOperator reports whether this daemon has to read the operator's rows itself. Daemons
 // that have not read any or lack rows that a peer has always do. While the store is unavailable
@@ -114,7 +191,7 @@
 func (n *Node) mustReadOperator() bool {
 	view := n.freshness.view()
 	switch {
-	case view.confirmedAt.IsZero() || n.behind.Load() || n.isReader():
+	case view.confirmedAt.IsZero() || n.behind.Load() || n.isStoreReader():
 		return true
 	case n.storeHealth.isLost():
 		return false
@@ -123,45 +200,23 @@
 	}
 }
 
-// sendListChanges sends the result of a read of the list to the group. An update without
-// changes confirms that the list is current.
+// sendListChanges sends the result of a read of the list. An update without changes confirms
+// that the list is current.
 func (n *Node) sendListChanges(ctx context.Context, update peer.StoreUpdate) {
-	if !n.isReader() {
-		return
-	}
 	update.ListAge, update.Doubted = n.table.Age(), n.graceLeft()
-	n.sendToGroup(ctx, update)
-}
-
-// maxSentInstances is the largest number of instances for which the whole list is sent.
-const maxSentInstances = 300
-
-// sendWholeList sends a list that was read in full to the group, so that not every daemon has
-// to read it.
-func (n *Node) sendWholeList(ctx context.Context) {
-	whole := n.table.Snapshot()
-	if !n.isReader() || len(whole.Instances) > maxSentInstances {
-		return
-	}
-	n.sendToGroup(ctx, peer.StoreUpdate{Whole: &whole, List: whole.Revision, ListAge: n.table.Age(), Doubted: n.graceLeft()})
+	n.sendUpdate(ctx, update)
 }
 
-// sendOperatorRows sends the operator's changes to the group.
+// sendOperatorRows sends the operator's changes.
 //
 // The update contains every change after revision base unless the configuration is too long.
 // Daemons that have all rows up to base then need not read the store.
 func (n *Node) sendOperatorRows(ctx context.Context, rows platform.OperatorUpdate, base int64, evacuated bool) {
-	if !n.isReader() {
-		return
-	}
 	update := peer.StoreUpdate{Manifest: rows.Manifest, Orders: rows.Orders, List: noList, OperatorBase: base, OperatorWhole: true}
-	if len(update.Manifest) > maxSentManifest {
-		update.Manifest, update.OperatorWhole = nil, false
-	}
 	if evacuated {
 		update.Evacuations = n.evacuations.Orders()
 	}
-	n.sendToGroup(ctx, update)
+	n.sendUpdate(ctx, update)
 }
 
 // noList is the list revision of an update without a list.
@@ -175,24 +230,109 @@
 	return update
 }
 
-// sendToGroup sends an update to the other daemons of the reader group.
-func (n *Node) sendToGroup(ctx context.Context, update peer.StoreUpdate) {
+// sendUpdate sends what this daemon has read from the store: to its group if it is a reader of
+// the group, and to the readers of all other groups if it reads for the whole fleet.
+func (n *Node) sendUpdate(ctx context.Context, update peer.StoreUpdate) {
 	update = n.withFreshness(update)
-	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.readerGroup()), func(call context.Context, address string) {
+	var sends sync.WaitGroup
+	if n.isSplit() && n.isStoreReader() {
+		relayed := update
+		relayed.Relay = true
+		sends.Go(func() { n.sendTo(ctx, n.relays(), relayed) })
+	}
+	if n.isReader() {
+		sends.Go(func() { n.sendTo(ctx, n.otherDaemons(n.readerGroup()), update) })
+	}
+	sends.Wait()
+}
+
+// relays returns the readers of all other groups.
+func (n *Node) relays() []member.Daemon {
+	var out []member.Daemon
+	for _, domain := range n.otherDomains() {
+		out = append(out, n.readers(readersPerGroup, domain)...)
+	}
+	return out
+}
+
+// otherDomains returns the failure domains except this daemon's own.
+func (n *Node) otherDomains() []string {
+	var out []string
+	for domain := range n.settings.FailureDomains {
+		if domain != n.settings.FailureDomain {
+			out = append(out, domain)
+		}
+	}
+	return out
+}
+
+// sendTo sends an update to daemons.
+func (n *Node) sendTo(ctx context.Context, daemons []member.Daemon, update peer.StoreUpdate) {
+	if len(update.Manifest) > n.maxSentManifest(len(daemons)) {
+		update.Manifest, update.OperatorWhole = nil, false
+	}
+	n.callEach(ctx, peerCallTimeout, daemons, func(call context.Context, address string) {
 		if err := n.peers.SendStoreUpdate(call, address, update); err != nil {
 			slog.Debug("update.not_sent", "peer", address, "error", err)
 		}
 	})
 }
 
-// otherDaemons returns the live daemons that match the filter, except this one.
-func (n *Node) otherDaemons(inGroup func(member.Daemon) bool) []member.Daemon {
-	own := n.registry.Self().PeerAddress
+// maxSentManifest returns the size in bytes up to which an encoded configuration is sent to that
+// many daemons.
+func (n *Node) maxSentManifest(daemons int) int {
+	const bytesPerMbit = 1e6 / 8
+	budget := n.settings.LinkMbps * bytesPerMbit * manifestSendTime.Seconds()
+	return max(int(budget)/max(daemons, 1), minSentManifest)
+}
+
+// relayLoop relays updates of the store readers to this daemon's group.
+func (n *Node) relayLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case update := <-n.relayQueue:
+			n.sendTo(ctx, n.otherDaemons(n.readerGroup()), update)
+		}
+	}
+}
+
+// queueRelay queues an update for this daemon's group.
+func (n *Node) queueRelay(update peer.StoreUpdate) {
+	update.Relay = false
+	select {
+	case n.relayQueue <- update:
+	default:
+		slog.Warn("update.not_relayed", "list", update.List, "queued", maxRelayQueue)
+	}
+}
+
+// otherDaemons returns the live daemons of a group, except this one.
+func (n *Node) otherDaemons(group string) []member.Daemon {
+	own, matches := n.registry.Self().PeerAddress, inGroup(group)
 	return slices.DeleteFunc(n.registry.Live(), func(d member.Daemon) bool {
-		return d.PeerAddress == own || !inGroup(d)
+		return d.PeerAddress == own || !matches(d)
 	})
 }
 
+// lacksOperatorRows reports whether this daemon has to get the operator's rows from a peer or
+// the store.
+func (n *Node) lacksOperatorRows() bool {
+	return n.isSplit() && (n.freshness.view().confirmedAt.IsZero() || n.behind.Load())
+}
+
+// adoptFreshness records the operator's rows of a sync reply, which has been applied, as current
+// when the peer confirmed its own.
+func (n *Node) adoptFreshness(reply peer.SyncReply) {
+	if !reply.OperatorKnown || !n.evacuations.Loaded() || reply.OperatorRead < n.freshness.view().readRevision {
+		return
+	}
+	n.behind.Store(false)
+	n.freshness.record(n.clock.Now().Add(-reply.OperatorAge), reply.OperatorRead, false)
+	n.freshness.noteChanged(reply.OperatorChanged)
+}
+
 // applyFreshness records this daemon's operator rows as current when the reader confirmed its
 // own, if this daemon has the same rows after applying the update. Otherwise it marks this
 // daemon as behind, so that it reads the rows itself.
@@ -223,6 +363,9 @@
 
 // OnStoreUpdate implements peer.RoutesHandler.
 func (n *Node) OnStoreUpdate(update peer.StoreUpdate) {
+	if update.Relay {
+		n.queueRelay(update)
+	}
 	n.store.NoteRevision(max(update.List, update.OperatorRead))
 	if len(update.Evacuations) > 0 {
 		n.enforceEvacuations(n.evacuations.MergeAll(update.Evacuations), update.From)
@@ -241,9 +384,6 @@
 	n.readerGrace.noteUpdate(n.clock.Now(), update.Doubted)
 	revision := n.table.Revision()
 	switch {
-	case update.Whole != nil && revision <= update.List:
-		n.table.Replace(*update.Whole, n.wholeListGraceEnd(update.Doubted))
-		n.table.Confirm(update.ListAge)
 	case !n.table.Loaded() || revision < update.Base:
 		// An update was missed. The list becomes late, and this daemon then reads it or takes
 		// it from a peer.
@@ -251,6 +391,9 @@
 		n.table.Confirm(update.ListAge)
 	default:
 		graceEnd := n.readerGrace.adopt(n.clock.Now(), update.Doubted, n.listIsLate())
+		if update.Reread {
+			graceEnd = n.wholeListGraceEnd(update.Doubted)
+		}
 		n.table.Apply(update.Changes, update.List, graceEnd)
 		n.table.Confirm(update.ListAge)
 	}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -20,6 +20,10 @@
 	// workIntervalPerInstance is the minimum interval for each instance in a round. At some 7
 	// bytes per instance, a daemon of a large fleet receives 7 kB per second.
 	workIntervalPerInstance = 1 * time.Millisecond
+	// maxSentAmounts is the number of instances in a round, the busiest ones. It keeps a round
+	// well below the time for which the reported work is used. Daemons go by their own requests
+	// at other instances, which have less to do.
+	maxSentAmounts = 1000
 	// domainWorkTTL is how long the work reported by another failure domain is used.
 	domainWorkTTL = 4 * time.Second
 	// prefixesPerSecond limits the cached prefixes sent to each daemon: 3 kB per second at 8
@@ -126,7 +130,7 @@
 			continue
 		}
 		pause = workRoundInterval(n.sendFleetWork(ctx, prefixesIn(pause)))
-		if len(n.registry.Live()) > maxFleetWorkGroup {
+		if n.registry.LiveCount() > maxFleetWorkGroup {
 			n.sendDomainWork(ctx, prefixesIn(pause))
 		}
 	}
@@ -146,6 +150,7 @@
 	work, prefixes := n.workTotals.fleetWork(n.clock.Now(), maxPrefixes)
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
+	work = work.Busiest(maxSentAmounts)
 	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes)}
 	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.workGroup()), func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
@@ -163,13 +168,11 @@
 func (n *Node) sendDomainWork(ctx context.Context, maxPrefixes int) {
 	work, prefixes := n.workTotals.groupWork(n.clock.Now(), maxPrefixes)
 	mine := peer.DomainWork{
-		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes),
+		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
 	}
 	var readers []member.Daemon
-	for domain := range n.settings.FailureDomains {
-		if domain != n.settings.FailureDomain {
-			readers = append(readers, n.readers(1, inDomain(domain))...)
-		}
+	for _, domain := range n.otherDomains() {
+		readers = append(readers, n.readers(1, domain)...)
 	}
 	n.callEach(ctx, peerCallTimeout, readers, func(call context.Context, address string) {
 		if err := n.peers.SendDomainWork(call, address, mine); err != nil {
@@ -178,10 +181,6 @@
 	})
 }
 
-func inDomain(domain string) func(member.Daemon) bool {
-	return func(d member.Daemon) bool { return d.FailureDomain == domain }
-}
-
 func (n *Node) ownWork() peer.DaemonWork {
 	return peer.DaemonWork{
 		Incarnation: n.registry.Self().Incarnation,
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -40,6 +40,9 @@
 	// Limited is a checksum of all limits in force; 0 if there are none.
 	Limits  []inventory.Limit
 	Limited uint64
+	// Live is the number of live daemons that the sender knows. A daemon that starts knows few
+	// of them yet.
+	Live int
 }
 
 // SyncRequest asks a peer for the kinds of state that differ from those of the sender. The
@@ -49,9 +52,12 @@
 type SyncRequest struct {
 	// Config is the version of the sender's configuration; a newer one is returned.
 	Config int64
-	// Instances asks for the list of upstream instances if its revision is newer than List.
+	// Instances is set if the sender lacks instances of the list, whose revision is List. The
+	// list is fetched by its own calls.
 	Instances bool
 	List      int64
+	// Operator asks for the revisions of the operator's rows that the peer has.
+	Operator bool
 	// Shifts asks for the orders and states of roll-outs, Members for all daemons.
 	Shifts  bool
 	Members bool
@@ -68,14 +74,15 @@
 type SyncReply struct {
 	// Manifest is the encoded configuration; empty if it is not newer than SyncRequest.Config.
 	Manifest []byte
-	// Instances is the list of upstream instances; nil if it was not requested or is not newer
-	// than SyncRequest.List.
-	Instances *inventory.Snapshot
-	// Doubted is the rest of the sender's grace period; see StoreUpdate.Doubted.
-	Doubted time.Duration
-	Orders  []shift.Order
-	States  []shift.State
-	Members []member.Daemon
+	// OperatorKnown is set if the sender knows the operator's rows and the request asks for
+	// them. OperatorRead, OperatorChanged and OperatorAge are as in StoreUpdate.
+	OperatorKnown   bool
+	OperatorRead    int64
+	OperatorChanged int64
+	OperatorAge     time.Duration
+	Orders          []shift.Order
+	States          []shift.State
+	Members         []member.Daemon
 	// Quarantine are the quarantined requests.
 	Quarantine []quarantine.Entry
 	// Evacuations are all evacuation orders, if EvacuationsKnown is set.
@@ -108,12 +115,13 @@
 	// checksum of the evacuations in force that the sender knows.
 	Evacuations []evacuation.Order
 	Evacuated   uint64
-	// Whole is the full list of upstream instances, set after the sender has read it in full.
-	// Changes is empty then.
-	Whole *inventory.Snapshot
+	// Relay is set if the receiver passes the update on to its group.
+	Relay bool
 	// Changes are the changes of the list between the revisions Base and List. The sender knew
-	// List to be the newest revision ListAge ago.
+	// List to be the newest revision ListAge ago. Reread is set if the sender has found them by
+	// reading the whole list.
 	Changes []inventory.Change
+	Reread  bool
 	Base    int64
 	List    int64
 	ListAge time.Duration
@@ -135,6 +143,8 @@
 type RoutesHandler interface {
 	OnHeartbeat(h RoutesHeartbeat) RoutesHeartbeat
 	OnSync(r SyncRequest) SyncReply
+	OnListPart(r ListPartRequest) ListPart
+	OnListChanges(r ListChangesRequest) ListChanges
 	OnEvidence(r EvidenceRequest) shift.Evidence
 	OnRolloutState(s shift.State)
 	OnStoreUpdate(u StoreUpdate)
