entry: daemons of a large fleet that start together get their state from peers

Cause: 986 daemons that start together find no seed listening yet, take themselves for the only one and each read the store (three calls, a long poll and the first configuration each); membership changes went from each daemon to daemons of all failure domains (1.2 GB between domains in 28 s); each of hundreds of heartbeats carried 16 changes. Inside a group heartbeats carry up to 64 changes; between groups only those of readers carry them. A daemon that knows a part of the fleet fetches the whole table from a local peer, which it does not send on. A daemon whose peers no longer have the changes that it lacks fetches the list in parts.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 )
 
@@ -80,6 +81,6 @@
 	}
 	call, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	reply, err := d.peers.RoutesHeartbeat(call, address, d.heartbeat())
+	reply, err := d.peers.RoutesHeartbeat(call, address, d.heartbeat(member.Daemon{PeerAddress: address}))
 	return err == nil && reply.From.Incarnation != incarnation
 }
--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -26,7 +26,7 @@
 func (n *Node) watchInstances(ctx context.Context) {
 	var wait backoff
 	whole := false
-	n.startup.awaitHeartbeats(ctx)
+	n.startup.awaitContact(ctx, n.peers.HasConnections)
 	for ctx.Err() == nil {
 		if !n.mustReadList() || !n.table.Loaded() && n.mustAwaitPeers() {
 			n.sleep(ctx, checkInterval)
--- a/internal/entry/list_sync.go
+++ b/internal/entry/list_sync.go
@@ -64,33 +64,43 @@
 }
 
 // fetchList brings the list up to date from a peer: by the changes since this daemon's
-// revision, or by the whole list if it has none or the peer no longer has these changes.
-func (n *Node) fetchList(ctx context.Context, address string) {
-	if n.table.Loaded() && n.fetchListChanges(ctx, address) {
-		return
+// revision, or by the whole list if it has none or the peer no longer has these changes. It
+// reports whether the list is then up to date.
+func (n *Node) fetchList(ctx context.Context, address string) bool {
+	changes, err := n.fetchListChanges(ctx, address)
+	if err != nil {
+		slog.Debug("instances.changes_not_fetched", "peer", address, "error", err)
+		return false
 	}
-	if !n.listTransfer.mu.TryLock() {
-		return
+	if n.table.Loaded() && changes.Known {
+		return n.applyListChanges(changes)
+	}
+	if !n.needsWholeList(changes) || !n.listTransfer.mu.TryLock() {
+		return false
 	}
 	defer n.listTransfer.mu.Unlock()
-	if err := n.fetchListParts(ctx, address); err != nil {
+	if err := n.fetchWholeList(ctx, address); err != nil {
 		slog.Debug("instances.not_fetched", "peer", address, "part", n.listTransfer.next, "parts", n.listTransfer.parts, "error", err)
-		return
+		return false
 	}
-	n.fetchListChanges(ctx, address)
 	n.publishCallerURL()
+	return !n.listIsLate()
+}
+
+// needsWholeList reports whether this daemon lacks changes of the list that a peer no longer
+// has.
+func (n *Node) needsWholeList(c peer.ListChanges) bool {
+	return c.Loaded && (!n.table.Loaded() || c.Revision > n.table.Revision() && n.listIsLate())
 }
 
-// fetchListParts fetches the missing parts of the list and applies it.
-func (n *Node) fetchListParts(ctx context.Context, address string) error {
+// fetchWholeList fetches the missing parts of the list from a peer and applies the list, and the
+// changes that the peer has made to it meanwhile.
+func (n *Node) fetchWholeList(ctx context.Context, address string) error {
 	t := &n.listTransfer
 	size, err := n.fetchListPart(ctx, address, peer.ListPartRequest{})
 	if err != nil {
 		return err
 	}
-	if !size.Loaded {
-		return nil
-	}
 	t.begin(n.clock.Now(), size.Total)
 	for t.next < t.parts {
 		part, err := n.fetchListPart(ctx, address, peer.ListPartRequest{Part: t.next, Parts: t.parts})
@@ -101,11 +111,19 @@
 	}
 	snapshot := t.snapshot
 	t.parts, t.snapshot = 0, inventory.Snapshot{}
+	changes, err := n.peers.ListChanges(ctx, address, peer.ListChangesRequest{Since: snapshot.Revision})
+	if err != nil {
+		return err
+	}
 	n.store.NoteRevision(snapshot.Revision)
-	if n.useListFromPeers() && n.table.Replace(snapshot, n.graceEnd(n.clock.Now())) {
-		slog.Info("instances.from_peer", "peer", address, "revision", snapshot.Revision, "count", len(snapshot.Instances),
-			"took_ms", n.clock.Since(t.startedAt).Milliseconds())
+	age := min(n.table.Age(), changes.Age)
+	if !n.table.Replace(snapshot, n.graceEnd(n.clock.Now())) {
+		return nil
 	}
+	slog.Info("instances.from_peer", "peer", address, "revision", snapshot.Revision, "count", len(snapshot.Instances),
+		"took_ms", n.clock.Since(t.startedAt).Milliseconds())
+	n.table.SetAge(age)
+	n.applyListChanges(changes)
 	return nil
 }
 
@@ -115,17 +133,11 @@
 	return n.peers.ListPart(call, address, r)
 }
 
-// fetchListChanges applies the changes of the list that a peer has, and reports whether the
-// list is then up to date.
-func (n *Node) fetchListChanges(ctx context.Context, address string) bool {
+// fetchListChanges fetches the changes of the list since this daemon's revision.
+func (n *Node) fetchListChanges(ctx context.Context, address string) (peer.ListChanges, error) {
 	call, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	changes, err := n.peers.ListChanges(call, address, peer.ListChangesRequest{Since: n.table.Revision()})
-	if err != nil {
-		slog.Debug("instances.changes_not_fetched", "peer", address, "error", err)
-		return false
-	}
-	return n.applyListChanges(changes)
+	return n.peers.ListChanges(call, address, peer.ListChangesRequest{Since: n.table.Revision()})
 }
 
 // applyListChanges applies changes from a peer whose list is newer than that of this daemon.
@@ -145,7 +157,7 @@
 
 // OnListPart implements peer.RoutesHandler.
 func (n *Node) OnListPart(r peer.ListPartRequest) peer.ListPart {
-	reply := peer.ListPart{Loaded: n.table.Loaded(), Total: n.table.Len()}
+	reply := peer.ListPart{Total: n.table.Len()}
 	if r.Parts <= 0 {
 		return reply
 	}
@@ -158,7 +170,7 @@
 // OnListChanges implements peer.RoutesHandler.
 func (n *Node) OnListChanges(r peer.ListChangesRequest) peer.ListChanges {
 	changes, revision, ok := n.table.ChangesSince(r.Since)
-	return peer.ListChanges{Known: ok, Changes: changes, Revision: revision, Age: n.table.Age(), Doubted: n.graceLeft()}
+	return peer.ListChanges{Loaded: n.table.Loaded(), Known: ok, Changes: changes, Revision: revision, Age: n.table.Age(), Doubted: n.graceLeft()}
 }
 
 // catchUpSources returns the daemons to ask for updates that this daemon has missed: those from
@@ -189,7 +201,7 @@
 // catchUpList brings a late list up to date from peers. It reports whether it succeeded.
 func (n *Node) catchUpList(ctx context.Context) bool {
 	for _, d := range n.catchUpSources() {
-		if n.fetchListChanges(ctx, d.PeerAddress) {
+		if n.fetchList(ctx, d.PeerAddress) {
 			return true
 		}
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -35,7 +35,7 @@
 	ringTargets   = 2
 	randomTargets = 4
 	// maxUpdatesPerHeartbeat limits the membership updates in one heartbeat.
-	maxUpdatesPerHeartbeat = 16
+	maxUpdatesPerHeartbeat = 64
 	// retransmitFactor is two thirds of the value that reaches all daemons with high
 	// probability. A daemon that missed an update notices it by the digest in its peers'
 	// heartbeats. With a lower factor, daemons that start together know too few of each other
@@ -123,6 +123,10 @@
 	relayQueue  chan peer.StoreUpdate
 	readerCache readerCache
 
+	// membersFetchedAt is when this daemon last fetched all daemons from a peer, in Unix
+	// nanoseconds.
+	membersFetchedAt atomic.Int64
+
 	missedMu         sync.Mutex
 	missedHeartbeats map[string]int
 }
@@ -146,7 +150,7 @@
 	n.rollouts = shift.NewTracker(clock, settings.Seconds(s.SessionS), shift.ExposureLimit(s.ExposureShare), n.table.InFlight)
 	n.seeds.Store(&s.Seeds)
 	if len(s.Seeds) == 0 {
-		n.startup.noteHeartbeats()
+		n.startup.skipContact()
 	}
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -82,7 +82,7 @@
 	clock := clockwork.NewFakeClock()
 	n := newFleetNode(t, clock)
 	n.setKnownState()
-	mine := n.heartbeat()
+	mine := n.heartbeat(member.Daemon{})
 	theirs := mine
 	theirs.Digest++
 	theirs.List++
@@ -107,7 +107,7 @@
 	require.False(t, request.Members || request.Instances)
 
 	started := newFleetNode(t, clock)
-	request, _ = started.missingFrom(mine, started.heartbeat())
+	request, _ = started.missingFrom(mine, started.heartbeat(member.Daemon{}))
 	require.True(t, request.Instances, "a daemon that has just started has no list")
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -26,7 +26,7 @@
 // watchOperator keeps the operator's rows up to date.
 func (n *Node) watchOperator(ctx context.Context) {
 	var wait backoff
-	n.startup.awaitHeartbeats(ctx)
+	n.startup.awaitContact(ctx, n.peers.HasConnections)
 	for ctx.Err() == nil {
 		if !n.mustReadOperator() || n.freshness.view().confirmedAt.IsZero() && n.mustAwaitPeers() {
 			n.sleep(ctx, checkInterval)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +31,9 @@
 	// announceRetry is the interval between attempts to write this daemon's row or to load the
 	// quarantine.
 	announceRetry = 2 * time.Second
+	// contactInterval is the time between heartbeats to addresses at which no daemon is known, as
+	// long as none has answered.
+	contactInterval = 150 * time.Millisecond
 	// noPeersTime is the time from the start to the first search for peers in the store, and
 	// between two searches. A daemon searches only while it knows no peers.
 	noPeersTime = 1500 * time.Millisecond
@@ -38,7 +42,7 @@
 	// large fleet, whose daemons have more changes to spread, it is batchDelayPerDaemon for each
 	// daemon.
 	heartbeatBatchDelay = 30 * time.Millisecond
-	batchDelayPerDaemon = 100 * time.Microsecond
+	batchDelayPerDaemon = 200 * time.Microsecond
 )
 
 // daemonRow is the row through which daemons that start later find this one.
@@ -125,7 +129,10 @@
 func (n *Node) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.heartbeatRound(ctx)
-		n.startup.noteHeartbeats()
+		if n.startup.isContacting() {
+			n.sleep(ctx, contactInterval)
+			continue
+		}
 		select {
 		case <-n.heartbeatNow:
 			n.sleep(ctx, max(heartbeatBatchDelay, time.Duration(n.registry.LiveCount())*batchDelayPerDaemon))
@@ -137,15 +144,68 @@
 
 func (n *Node) heartbeatRound(ctx context.Context) {
 	var round sync.WaitGroup
-	for _, d := range n.registry.HeartbeatTargets() {
-		round.Go(func() { n.sendHeartbeat(ctx, d.PeerAddress, d.Incarnation) })
-	}
-	for _, address := range n.findPeers(ctx) {
-		round.Go(func() { n.sendHeartbeat(ctx, address, "") })
+	for _, d := range n.heartbeatTargets() {
+		round.Go(func() { _ = n.sendHeartbeat(ctx, d) })
 	}
+	round.Go(func() { n.contactPeers(ctx, n.findPeers(ctx)) })
 	round.Wait()
 }
 
+// heartbeatTargets returns the daemons that get a heartbeat in this round. In a fleet that is
+// split into groups, readers also send one to the first reader of each other group, through which
+// membership changes reach it.
+func (n *Node) heartbeatTargets() []member.Daemon {
+	targets := n.registry.HeartbeatTargets()
+	if !n.isSplit() || !n.isReader() {
+		return targets
+	}
+	for _, domain := range n.otherDomains() {
+		for _, d := range n.readers(1, domain) {
+			if !slices.ContainsFunc(targets, func(t member.Daemon) bool { return t.Incarnation == d.Incarnation }) {
+				targets = append(targets, d)
+			}
+		}
+	}
+	return targets
+}
+
+// contactPeers sends heartbeats to addresses at which no daemon is known, in random order and
+// with contactInterval between them, until one answers. When a large fleet starts, its daemons
+// thus share the load between the seeds.
+func (n *Node) contactPeers(ctx context.Context, addresses []string) {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	results := make(chan error, len(addresses))
+	var all sync.WaitGroup
+	defer all.Wait()
+	for _, address := range addresses {
+		all.Go(func() {
+			err := n.sendHeartbeat(ctx, member.Daemon{PeerAddress: address})
+			n.startup.noteContact(err)
+			results <- err
+		})
+		select {
+		case err := <-results:
+			if err == nil {
+				return
+			}
+		case <-n.clock.After(contactInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// carriesNews reports whether heartbeats exchanged with a daemon contain membership changes. In
+// a fleet that is split into groups, only those inside a group and those of readers do: if each
+// daemon exchanged them with daemons of other failure domains, every change would cross domains
+// hundreds of times.
+func (n *Node) carriesNews(d member.Daemon) bool {
+	if !n.isSplit() || d.Incarnation == "" || d.FailureDomain == n.settings.FailureDomain || n.isReader() {
+		return true
+	}
+	return slices.ContainsFunc(n.readers(readersPerGroup, d.FailureDomain), func(r member.Daemon) bool { return r.Incarnation == d.Incarnation })
+}
+
 // callEach calls f for all daemons in parallel with a common timeout and waits for all calls.
 func (n *Node) callEach(ctx context.Context, timeout time.Duration, daemons []member.Daemon, f func(ctx context.Context, address string)) {
 	call, cancel := context.WithTimeout(ctx, timeout)
@@ -157,13 +217,17 @@
 	all.Wait()
 }
 
-// heartbeat returns a heartbeat with the current state of this daemon.
-func (n *Node) heartbeat() peer.RoutesHeartbeat {
+// heartbeat returns a heartbeat with the current state of this daemon for another daemon, which
+// may be known by its address only.
+func (n *Node) heartbeat(to member.Daemon) peer.RoutesHeartbeat {
 	h := peer.RoutesHeartbeat{
-		From: n.registry.Self(), News: n.registry.NextUpdates(), Digest: n.registry.Digest(),
+		From: n.registry.Self(), Digest: n.registry.Digest(),
 		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Checksum(), Left: n.table.RecentlyLeaving(),
 		Evacuated: n.evacuations.Checksum(), Limits: n.table.RecentLimits(), Live: n.registry.LiveCount(),
 	}
+	if n.carriesNews(to) {
+		h.News = n.registry.NextUpdates()
+	}
 	_, h.Limited = n.table.LimitsInForce()
 	_, states := n.rollouts.Orders()
 	for _, s := range states {
@@ -175,29 +239,28 @@
 	return h
 }
 
-// sendHeartbeat sends a heartbeat to the daemon at address and applies the reply. Another
-// incarnation in the reply counts as a miss, because that of the given daemon has then ended.
-// incarnation is empty for an address at which no daemon is known.
-func (n *Node) sendHeartbeat(ctx context.Context, address, incarnation string) {
+// sendHeartbeat sends a heartbeat to a daemon and applies the reply. Another incarnation in the
+// reply counts as a miss, because that of the given daemon has then ended. The incarnation is
+// empty for an address at which no daemon is known.
+func (n *Node) sendHeartbeat(ctx context.Context, to member.Daemon) error {
 	call, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	mine := n.heartbeat()
-	reply, err := n.peers.RoutesHeartbeat(call, address, mine)
-	if err != nil || (incarnation != "" && reply.From.Incarnation != incarnation) {
-		if incarnation != "" && ctx.Err() == nil {
-			n.recordMiss(incarnation, err)
-		}
+	mine := n.heartbeat(to)
+	reply, err := n.peers.RoutesHeartbeat(call, to.PeerAddress, mine)
+	if to.Incarnation != "" && (err != nil || reply.From.Incarnation != to.Incarnation) && ctx.Err() == nil {
+		n.recordMiss(to.Incarnation, err)
 	}
 	if err != nil {
-		return
+		return err
 	}
 	n.applyHeartbeat(reply)
 	if request, lacking := n.missingFrom(reply, mine); lacking {
-		n.syncFromPeer(ctx, address, request)
+		n.syncFromPeer(ctx, to.PeerAddress, request)
 		if request.Instances {
-			n.fetchList(ctx, address)
+			n.fetchList(ctx, to.PeerAddress)
 		}
 	}
+	return nil
 }
 
 // applyHeartbeat applies a heartbeat or a reply to one.
@@ -251,7 +314,7 @@
 		Instances: h.List > mine.List && n.useListFromPeers(),
 		Operator:  n.lacksOperatorRows() && h.Config > 0,
 		Shifts:    h.Shifts > mine.Shifts,
-		Members:   h.Digest != n.registry.Digest() && n.membersSettled(),
+		Members:   h.Digest != n.registry.Digest() && n.membersDue(h),
 		// The checksum 0 means that the peer has no quarantined requests or does not know the
 		// evacuations, so there is nothing to fetch.
 		Quarantine:  h.Quarantine != 0 && h.Quarantine != mine.Quarantine,
@@ -267,15 +330,34 @@
 	return !n.table.Loaded() || n.storeHealth.silentFor(n.clock.Now(), storeSilence) && n.table.Age() > n.listInterval()
 }
 
-// membershipSettleTime is how long the known daemons must not have changed before a daemon
-// that differs from a peer requests all of the peer's daemons. Most differences are updates in
-// transit, which arrive within two rounds of heartbeats.
-const membershipSettleTime = 2 * heartbeatInterval
+const (
+	// membershipSettleTime is how long the known daemons must not have changed before a daemon
+	// that differs from a peer requests all of the peer's daemons. Most differences are updates
+	// in transit, which arrive within two rounds of heartbeats.
+	membershipSettleTime = 2 * heartbeatInterval
+	// membersFetchInterval is the minimum interval at which a daemon that knows only a part of a
+	// large fleet requests all daemons from peers that know many more.
+	membersFetchInterval = heartbeatInterval
+)
 
-// membersSettled reports whether the known daemons have not changed for membershipSettleTime,
-// or this daemon knows at most one other.
-func (n *Node) membersSettled() bool {
-	return n.registry.Count() <= 2 || n.clock.Since(n.registry.ChangedAt()) > membershipSettleTime
+// membersDue reports whether this daemon requests all daemons from a peer with another table:
+// if it knows only the peer, if its table has settled, or if the peer knows many more.
+//
+// A daemon that joins a large fleet would need hundreds of heartbeats to learn of all others. It
+// asks daemons of its own failure domain, and not the seeds, which all that start ask at first.
+func (n *Node) membersDue(h peer.RoutesHeartbeat) bool {
+	known := n.registry.Count()
+	switch {
+	case !n.carriesNews(h.From):
+		return false
+	case h.Live <= maxFleetGroup && known <= 2:
+		return true
+	case h.Live > known+2*maxUpdatesPerHeartbeat:
+		due := n.clock.Now().UnixNano()-n.membersFetchedAt.Load() > int64(membersFetchInterval)
+		return due && h.From.FailureDomain == n.settings.FailureDomain && !slices.Contains(*n.seeds.Load(), h.From.PeerAddress)
+	default:
+		return n.clock.Since(n.registry.ChangedAt()) > membershipSettleTime
+	}
 }
 
 // syncFromPeer requests the state that a peer has and this daemon lacks, and applies it.
@@ -287,7 +369,10 @@
 		slog.Debug("peer.sync_failed", "peer", address, "error", err)
 		return
 	}
-	n.registry.Merge(reply.Members)
+	if len(reply.Members) > 0 {
+		n.membersFetchedAt.Store(n.clock.Now().UnixNano())
+		n.registry.MergeTable(reply.Members)
+	}
 	if reply.EvacuationsKnown {
 		n.mergeEvacuations(reply.Evacuations, address)
 	}
@@ -358,7 +443,7 @@
 // OnHeartbeat implements peer.RoutesHandler.
 func (n *Node) OnHeartbeat(h peer.RoutesHeartbeat) peer.RoutesHeartbeat {
 	n.applyHeartbeat(h)
-	return n.heartbeat()
+	return n.heartbeat(h.From)
 }
 
 // OnSync implements peer.RoutesHandler.
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -86,7 +86,7 @@
 func (n *Node) isReader() bool { return n.isReaderOf(n.readerGroup()) }
 
 // isStoreReader reports whether this daemon reads the store for the whole fleet.
-func (n *Node) isStoreReader() bool { return n.isReaderOf(wholeFleet) }
+func (n *Node) isStoreReader() bool { return n.mayBeElected() && n.isReaderOf(wholeFleet) }
 
 func (n *Node) isReaderOf(group string) bool {
 	own := n.registry.Self().Incarnation
@@ -94,13 +94,12 @@
 		func(d member.Daemon) bool { return d.Incarnation == own })
 }
 
-// readerCache contains the readers of groups as of an epoch of the registry.
+// readerCache contains the readers of groups.
 //
 // Lock order: no other lock is taken while mu is held.
 type readerCache struct {
-	mu       sync.Mutex
-	epoch    uint64
-	byGroups map[readerKey][]member.Daemon
+	mu      sync.Mutex
+	readers map[readerKey]cachedReaders
 }
 
 type readerKey struct {
@@ -108,33 +107,45 @@
 	count int
 }
 
-// get returns the cached readers as of an epoch.
-func (c *readerCache) get(epoch uint64, key readerKey) ([]member.Daemon, bool) {
+// cachedReaders are the readers of a group as of an epoch of the registry, ranked at rankedAt.
+type cachedReaders struct {
+	readers  []member.Daemon
+	epoch    uint64
+	rankedAt time.Time
+}
+
+func (c *readerCache) get(key readerKey) (cachedReaders, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	readers, ok := c.byGroups[key]
-	return readers, ok && c.epoch == epoch
+	cached, ok := c.readers[key]
+	return cached, ok
 }
 
-func (c *readerCache) put(epoch uint64, key readerKey, readers []member.Daemon) {
+func (c *readerCache) put(key readerKey, cached cachedReaders) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.epoch != epoch || c.byGroups == nil {
-		c.epoch, c.byGroups = epoch, map[readerKey][]member.Daemon{}
+	if c.readers == nil {
+		c.readers = map[readerKey]cachedReaders{}
 	}
-	c.byGroups[key] = readers
+	c.readers[key] = cached
 }
 
-// readers returns the first count readers of a group. They are computed again only after a
-// change of the registry.
+// rerankInterval is the minimum interval between two rankings of the readers of a group in a
+// fleet that is split into groups. While such a fleet starts, its registry changes with each
+// heartbeat.
+const rerankInterval = 100 * time.Millisecond
+
+// readers returns the first count readers of a group. They are ranked again only after a change
+// of the registry.
 func (n *Node) readers(count int, group string) []member.Daemon {
-	epoch, key := n.registry.Epoch(), readerKey{group: group, count: count}
-	readers, ok := n.readerCache.get(epoch, key)
-	if !ok {
-		readers = n.rankReaders(count, inGroup(group))
-		n.readerCache.put(epoch, key, readers)
+	now, epoch, key := n.clock.Now(), n.registry.Epoch(), readerKey{group: group, count: count}
+	cached, ok := n.readerCache.get(key)
+	recent := n.registry.LiveCount() > maxFleetGroup && now.Sub(cached.rankedAt) < rerankInterval
+	if !ok || cached.epoch != epoch && !recent {
+		cached = cachedReaders{readers: n.rankReaders(count, inGroup(group)), epoch: epoch, rankedAt: now}
+		n.readerCache.put(key, cached)
 	}
-	return slices.Clone(readers)
+	return slices.Clone(cached.readers)
 }
 
 // rankReaders returns the first count readers of a group: daemons with fast links, and others
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -205,7 +205,7 @@
 // some seconds.
 func TestStartingDaemonsOfALargeFleetAwaitPeers(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	alone := newTestNode(clock, nil)
+	alone := newTestNode(clock, func(r *settings.Routes) { r.Seeds = []string{"127.0.0.1:1"} })
 	require.False(t, alone.mustAwaitPeers())
 	alone.startup.noteFleet(maxFleetGroup + 1)
 	require.True(t, alone.mustAwaitPeers(), "it takes itself for a reader, since it knows no others")
--- a/internal/entry/spread_test.go
+++ b/internal/entry/spread_test.go
@@ -49,7 +49,7 @@
 }
 
 func (f *testFleet) sendHeartbeat(from, to *Node) {
-	mine := from.heartbeat()
+	mine := from.heartbeat(to.registry.Self())
 	reply := to.OnHeartbeat(mine)
 	from.applyHeartbeat(reply)
 	ask, lacking := from.missingFrom(reply, mine)
@@ -60,7 +60,7 @@
 		f.memberLists++
 	}
 	b := to.OnSync(peer.SyncRequest{Config: ask.Config, Members: ask.Members, Instances: ask.Instances, List: ask.List})
-	from.registry.Merge(b.Members)
+	from.registry.MergeTable(b.Members)
 }
 
 // runUntil runs rounds until done is true for all daemons and returns the number of rounds.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -146,12 +146,27 @@
 // Merge merges received updates into the table. A suspicion of this daemon itself is refuted;
 // without that, other daemons would exclude it permanently after a pause of the process or a
 // network partition.
-func (r *Registry) Merge(updates []Daemon) {
+func (r *Registry) Merge(updates []Daemon) { r.mergeAll(updates, 0) }
+
+// MergeTable merges the whole table of a peer. Unlike those of Merge, its entries are not sent
+// on: the peer, or the daemon that it has them from, does so.
+func (r *Registry) MergeTable(all []Daemon) { r.mergeAll(all, maxTransmissions) }
+
+// maxTransmissions is more than any entry is transmitted.
+const maxTransmissions = 1 << 16
+
+// mergeAll merges entries that have been transmitted the given number of times.
+func (r *Registry) mergeAll(entries []Daemon, transmissions int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := false
-	for _, d := range updates {
-		changed = r.merge(d) || changed
+	for _, d := range entries {
+		if r.merge(d) {
+			changed = true
+			if d.Incarnation != r.self.Incarnation {
+				r.records[d.Incarnation].transmissions = transmissions
+			}
+		}
 	}
 	if changed {
 		r.noteChange()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,6 +27,10 @@
 // CallTimeout bounds calls whose context has no deadline, and the write of one frame.
 const CallTimeout = time.Second
 
+// ErrNoReply is the cause of a call that a peer accepted but did not answer in time: it is busy,
+// frozen, or cut off after the connection was established.
+var ErrNoReply = errors.New("no reply in time")
+
 // Client calls other daemons. It keeps one connection per address.
 //
 // Lock order: no other lock of this package is taken while mu is held. mu is held while a
@@ -68,6 +72,13 @@
 	}
 }
 
+// HasConnections reports whether there are connections to peers.
+func (c *Client) HasConnections() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns) > 0
+}
+
 // CloseIdle closes the connections that have not been used for the given time.
 func (c *Client) CloseIdle(unused time.Duration) {
 	now := time.Now()
@@ -171,7 +182,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.closeConn(address, conn)
 		}
-		return trace.ConnectionProblem(ctx.Err(), "peer %v: no reply to the call %v", address, method)
+		return trace.ConnectionProblem(errors.Join(ErrNoReply, ctx.Err()), "peer %v: no reply to the call %v", address, method)
 	}
 	if call.Error == nil {
 		return nil
--- a/internal/peer/list.go
+++ b/internal/peer/list.go
@@ -17,9 +17,8 @@
 
 // ListPart is one part of the list of upstream instances.
 type ListPart struct {
-	// Loaded is set if the sender has a list, which has Total instances.
-	Loaded bool
-	Total  int
+	// Total is the number of instances in all parts.
+	Total int
 	// Instances are the instances of the part at Revision, encoded by PackInstances.
 	Instances PackedInstances
 	Revision  int64
@@ -33,7 +32,9 @@
 
 // ListChanges are the changes of the list of upstream instances up to a revision.
 type ListChanges struct {
-	// Known is set if the sender has all changes since the requested revision.
+	// Loaded is set if the sender has a list, and Known if it has all changes since the requested
+	// revision.
+	Loaded  bool
 	Known   bool
 	Changes []inventory.Change
 	// Revision is the sender's revision of the list, which it knew to be the newest Age ago.
