entry: quiet heartbeats to one neighbour, store readers catch up, less garbage kept

Cause: each heartbeat round went to four neighbours though nothing had changed; a store reader whom the store turns away had no way to the list but its own reads; the heap of a daemon before 10,000 instances grew to twice what it holds. Change: a round that is due by time alone goes to the ring targets and one neighbour in turn; rounds with changes go to all. A store reader that the store does not answer takes updates from peers. The garbage collector lets the heap grow by half. Tests of the spread of membership in a fleet that starts.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -32,7 +32,7 @@
 			n.sleep(ctx, checkInterval)
 			continue
 		}
-		if n.isSplit() && !n.isStoreReader() && n.table.Loaded() && n.catchUpList(ctx) {
+		if n.catchesUp() && n.table.Loaded() && n.catchUpList(ctx) {
 			continue
 		}
 		whole = whole || n.staleWindow.takeListDue(n.clock.Now())
--- a/internal/entry/list_sync.go
+++ b/internal/entry/list_sync.go
@@ -198,6 +198,12 @@
 	return out
 }
 
+// catchesUp reports whether this daemon takes late updates from peers before it reads the store:
+// if others read the store for it, or if the store does not answer it.
+func (n *Node) catchesUp() bool {
+	return n.isSplit() && (!n.isStoreReader() || n.storeHealth.isLost())
+}
+
 // catchUpList brings a late list up to date from peers. It reports whether it succeeded.
 func (n *Node) catchUpList(ctx context.Context) bool {
 	for _, d := range n.catchUpSources() {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -54,6 +54,9 @@
 	// memoryLimitFraction is the fraction of the memory that is set as the soft limit of the
 	// Go runtime, above which garbage is collected more often.
 	memoryLimitFraction = 0.7
+	// gcPercent is the garbage that the heap may hold, in percent of what is in use. Most of the
+	// heap is the list of instances, and requests allocate little beside it.
+	gcPercent = 50
 )
 
 // Process is a running daemon with its listeners.
@@ -77,6 +80,7 @@
 func (p *Process) start(context.Context) error {
 	s := p.settings
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB<<20)))
+	debug.SetGCPercent(gcPercent)
 	var err error
 	if p.peers, err = peer.ListenRoutes(s.PeerListen, p.node); err != nil {
 		return trace.Wrap(err)
@@ -229,7 +233,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
-	n.heartbeatRound(ctx)
+	n.heartbeatRound(ctx, n.heartbeatTargets())
 	n.requestHeartbeat()
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -32,7 +32,7 @@
 			n.sleep(ctx, checkInterval)
 			continue
 		}
-		if n.isSplit() && !n.isStoreReader() && n.catchUpOperator(ctx) {
+		if n.catchesUp() && n.catchUpOperator(ctx) {
 			continue
 		}
 		err := n.readOperator(ctx)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -127,8 +127,9 @@
 
 // heartbeatLoop sends heartbeats at the regular interval and when there are changes to spread.
 func (n *Node) heartbeatLoop(ctx context.Context) {
+	targets := n.heartbeatTargets
 	for ctx.Err() == nil {
-		n.heartbeatRound(ctx)
+		n.heartbeatRound(ctx, targets())
 		if n.startup.isContacting() {
 			n.sleep(ctx, contactInterval)
 			continue
@@ -136,24 +137,27 @@
 		select {
 		case <-n.heartbeatNow:
 			n.sleep(ctx, max(heartbeatBatchDelay, time.Duration(n.registry.LiveCount())*batchDelayPerDaemon))
+			targets = n.heartbeatTargets
 		case <-n.clock.After(heartbeatInterval):
+			targets = n.registry.QuietTargets
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (n *Node) heartbeatRound(ctx context.Context) {
+// heartbeatRound sends heartbeats to the targets and to addresses at which no daemon is known.
+func (n *Node) heartbeatRound(ctx context.Context, targets []member.Daemon) {
 	var round sync.WaitGroup
-	for _, d := range n.heartbeatTargets() {
+	for _, d := range targets {
 		round.Go(func() { _ = n.sendHeartbeat(ctx, d) })
 	}
 	round.Go(func() { n.contactPeers(ctx, n.findPeers(ctx)) })
 	round.Wait()
 }
 
-// heartbeatTargets returns the daemons that get a heartbeat in this round. In a fleet that is
-// split into groups, readers also send one to the first reader of each other group, through which
-// membership changes reach it.
+// heartbeatTargets returns the daemons that get a heartbeat when there are changes to spread. In
+// a fleet that is split into groups, readers also send one to the first reader of each other
+// group, through which membership changes reach it.
 func (n *Node) heartbeatTargets() []member.Daemon {
 	targets := n.registry.HeartbeatTargets()
 	if !n.isSplit() || !n.isReader() {
--- a/internal/entry/spread_test.go
+++ b/internal/entry/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -17,8 +18,9 @@
 	clock     *clockwork.FakeClock
 	nodes     []*Node
 	byAddress map[string]*Node
-	// memberLists counts the replies with the full list of daemons.
-	memberLists int
+	// memberLists counts the replies with the full list of daemons, updates the membership changes
+	// in heartbeats, and crossUpdates those between failure domains.
+	memberLists, updates, crossUpdates int
 }
 
 func newTestFleet(size int) *testFleet {
@@ -52,6 +54,10 @@
 	mine := from.heartbeat(to.registry.Self())
 	reply := to.OnHeartbeat(mine)
 	from.applyHeartbeat(reply)
+	f.updates += len(mine.News) + len(reply.News)
+	if from.settings.FailureDomain != to.settings.FailureDomain {
+		f.crossUpdates += len(mine.News) + len(reply.News)
+	}
 	ask, lacking := from.missingFrom(reply, mine)
 	if !lacking {
 		return
@@ -105,3 +111,59 @@
 	})
 	require.Less(t, f.memberLists-lists, size/10, "heartbeats reach nearly all daemons")
 }
+
+const (
+	// splitFleetSize is the number of daemons of a fleet that is split into splitDomains groups.
+	splitFleetSize = 300
+	// startRound is the time between two rounds of heartbeats while a fleet starts.
+	startRound = 200 * time.Millisecond
+)
+
+// newStartingFleet returns daemons of splitDomains failure domains that know only their seeds.
+func newStartingFleet() *testFleet {
+	domains := map[string]string{}
+	for i := range splitDomains {
+		domains[fmt.Sprint("domain-", i)] = "s"
+	}
+	f := &testFleet{clock: clockwork.NewFakeClock(), byAddress: map[string]*Node{}}
+	for i := range splitFleetSize {
+		address := fmt.Sprint("10.0.0.", i, ":1")
+		n := newTestNode(f.clock, func(r *settings.Routes) {
+			r.FailureDomain, r.FailureDomains = fmt.Sprint("domain-", i%splitDomains), domains
+			r.PeerListen, r.Seeds = address, []string{"10.0.0.0:1", "10.0.0.1:1"}
+		})
+		f.nodes = append(f.nodes, n)
+		f.byAddress[address] = n
+	}
+	return f
+}
+
+// startRound lets every daemon send its heartbeats, also those of a reader, and one to a seed
+// that it does not know.
+func (f *testFleet) startRound() {
+	for _, n := range f.nodes {
+		targets := n.heartbeatTargets()
+		if seeds := n.unknownAddresses(*n.seeds.Load()); len(seeds) > 0 {
+			targets = append(targets, member.Daemon{PeerAddress: seeds[0]})
+		}
+		for _, d := range targets {
+			f.sendHeartbeat(n, f.byAddress[d.PeerAddress])
+		}
+	}
+	f.clock.Advance(startRound)
+}
+
+// Guards against a fleet that needs many seconds to know itself after all of it has started at
+// once, and against membership changes that each daemon sends to daemons of all failure domains.
+// Within three seconds every daemon knows nearly all others, and only a part of the changes has
+// crossed failure domains.
+func TestLargeFleetThatStartsKnowsItselfInTime(t *testing.T) {
+	f := newStartingFleet()
+	for range int(3 * time.Second / startRound) {
+		f.startRound()
+	}
+	for _, n := range f.nodes {
+		require.Greater(t, n.registry.LiveCount(), splitFleetSize*95/100)
+	}
+	require.Less(t, f.crossUpdates, f.updates/5)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -447,15 +447,52 @@
 func (r *Registry) HeartbeatTargets() []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	targets, _ := r.targets()
+	return targets
+}
+
+// QuietTargets returns the targets of a heartbeat that is due by time alone. If there are no
+// updates to send, these are the ring targets and one neighbour in turn.
+func (r *Registry) QuietTargets() []Daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	targets, ring := r.targets()
+	if ring == len(targets) || r.hasUpdates() {
+		return targets
+	}
+	neighbours := targets[ring:]
+	return append(targets[:ring:ring], neighbours[r.round%len(neighbours)])
+}
+
+// targets returns the ring targets and the neighbours, and the number of ring targets.
+func (r *Registry) targets() (targets []Daemon, ring int) {
 	wanted := r.options.RingTargets + r.options.RandomTargets
-	targets := r.nextOnRing(r.options.RingTargets, func(d Daemon) bool { return d.FailureDomain == r.self.FailureDomain })
 	if len(r.sorted)-1 <= wanted {
-		return r.nextOnRing(wanted, func(Daemon) bool { return true })
+		targets = r.nextOnRing(wanted, func(Daemon) bool { return true })
+		return targets, len(targets)
 	}
+	targets = r.nextOnRing(r.options.RingTargets, func(d Daemon) bool { return d.FailureDomain == r.self.FailureDomain })
 	if len(targets) < r.options.RingTargets {
 		targets = r.nextOnRing(r.options.RingTargets, func(Daemon) bool { return true })
 	}
-	return r.addNeighbours(targets, wanted)
+	ring = len(targets)
+	return r.addNeighbours(targets, wanted), ring
+}
+
+// hasUpdates reports whether there are updates to send.
+func (r *Registry) hasUpdates() bool {
+	limit := r.maxRetransmits()
+	for _, rec := range r.records {
+		if rec.transmissions < limit {
+			return true
+		}
+	}
+	return false
+}
+
+// maxRetransmits returns how often each update is sent.
+func (r *Registry) maxRetransmits() int {
+	return r.options.RetransmitFactor * bits.Len(uint(len(r.records)))
 }
 
 // nextOnRing returns the next n daemons on the ring that have not left and that keep accepts.
@@ -525,7 +562,7 @@
 func (r *Registry) NextUpdates() []Daemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	limit := r.options.RetransmitFactor * bits.Len(uint(len(r.records)))
+	limit := r.maxRetransmits()
 	var pending []*record
 	for _, rec := range r.records {
 		if rec.transmissions < limit {
