upconn: a skipped answer with a long body ends the connection

Callers could get bytes that a server wrote into the body of another answer: of an answer to another request only 64 KiB of the body were skipped, and the rest was parsed as the next answer. Change: such a connection is given up. Result: TestLongBodyOfSkippedAnswerIsNotParsed, seen failing (the smuggled answer was taken).

--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -138,7 +138,8 @@
 // belong to other requests.
 const maxSkippedAnswers = 3
 
-// maxSkippedBytes bounds how much of the body of a skipped answer is read.
+// maxSkippedBytes bounds the body of an answer that is skipped. After a longer one the connection
+// is not used further, since the rest of its body could be taken for the next answer.
 const maxSkippedBytes = 64 << 10
 
 func (e *Exchange) readHead(r *Request, isAnswer func(status int, h http.Header) bool) error {
@@ -157,10 +158,10 @@
 		// A server may send an answer twice, or late on a connection that is already used for
 		// another request. The request ID in the headers shows this. The answer to this
 		// request may still follow.
-		if resp.ContentLength < 0 {
+		if resp.ContentLength < 0 || resp.ContentLength > maxSkippedBytes {
 			return errOtherAnswer
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, min(resp.ContentLength, maxSkippedBytes)); err != nil {
+		if _, err := io.CopyN(io.Discard, resp.Body, resp.ContentLength); err != nil {
 			return errOtherAnswer
 		}
 	}
--- a/internal/upconn/exchange_test.go
+++ b/internal/upconn/exchange_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -36,3 +39,24 @@
 	require.EqualValues(t, 1, arrived.Load())
 	require.EqualValues(t, 1, pool.Dials(), "the connection was kept")
 }
+
+// Guards against answer smuggling. An answer to another request is skipped, and its long body
+// contains what looks like the answer to this request. Only a part of that body was read, and the
+// rest parsed as the next answer.
+func TestLongBodyOfSkippedAnswerIsNotParsed(t *testing.T) {
+	const smuggled = "HTTP/1.1 200 OK\r\nX-For: me\r\nContent-Length: 0\r\n\r\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		body := strings.Repeat("x", maxSkippedBytes) + smuggled
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}()
+	r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+	_, err = NewPool().Do(t.Context(), listener.Addr().String(), 0, r, func(_ int, h http.Header) bool { return h.Get("X-For") == "me" })
+	require.ErrorIs(t, err, errOtherAnswer)
+}
