member: the digest contains the successor

Daemons that differed only in the successor of an incarnation never noticed, so that a key could be asked at the wrong daemon. Result: TestDigestContainsTheSuccessor, seen failing.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -250,10 +250,10 @@
 
 // hash returns the daemon's part of the digest.
 func (d Daemon) hash() uint64 {
-	return xxhash.Sum64String(d.Incarnation + d.State.String() + string(rune(d.Version)))
+	return xxhash.Sum64String(d.Incarnation + d.State.String() + d.Successor + string(rune(d.Version)))
 }
 
-// Digest returns a digest of incarnations, states and versions. Daemons with the same table
+// Digest returns a digest of incarnations, states, successors and versions. Daemons with the same table
 // have the same digest.
 func (r *Registry) Digest() uint64 {
 	r.mu.Lock()
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -275,3 +275,16 @@
 		})
 	}
 }
+
+// Guards against daemons that never exchange the successor of an incarnation that has left: a
+// table that differs only in it must have another digest.
+func TestDigestContainsTheSuccessor(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a, b := registry(1, clock), registry(1, clock)
+	left := daemon(2)
+	left.State = Left
+	a.Merge([]Daemon{left})
+	left.Successor = "d0003"
+	b.Merge([]Daemon{left})
+	require.NotEqual(t, a.Digest(), b.Digest())
+}
