peer: the server accepts connections again after an error

Any error of Accept, such as too many open files for a moment, ended the loop: the daemon was deaf to its peers until its restart. Change: only a closed listener ends it; other errors are logged and tried again after 100 ms. Result: TestServerAcceptsAfterAnError, which needs the split of listen and serve.

--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -66,3 +67,33 @@
 	err = client.SendStoreUpdate(ctx, listener.Addr().String(), StoreUpdate{Manifest: make([]byte, frameBytes)})
 	require.Error(t, err)
 }
+
+// failingListener fails the first call of Accept, as if the process had no descriptors left for a
+// moment.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, errors.New("too many open files")
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a daemon that hears nothing from its peers until it is restarted, because it
+// could not accept one connection.
+func TestServerAcceptsAfterAnError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server, err := serve(&failingListener{Listener: listener}, routesName, &routesService{handler: echoHandler{}})
+	require.NoError(t, err)
+	defer server.Close()
+	client := NewClient(nil)
+	defer client.Close()
+	_, err = client.RoutesHeartbeat(t.Context(), server.Address(), RoutesHeartbeat{Digest: 7})
+	require.NoError(t, err)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"crypto/tls"
+	"errors"
+	"log/slog"
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -50,6 +53,11 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
+	return serve(listener, name, receiver)
+}
+
+// serve serves a net/rpc service on the connections of a listener.
+func serve(listener net.Listener, name string, receiver any) (*Server, error) {
 	s := &Server{listener: listener, rpc: rpc.NewServer(), traffic: NewTraffic(), conns: map[net.Conn]bool{}}
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return nil, trace.Wrap(err)
@@ -64,11 +72,19 @@
 // Traffic returns the counters of the calls that this server receives.
 func (s *Server) Traffic() *Traffic { return s.traffic }
 
+// acceptRetryDelay is the pause after an error of Accept, such as too many open files.
+const acceptRetryDelay = 100 * time.Millisecond
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			slog.Error("peer.not_accepted", "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		s.mu.Lock()
 		if s.closed {
