--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -82,6 +82,7 @@
 		"unknown kind":           {good, map[string]string{caller.HeaderKind: "poem"}, fault.UnknownWorkKind, 400, caller.HeaderKind},
 		"bad token":              {good, map[string]string{caller.HeaderSession: "e30.e30.x"}, fault.BadSession, 400, caller.HeaderSession},
 		"deadline past":          {good, map[string]string{caller.HeaderDeadline: "0"}, fault.DeadlinePast, 400, caller.HeaderDeadline},
+		"deadline out of range":  {good, map[string]string{caller.HeaderDeadline: "99999999999999999999"}, fault.BadRequest, 400, caller.HeaderDeadline},
 		"deadline not a number":  {good, map[string]string{caller.HeaderDeadline: "soon"}, fault.BadRequest, 400, caller.HeaderDeadline},
 		"key needed":             {good, map[string]string{caller.HeaderKind: "clearance"}, fault.KeyRequired, 400, caller.HeaderIdempotencyKey},
 		"long key":               {good, map[string]string{caller.HeaderIdempotencyKey: strings.Repeat("k", 300)}, fault.BadRequest, 400, caller.HeaderIdempotencyKey},
--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -238,8 +238,8 @@
 	if ms <= 0 {
 		return time.Time{}, fault.New(fault.DeadlinePast, "%s: the deadline is past", HeaderDeadline)
 	}
-	const maxTimeout = 24 * time.Hour
-	return s.Clock.Now().Add(min(time.Duration(ms)*time.Millisecond, maxTimeout)), nil
+	const maxTimeoutMS = int64(24 * time.Hour / time.Millisecond)
+	return s.Clock.Now().Add(time.Duration(min(ms, maxTimeoutMS)) * time.Millisecond), nil
 }
 
 // selectModel sets the model and the version of req from selector. It returns an
