--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -70,6 +70,10 @@
 	configMu sync.Mutex
 	current  atomic.Pointer[catalog.Catalog]
 	manifest []byte
+	// decodeMu is held while a configuration from a peer is decoded and put in force. It is taken
+	// before configMu.
+	decodeMu    sync.Mutex
+	newerConfig newerConfig
 
 	// seeds are the peer addresses from the settings, which can change at run time.
 	seeds atomic.Pointer[[]string]
@@ -122,6 +126,9 @@
 	// groups.
 	relayQueue  chan peer.StoreUpdate
 	readerCache readerCache
+	// relayedConfig is the highest revision of the operator's rows that this daemon has relayed
+	// together with a configuration.
+	relayedConfig atomic.Int64
 
 	// membersFetchedAt is when this daemon last fetched all daemons from a peer, in Unix
 	// nanoseconds.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -313,6 +314,7 @@
 // missingFrom compares a peer's heartbeat h with this daemon's heartbeat mine and returns a
 // request for the state that only the peer has. lacking is false if there is none.
 func (n *Node) missingFrom(h, mine peer.RoutesHeartbeat) (request peer.SyncRequest, lacking bool) {
+	takeConfig := h.Config > mine.Config && n.takesConfigFrom(h)
 	request = peer.SyncRequest{
 		Config: mine.Config, List: mine.List,
 		Instances: h.List > mine.List && n.useListFromPeers(),
@@ -325,7 +327,42 @@
 		Evacuations: h.Evacuated != 0 && h.Evacuated != mine.Evacuated,
 		Limits:      h.Limited != mine.Limited,
 	}
-	return request, h.Config > mine.Config || request.Instances || request.Operator || request.Shifts || request.Members || request.Quarantine || request.Evacuations || request.Limits
+	return request, takeConfig || request.Instances || request.Operator || request.Shifts || request.Members || request.Quarantine || request.Evacuations || request.Limits
+}
+
+// takesConfigFrom reports whether this daemon fetches a newer configuration from a peer.
+//
+// In a fleet that is split into groups, relays send a new configuration to all. A daemon fetches
+// it only if it has not arrived for lateUpdateMargin, and from its own group: otherwise each
+// configuration would be sent several times to each daemon, and across failure domains.
+func (n *Node) takesConfigFrom(h peer.RoutesHeartbeat) bool {
+	if !n.isSplit() || n.configVersion() == 0 {
+		return true
+	}
+	now := n.clock.Now()
+	if n.newerConfig.note(h.Config, now) < lateUpdateMargin {
+		return false
+	}
+	return n.isReader() || h.From.FailureDomain == n.settings.FailureDomain
+}
+
+// newerConfig is a configuration that peers have and this daemon lacks.
+//
+// Lock order: no other lock is taken while mu is held.
+type newerConfig struct {
+	mu      sync.Mutex
+	version int64
+	since   time.Time
+}
+
+// note records that a peer has a version, and returns for how long this has been known.
+func (c *newerConfig) note(version int64, now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version > c.version {
+		c.version, c.since = version, now
+	}
+	return now.Sub(c.since)
 }
 
 // useListFromPeers reports whether this daemon uses instance lists of peers: it has none, or
@@ -398,6 +435,13 @@
 	if len(manifest) == 0 {
 		return
 	}
+	// A configuration arrives from several peers at about the same time and takes a small daemon
+	// some 10 ms to decode.
+	n.decodeMu.Lock()
+	defer n.decodeMu.Unlock()
+	if n.hasManifest(manifest) {
+		return
+	}
 	c, err := platform.DecodeManifest(manifest)
 	if err != nil {
 		slog.Error("config.unreadable", "source", source, "error", err)
@@ -407,6 +451,13 @@
 	n.publishCallerURL()
 }
 
+// hasManifest reports whether the encoded configuration is the one in force.
+func (n *Node) hasManifest(manifest []byte) bool {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	return bytes.Equal(n.manifest, manifest)
+}
+
 func (n *Node) applyRolloutState(s shift.State, source string) {
 	if now, ok := n.store.Clock(); ok && s.OrderedMS > 0 {
 		age := time.Duration(now-s.OrderedMS) * time.Millisecond
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -309,9 +309,13 @@
 	}
 }
 
-// queueRelay queues an update for this daemon's group.
+// queueRelay queues an update for this daemon's group. A configuration that has been relayed
+// already, since both store readers send it, is left out.
 func (n *Node) queueRelay(update peer.StoreUpdate) {
 	update.Relay = false
+	if len(update.Manifest) > 0 && n.relayedConfig.Swap(max(update.OperatorChanged, n.relayedConfig.Load())) >= update.OperatorChanged {
+		update.Manifest, update.OperatorWhole = nil, false
+	}
 	select {
 	case n.relayQueue <- update:
 	default:
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -226,3 +226,35 @@
 		require.False(t, n.mustAwaitPeers())
 	}
 }
+
+// Guards against a configuration that reaches each daemon of a large fleet many times: relays send
+// it once each, and daemons fetch it from a peer only if it has not arrived in time, and then from
+// their own group.
+func TestConfigurationIsSentOnceByEachRelay(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	nodes := newSplitFleet(t, clock)
+	relay := nodes[0]
+	update := peer.StoreUpdate{Manifest: []byte("{}"), OperatorWhole: true, OperatorChanged: 9, List: noList}
+	relay.queueRelay(update)
+	relay.queueRelay(update)
+	require.NotEmpty(t, (<-relay.relayQueue).Manifest)
+	require.Empty(t, (<-relay.relayQueue).Manifest, "from the other store reader")
+
+	n := first(nodes, func(n *servedNode) bool { return !n.isReader() })
+	inDomain := func(same bool) peer.RoutesHeartbeat {
+		other := first(nodes, func(o *servedNode) bool {
+			return o != n && (o.settings.FailureDomain == n.settings.FailureDomain) == same
+		})
+		h := other.heartbeat(n.registry.Self())
+		h.Config++
+		return h
+	}
+	lacks := func(h peer.RoutesHeartbeat) bool {
+		_, lacking := n.missingFrom(h, n.heartbeat(h.From))
+		return lacking
+	}
+	require.False(t, lacks(inDomain(true)), "it is on its way")
+	clock.Advance(lateUpdateMargin)
+	require.True(t, lacks(inDomain(true)))
+	require.False(t, lacks(inDomain(false)))
+}
