--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -25,7 +25,7 @@
 type servedNode struct {
 	*Node
 	server *peer.Server
-	// unreachable makes the calls for the list fail from the given part on.
+	// failFromPart is the part of the list at which the daemon ends; 0 means none.
 	failFromPart int
 }
 
--- a/internal/entry/work_test.go
+++ b/internal/entry/work_test.go
@@ -86,3 +86,19 @@
 	require.Equal(t, 1, n.prefixes.CachedCount(i.Hash(), []inventory.Prefix{{Key: 9}}))
 	require.InDelta(t, 2000, n.table.Usable("s")[0].Waiting, 0.01)
 }
+
+// Guards against rounds that take longer than the reported work is used, because a large fleet has
+// work at thousands of instances. Only the busiest ones are sent.
+func TestWorkRoundsStayShort(t *testing.T) {
+	all := inventory.Work{}
+	for i := range 10_000 {
+		all[inventory.InstanceHash(i)] = inventory.Amount{Waiting: float64(i), Open: 1}
+	}
+	sent := all.Busiest(maxSentAmounts)
+	require.Len(t, sent, maxSentAmounts)
+	for instance := range sent {
+		require.GreaterOrEqual(t, int(instance), 10_000-maxSentAmounts)
+	}
+	const usedFor = 3 * time.Second
+	require.Less(t, workRoundInterval(len(sent)), usedFor/2)
+}
