entry: no timer is started where no peer is awaited

They stayed on the tests' clock as sleepers, and the tests took them for the reading loop, so that they advanced the clock before it slept. Change: the wait returns first.

--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -107,6 +107,9 @@
 // awaitContact waits for the first answer of a peer, for at most firstAnswerTime, or for another
 // busyPeerTime if a peer has been reached.
 func (s *startup) awaitContact(ctx context.Context, reached func() bool) {
+	if s.isContacted() {
+		return
+	}
 	if !s.await(ctx, firstAnswerTime) && reached() {
 		s.await(ctx, busyPeerTime)
 	}
