member, entry, forward: one check for membership of a list, no sample drawn twice

Change: member.Contains serves all; the second sample is drawn only if the first was restricted. Conclusion: the same choices; less work when all instances warm up or have limits.

--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -216,7 +216,7 @@
 func (d *rolloutDuties) takeOverAfter(service string) time.Duration {
 	own := d.registry.Self().Incarnation
 	next := d.registry.TopRanked("duty/shift/"+service, takeoverCandidates, func(member.Daemon) bool { return true })
-	if slices.ContainsFunc(next, func(m member.Daemon) bool { return m.Incarnation == own }) {
+	if member.Contains(next, own) {
 		return holderTimeout
 	}
 	return lastTakeoverTimeout
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -60,7 +59,7 @@
 	}
 	for _, domain := range n.otherDomains() {
 		for _, d := range n.readers(1, domain) {
-			if !slices.ContainsFunc(targets, func(t member.Daemon) bool { return t.Incarnation == d.Incarnation }) {
+			if !member.Contains(targets, d.Incarnation) {
 				targets = append(targets, d)
 			}
 		}
@@ -102,7 +101,7 @@
 	if !n.isSplit() || d.Incarnation == "" || d.FailureDomain == n.settings.FailureDomain || n.isReader() {
 		return true
 	}
-	return slices.ContainsFunc(n.readers(readersPerGroup, d.FailureDomain), func(r member.Daemon) bool { return r.Incarnation == d.Incarnation })
+	return member.Contains(n.readers(readersPerGroup, d.FailureDomain), d.Incarnation)
 }
 
 // callEach calls f for all daemons in parallel with a common timeout and waits for all calls.
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -89,9 +89,7 @@
 func (n *Node) isStoreReader() bool { return n.mayBeElected() && n.isReaderOf(wholeFleet) }
 
 func (n *Node) isReaderOf(group string) bool {
-	own := n.registry.Self().Incarnation
-	return !n.leaving.Load() && slices.ContainsFunc(n.readers(readersPerGroup, group),
-		func(d member.Daemon) bool { return d.Incarnation == own })
+	return !n.leaving.Load() && member.Contains(n.readers(readersPerGroup, group), n.registry.Self().Incarnation)
 }
 
 // listInterval returns the interval between two reads of the instance list.
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -93,8 +93,10 @@
 	if len(best) == 0 || best[0].Wait == 0 {
 		return best
 	}
-	if others := s.sample(0, place.Filter); len(others) > 0 && others[0].Wait == 0 {
-		return others
+	if first > 0 {
+		if others := s.sample(0, place.Filter); len(others) > 0 && others[0].Wait == 0 {
+			return others
+		}
 	}
 	if !s.isTooLate(best[0]) {
 		return best
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -253,8 +253,8 @@
 	return xxhash.Sum64String(d.Incarnation + d.State.String() + d.Successor + string(rune(d.Version)))
 }
 
-// Digest returns a digest of incarnations, states, successors and versions. Daemons with the same table
-// have the same digest.
+// Digest returns a digest of incarnations, states, successors and versions. Daemons with the same
+// table have the same digest.
 func (r *Registry) Digest() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -73,7 +73,7 @@
 	}
 	r.neighbours = slices.DeleteFunc(r.neighbours, func(id string) bool {
 		rec, known := r.records[id]
-		return !known || rec.daemon.State == Left || containsDaemon(targets, id)
+		return !known || rec.daemon.State == Left || Contains(targets, id)
 	})
 	for _, id := range r.neighbours {
 		targets = append(targets, r.records[id].daemon)
@@ -89,7 +89,7 @@
 	for try := 0; try < tries && len(targets) < wanted; try++ {
 		d := r.sorted[r.rng.IntN(len(r.sorted))]
 		local := len(targets)%2 == 0 && try < tries/2
-		usable := d.State != Left && d.Incarnation != r.self.Incarnation && !containsDaemon(targets, d.Incarnation)
+		usable := d.State != Left && d.Incarnation != r.self.Incarnation && !Contains(targets, d.Incarnation)
 		if usable && (!local || d.FailureDomain == r.self.FailureDomain) {
 			targets = append(targets, d)
 			r.neighbours = append(r.neighbours, d.Incarnation)
@@ -98,6 +98,7 @@
 	return targets
 }
 
-func containsDaemon(daemons []Daemon, incarnation string) bool {
+// Contains reports whether one of the daemons has the given incarnation.
+func Contains(daemons []Daemon, incarnation string) bool {
 	return slices.ContainsFunc(daemons, func(d Daemon) bool { return d.Incarnation == incarnation })
 }
