forward: count small models' answers that are kept for want of a retry

Cause: an answer with a low confidence is kept without a trace if this daemon's share of the retries is used up, so the share's cost could not be seen. Change: a counter at /debug/vars and a field of the line request.done.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -266,6 +266,9 @@
 	// would have come too late.
 	Limited int   `json:"instances_limited"`
 	NoTurn  int64 `json:"no_turn"`
+	// NoEscalation is the number of answers of a small model that were kept only because no
+	// retry was left to run the largest model.
+	NoEscalation int64 `json:"no_escalation"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
 }
@@ -282,7 +285,7 @@
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
-			Limited: limited, NoTurn: n.metrics.NoTurn.Load(),
+			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
 		}
 	})
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -118,6 +118,9 @@
 	lastEventID string
 	// noRetryReason is why no other attempt followed; empty if nothing prevented one.
 	noRetryReason string
+	// escalationRefused is set if the answer was kept only because no retry was left to run the
+	// largest model.
+	escalationRefused bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -380,6 +383,9 @@
 	if q.expectedFirstEvent > 0 {
 		attrs = append(attrs, slog.Int64("expected_ms", q.expectedFirstEvent.Milliseconds()), slog.Int64("head_ms", q.firstEvent.Milliseconds()))
 	}
+	if q.escalationRefused {
+		attrs = append(attrs, slog.String("no_escalation", "no_retry"))
+	}
 	level := slog.LevelInfo
 	if f != nil {
 		level = slog.LevelWarn
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -50,6 +50,9 @@
 	// NoTurn counts the requests that were refused because they got no turn in time at an
 	// instance that warms up or has a limit.
 	NoTurn atomic.Int64
+	// NoEscalation counts the answers of a small model that were kept only because no retry was
+	// left to run the largest model.
+	NoEscalation atomic.Int64
 
 	mu     sync.Mutex
 	routes map[string]*routeMetrics
--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -26,7 +26,15 @@
 		Objective: q.route.Objective, Timeout: q.deadline.Sub(q.startedAt),
 	}
 	escalation.FirstEvent, escalation.Wait = q.estimateFirstEvent(largest, now)
-	return escalation.Worthwhile() && q.Retries.Take(q.service.Name)
+	if !escalation.Worthwhile() {
+		return false
+	}
+	if !q.Retries.Take(q.service.Name) {
+		q.escalationRefused = true
+		q.Metrics.NoEscalation.Add(1)
+		return false
+	}
+	return true
 }
 
 // estimateFirstEvent estimates the time to the first event of another model's answer, at the
