forward: an answer is not dropped where no instance is left, and no race on the model

Cause: the decision to ask the largest model changed the request's model for the time of an estimate, while a timer of the attempt may read it; and with no instance left the estimate was infinite, whose conversion to a duration is negative, so the answer was dropped and the caller got an error. Change: the estimate works on a copy of the request, counts the instance of the last attempt, which may be used again, and says if there is none. Conclusion: a caller keeps the answer that is there.

--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -25,8 +26,9 @@
 		Total:     q.latencies.Estimate(cascade.Key{Route: q.route.Name, Model: largest}, q.expectedTokens(), now),
 		Objective: q.route.Objective, Timeout: q.deadline.Sub(q.startedAt),
 	}
-	escalation.FirstEvent, escalation.Wait = q.estimateFirstEvent(largest, now)
-	if !escalation.Worthwhile() {
+	var ok bool
+	escalation.FirstEvent, escalation.Wait, ok = q.estimateFirstEvent(largest, now)
+	if !ok || !escalation.Worthwhile() {
 		return false
 	}
 	if !q.Retries.Take(q.service.Name) {
@@ -38,18 +40,24 @@
 }
 
 // estimateFirstEvent estimates the time to the first event of another model's answer, at the
-// instance with the least work ahead of that event, and the mean time that prompts wait.
-func (q *request) estimateFirstEvent(model string, now time.Time) (head, wait time.Duration) {
-	current := q.model
-	q.model = model
-	defer func() { q.model = current }()
-	candidates := q.candidates()
+// instance with the least work ahead of that event, and the mean time that prompts wait. ok is
+// false if no instance may get the request. The instance of the last attempt counts too.
+func (q *request) estimateFirstEvent(model string, now time.Time) (head, wait time.Duration, ok bool) {
+	// A timer of the attempt may read the request at the same time, so a copy gets the model.
+	other := *q
+	other.model = model
+	other.tried = maps.Clone(q.tried)
+	delete(other.tried, q.lastInstance.ID)
+	candidates := other.candidates()
+	if len(candidates) == 0 {
+		return 0, 0, false
+	}
 	least, waiting := math.Inf(1), 0.0
 	for _, c := range candidates {
 		least = min(least, c.Waiting+c.Prefill)
 		waiting += c.Waiting / float64(len(candidates))
 	}
-	return cascade.CachedFirstEvent + q.prefillRate.Estimate(least, now), q.prefillRate.Estimate(waiting, now)
+	return cascade.CachedFirstEvent + q.prefillRate.Estimate(least, now), q.prefillRate.Estimate(waiting, now), true
 }
 
 // expectedTokens returns the expected length of the answer: the caller's estimate, or half of
