forward: the largest model first where a second run could not be paid

Cause: retries are a share of each daemon: 0.85 of (0.9 times its own requests and an n-th of the slack) in 10 s. A daemon with a request each two seconds has two or three low answers in a row every now and then, its share is used up, and its caller gets an answer that is known to be low, while the fleet uses half of its retries. Change: the first attempt goes to the largest model if the answer of the small one could not be dropped and the run is worthwhile by the mean confidence (prior 50), the wait and the expected time, by the rule that decides about second runs. Under overload the small model stays first. Ways weighed: shares rounded by chance instead of down (gives half a retry a daemon back, the rest of the fluctuation stays); shares by the fleet's use as told by peers (all daemons could overdraw at once when a service fails).

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -69,12 +69,15 @@
 type Handler struct {
 	Deps
 	latencies   *cascade.LatencyEstimator
+	confidences *cascade.ConfidenceMeans
 	prefillRate *cascade.PrefillRate
 }
 
 // New returns a handler.
 func New(d Deps) *Handler {
-	return &Handler{Deps: d, latencies: cascade.NewLatencyEstimator(), prefillRate: &cascade.PrefillRate{}}
+	return &Handler{
+		Deps: d, latencies: cascade.NewLatencyEstimator(), confidences: cascade.NewConfidenceMeans(), prefillRate: &cascade.PrefillRate{},
+	}
 }
 
 // request is the state of a caller's request.
--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -8,27 +8,44 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/cascade"
 )
 
+// firstModel returns the model of the first attempt: the smallest one, since its answer can be
+// dropped for one of the largest model. If it could not be dropped, because the route or this
+// daemon's share of the retries does not allow a second run, the largest model runs at once
+// where that is worthwhile given the mean confidence of the smallest one.
+//
+// This matters in a large fleet at normal load. A daemon that gets a request every few seconds
+// uses up its share with a few low answers in a row, while most of the fleet's retries are left.
+func (q *request) firstModel() string {
+	smallest, largest := q.route.Models[0], q.largestModel()
+	if smallest == largest || q.lastEventID != "" || q.mayEscalateLater() {
+		return smallest
+	}
+	confidence := q.confidences.Mean(cascade.Key{Route: q.route.Name, Model: smallest})
+	if e, ok := q.escalation(confidence, time.Now()); ok && e.Worthwhile() {
+		return largest
+	}
+	return smallest
+}
+
+// mayEscalateLater reports whether the answer of the first attempt may be dropped.
+func (q *request) mayEscalateLater() bool {
+	return q.route.Idempotent() && q.route.MaxAttempts > 1 && q.Retries.MayTake(q.service.Name)
+}
+
+func (q *request) largestModel() string { return q.route.Models[len(q.route.Models)-1] }
+
 // shouldEscalate reports whether an attempt's answer is dropped and the request run again on
 // the largest model. The caller must not have received any of the answer. The second run
 // counts against the retry budget and the route's MaxAttempts.
 func (q *request) shouldEscalate(a *attempt) bool {
-	models := q.route.Models
-	if q.model == "" || q.headSent || !a.answerHeaders.HasConfidence || !q.route.Idempotent() {
+	if q.model == "" || q.headSent || !a.answerHeaders.HasConfidence {
 		return false
 	}
-	largest := models[len(models)-1]
-	if q.model == largest || q.runs >= q.route.MaxAttempts {
+	q.confidences.Observe(cascade.Key{Route: q.route.Name, Model: q.model}, a.answerHeaders.Confidence)
+	if !q.route.Idempotent() || q.model == q.largestModel() || q.runs >= q.route.MaxAttempts {
 		return false
 	}
-	now := time.Now()
-	escalation := cascade.Escalation{
-		Confidence: a.answerHeaders.Confidence, Elapsed: now.Sub(q.startedAt),
-		Total:     q.latencies.Estimate(cascade.Key{Route: q.route.Name, Model: largest}, q.expectedTokens(), now),
-		Objective: q.route.Objective, Timeout: q.deadline.Sub(q.startedAt),
-	}
-	var ok bool
-	escalation.FirstEvent, escalation.Wait, ok = q.estimateFirstEvent(largest, now)
-	if !ok || !escalation.Worthwhile() {
+	if e, ok := q.escalation(a.answerHeaders.Confidence, time.Now()); !ok || !e.Worthwhile() {
 		return false
 	}
 	if !q.Retries.Take(q.service.Name) {
@@ -39,6 +56,19 @@
 	return true
 }
 
+// escalation returns what is known about running the largest model instead of an answer with
+// the given confidence. ok is false if no instance may run it.
+func (q *request) escalation(confidence int, now time.Time) (e cascade.Escalation, ok bool) {
+	largest := q.largestModel()
+	e = cascade.Escalation{
+		Confidence: confidence, Elapsed: now.Sub(q.startedAt),
+		Total:     q.latencies.Estimate(cascade.Key{Route: q.route.Name, Model: largest}, q.expectedTokens(), now),
+		Objective: q.route.Objective, Timeout: q.deadline.Sub(q.startedAt),
+	}
+	e.FirstEvent, e.Wait, ok = q.estimateFirstEvent(largest, now)
+	return e, ok
+}
+
 // estimateFirstEvent estimates the time to the first event of another model's answer, at the
 // instance with the least work ahead of that event, and the mean time that prompts wait. ok is
 // false if no instance may get the request. The instance of the last attempt counts too.
--- a/internal/forward/models_test.go
+++ b/internal/forward/models_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -87,3 +88,64 @@
 	h.Table.NoteLeaving(instance.Incarnation())
 	require.False(t, q.shouldEscalate(answerWith(q, 10)))
 }
+
+// Load: 200 daemons get a request every two seconds each, a small part of what the engines can
+// run. Half of the small model's answers are low. Guards against callers who get such an answer
+// because their daemon's share of the retries is used up by a few low answers in a row, while
+// the fleet has used half of its retries.
+func TestCallersOfALargeFleetGetNoLowAnswers(t *testing.T) {
+	const daemons, requests = 200, 12
+	policy := limit.FleetRetryPolicy{Ratio: 0.9, Slack: daemons, Window: 10 * time.Second}
+	random := rand.New(rand.NewPCG(1, 2))
+	low, large, retries := 0, 0, 0
+	for range daemons {
+		clock := clockwork.NewFakeClock()
+		h := newModelHandler(clock, 4, limit.NewFleetRetryBudget(policy, clock, func() int { return daemons }))
+		for range requests {
+			clock.Advance(time.Duration(random.ExpFloat64() * float64(2*time.Second)))
+			q := newModelRequest(h)
+			h.Retries.CountRequest("engines")
+			q.model = q.firstModel()
+			if q.model == "large" {
+				large++
+				continue
+			}
+			confidence := 10 + 80*random.IntN(2)
+			switch escalated := q.shouldEscalate(answerWith(q, confidence)); {
+			case escalated:
+				retries++
+			case confidence < 50:
+				low++
+			}
+		}
+	}
+	require.Zero(t, low, "callers with a low answer")
+	require.Less(t, large, daemons*requests/10, "the small model must stay the first choice")
+	require.Less(t, float64(retries), policy.Ratio*daemons*requests+policy.Slack)
+}
+
+// Load: engines are overloaded, so that prompts wait for seconds, and retries are used up. The
+// first attempts must stay on the small model, or each request would add ten times the work.
+func TestOverloadedEnginesGetNoLargeModelFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newModelHandler(clock, 4, limit.NewFleetRetryBudget(limit.FleetRetryPolicy{Window: 10 * time.Second}, clock, func() int { return 1 }))
+	require.Equal(t, "large", newModelRequest(h).firstModel(), "idle engines")
+	for i := range 4 {
+		instance, ok := h.Table.Get(fmt.Sprint("engine-", i))
+		require.True(t, ok)
+		h.Table.Begin(instance, 100_000)
+	}
+	require.Equal(t, "small", newModelRequest(h).firstModel())
+}
+
+// A daemon whose small model is nearly always good enough must not pay for the largest one.
+func TestFirstModelFollowsConfidence(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	h := newModelHandler(clock, 4, limit.NewFleetRetryBudget(limit.FleetRetryPolicy{Window: 10 * time.Second}, clock, func() int { return 1 }))
+	for range 20 {
+		q := newModelRequest(h)
+		q.model = "small"
+		require.False(t, q.shouldEscalate(answerWith(q, 95)))
+	}
+	require.Equal(t, "small", newModelRequest(h).firstModel())
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -33,7 +33,7 @@
 // runStream serves a request whose answer is a stream of events.
 func (q *request) runStream(ctx context.Context) error {
 	if q.headers.Model == AnyModel && len(q.route.Models) > 0 {
-		q.model = q.route.Models[0]
+		q.model = q.firstModel()
 	}
 	// An instance that exceeds both the objective and the time expected for its work is probably
 	// stuck. startAttempt determines the expected time.
--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -78,10 +78,27 @@
 
 // Take uses one retry; it returns false if this daemon's share is used up.
 func (b *FleetRetryBudget) Take(service string) bool {
-	n := float64(max(b.daemons(), 1))
+	n := b.daemons()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
+	if !b.mayTake(w, n) {
+		return false
+	}
+	w.retries[w.slot(0)]++
+	return true
+}
+
+// MayTake reports whether Take would succeed now.
+func (b *FleetRetryBudget) MayTake(service string) bool {
+	n := b.daemons()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.mayTake(b.window(service), n)
+}
+
+// mayTake reports whether the share of one of n daemons has a retry left. The lock is held.
+func (b *FleetRetryBudget) mayTake(w *fleetWindow, n int) bool {
 	requests, retries := 0, 0
 	for i := range w.requests {
 		retries += w.retries[i]
@@ -90,12 +107,8 @@
 			requests += w.requests[i]
 		}
 	}
-	allowed := usableFraction * (b.policy.Ratio*float64(requests) + b.policy.Slack/n)
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.slot(0)]++
-	return true
+	allowed := usableFraction * (b.policy.Ratio*float64(requests) + b.policy.Slack/float64(max(n, 1)))
+	return float64(retries+1) <= allowed
 }
 
 // window returns a service's window, advanced to the current step.
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/fleet_test.go
@@ -33,6 +33,9 @@
 			for b.Take("s") {
 				log = append(log, sent{clock.Now(), true})
 			}
+			if b.MayTake("s") {
+				t.Fatal("MayTake promises a retry that Take refused")
+			}
 		}
 		for _, from := range log {
 			requests, retries := 0, 0
