entry: a store reader reads all changes of the list, not one response for each interval

An instance that left would have been known 10 s late and more. The delay grows with the servers that register in one start: (m - 333 t) / 333 s. Measured: the test failed before (one response, then the wait), passes now; the calls are the same in number, since each response is read once.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -56,49 +56,70 @@
 	}
 }
 
-// readList reads the whole list or the changes since the last read, applies them and sends
-// them to the daemons of the group.
+// readList reads the whole list or all changes since the last read, applies them and sends them
+// to the daemons of the group.
 func (n *Node) readList(ctx context.Context, whole bool) error {
-	base := n.table.Revision()
-	first := !n.table.Loaded()
-	whole = whole || first
-	asked := n.clock.Now()
-	var rows platform.InstanceUpdate
-	var err error
-	if whole {
-		rows, err = n.store.ReadInstances(ctx)
-	} else {
-		rows, err = n.store.ReadInstancesAfter(ctx, base, 0)
+	if whole || !n.table.Loaded() {
+		return n.readWholeList(ctx)
 	}
-	if ctx.Err() != nil {
-		return ctx.Err()
+	for {
+		more, err := n.readListChanges(ctx)
+		if !more || err != nil {
+			return err
+		}
 	}
-	n.storeHealth.record(asked, n.clock.Now(), err)
+}
+
+func (n *Node) readWholeList(ctx context.Context) error {
+	base, first := n.table.Revision(), !n.table.Loaded()
+	rows, err := n.readInstances(ctx, n.store.ReadInstances)
 	if err != nil {
 		return err
 	}
-	if count := len(rows.Malformed); count > 0 {
-		// Logs one line per read, however many entries are malformed.
-		slog.Error("instances.unreadable", "revision", rows.Revision, "count", count, "first", rows.Malformed[0])
-	}
 	graceEnd := n.graceEnd(n.clock.Now())
-	if whole {
-		replaced := n.table.Replace(snapshot(rows), graceEnd)
-		slog.Info("instances.read", "count", len(rows.Changes), "revision", rows.Revision, "doubted", graceEnd.After(n.clock.Now()), "taken", replaced)
-		if replaced && !first {
-			// The first list of a daemon that has just started is not new to the others.
-			n.sendReread(ctx, base)
-		}
-		return nil
+	replaced := n.table.Replace(snapshot(rows), graceEnd)
+	slog.Info("instances.read", "count", len(rows.Changes), "revision", rows.Revision, "doubted", graceEnd.After(n.clock.Now()), "taken", replaced)
+	if replaced && !first {
+		// The first list of a daemon that has just started is not new to the others.
+		n.sendReread(ctx, base)
 	}
-	update, ok := n.applyChanges(rows, graceEnd)
+	return nil
+}
+
+// readListChanges reads the next changes of the list. It reports whether there may be more: in a
+// large fleet that starts, more instances register between two reads than the store returns at
+// once.
+func (n *Node) readListChanges(ctx context.Context) (more bool, err error) {
+	base := n.table.Revision()
+	rows, err := n.readInstances(ctx, func(ctx context.Context) (platform.InstanceUpdate, error) {
+		return n.store.ReadInstancesAfter(ctx, base, 0)
+	})
+	if err != nil {
+		return false, err
+	}
+	update, ok := n.applyChanges(rows, n.graceEnd(n.clock.Now()))
 	// The revision of the list also shows whether the operator's rows are up to date. This is
 	// done before the update is sent, since the update also contains how new these rows are.
 	n.confirmOperator(ctx, rows.Revision)
 	if ok {
 		n.sendListChanges(ctx, update)
 	}
-	return nil
+	return rows.More, nil
+}
+
+// readInstances calls read and records whether the store answered.
+func (n *Node) readInstances(ctx context.Context, read func(context.Context) (platform.InstanceUpdate, error)) (platform.InstanceUpdate, error) {
+	asked := n.clock.Now()
+	rows, err := read(ctx)
+	if ctx.Err() != nil {
+		return rows, ctx.Err()
+	}
+	n.storeHealth.record(asked, n.clock.Now(), err)
+	if count := len(rows.Malformed); err == nil && count > 0 {
+		// Logs one line per read, however many entries are malformed.
+		slog.Error("instances.unreadable", "revision", rows.Revision, "count", count, "first", rows.Malformed[0])
+	}
+	return rows, err
 }
 
 // sendReread sends the changes that were found by reading the whole list, since a revision. If
--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -181,3 +182,21 @@
 	require.False(t, r.storeHealth.isLost())
 	require.Zero(t, r.graceLeft())
 }
+
+// Guards against a list that lags further and further behind. While a large fleet starts, more
+// instances register between two reads than the store returns in one response. If a daemon read
+// one response at each interval, it would learn of an instance that leaves only after all that
+// registered before.
+func TestReaderReadsAllChangesOfTheListAtOnce(t *testing.T) {
+	r := newStoreReader(t, 2000)
+	r.eventually("the list is read", func() bool { return r.table.Loaded() })
+	r.awaitListRead()
+	const added = 2200
+	for i := range added {
+		r.store.Put(wire.TableInstances, fmt.Sprint("i", i), wire.Instance{Service: "s", Address: "127.0.0.1:1", Zone: "a", Version: "v1", Slots: 8, State: wire.StateReady})
+	}
+	last := r.store.Put(wire.TableInstances, "i", wire.Instance{Service: "s", Address: "127.0.0.1:1", Zone: "a", Version: "v1", Slots: 8, State: wire.StateDraining})
+	r.clock.Advance(r.listInterval())
+	r.eventually("all changes are known", func() bool { return r.table.Revision() >= last })
+	require.Equal(t, 1+added, r.table.Len())
+}
