entry: a configuration does not prove that no update was missed

Cause: a receiver took its operator rows for current if the update had a configuration, though it had missed the update before, with an order; nothing then told it to read that order. Change: an update counts as complete if it continues what the receiver has, or if it has all rows (its base says so). Measured: the test failed before for the missed update; the two allowed cases stay without a read. Conclusion: one more read by a daemon that missed an update, none else.

--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -81,6 +81,10 @@
 	return err
 }
 
+// allRows is the base of an update with all rows of the operator. These lack orders that are no
+// longer in force, so the update does not contain every change after some revision.
+const allRows = math.MaxInt64
+
 // readAllOperator reads all rows of the operator.
 func (n *Node) readAllOperator(ctx context.Context) error {
 	asked := n.clock.Now()
@@ -104,10 +108,7 @@
 		return err
 	}
 	n.wholeReadDue, n.lastWholeRead = false, n.clock.Now()
-	// The rows lack orders that are no longer in force, so the update does not contain every
-	// change after some revision. It gets a base that no daemon has reached.
-	const noBase = math.MaxInt64
-	n.applyRead(ctx, rows, noBase)
+	n.applyRead(ctx, rows, allRows)
 	return nil
 }
 
--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -200,3 +201,28 @@
 	r.eventually("all changes are known", func() bool { return r.table.Revision() >= last })
 	require.Equal(t, 1+added, r.table.Len())
 }
+
+// Guards against counting a configuration as proof that nothing was missed. A daemon misses the
+// update with a roll-out's order and receives the next one, which has a configuration. If it took
+// its rows for current, it would never read the order, and would use the old version after all
+// others have moved.
+func TestConfigurationDoesNotHideAMissedUpdate(t *testing.T) {
+	manifest := func(version int64) []byte {
+		data, err := json.Marshal(routeTo(version, "/new/"))
+		require.NoError(t, err)
+		return data
+	}
+	send := func(base int64) *Node {
+		n := newFleetNode(t, clockwork.NewFakeClock())
+		n.setKnownState()
+		n.OnStoreUpdate(peer.StoreUpdate{
+			From: "127.0.1.1:1", Manifest: manifest(4), List: noList, Evacuated: n.evacuations.Checksum(),
+			OperatorBase: base, OperatorWhole: true, OperatorRead: 9, OperatorChanged: 9,
+		})
+		require.Equal(t, int64(4), n.configVersion())
+		return n
+	}
+	require.False(t, send(5).mustReadOperator(), "continues with what the daemon has")
+	require.False(t, send(allRows).mustReadOperator(), "has all rows")
+	require.True(t, send(8).mustReadOperator(), "the update before was missed")
+}
--- a/internal/entry/readers.go
+++ b/internal/entry/readers.go
@@ -281,8 +281,10 @@
 	if view.confirmedAt.IsZero() {
 		return
 	}
+	// An update that begins after this daemon's revision shows that another one was missed.
 	continues := update.OperatorWhole && view.readRevision >= update.OperatorBase
-	upToDate := view.readRevision >= update.OperatorChanged || continues || len(update.Manifest) > 0
+	complete := update.OperatorWhole && update.OperatorBase == allRows && len(update.Manifest) > 0
+	upToDate := view.readRevision >= update.OperatorChanged || continues || complete
 	if !upToDate || update.Evacuated != n.evacuations.Checksum() {
 		n.behind.Store(true)
 		return
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -108,7 +108,7 @@
 	OperatorAge     time.Duration
 	// If OperatorWhole is set, Manifest, Orders and Evacuations contain every change after
 	// revision OperatorBase. A receiver that has all rows up to there then need not read the
-	// store itself.
+	// store itself. With the largest base they contain all rows that are in force.
 	OperatorBase  int64
 	OperatorWhole bool
 	// Evacuations are all evacuation orders; empty if they have not changed. Evacuated is a
