lease: release after a write whose answer was lost

Cause: Release did nothing if the takeover was not confirmed, and failed on the old revision after a renewal whose answer was lost; the lease stayed taken for a whole duration after its holder had stopped. Change: the row is read again if the outcome of the last write is unknown. Measured: the test failed before, passes after 0 and 1 confirmed renewals. Conclusion: a duty is free at once after a planned stop.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,6 +40,9 @@
 	revision int64
 	// renewed is when the last successful renewal was sent; zero if there is none.
 	renewed time.Time
+	// uncertain is set while the outcome of the last write is unknown, and with it the row's
+	// revision.
+	uncertain bool
 
 	// seenRevision is the last revision of the row that was read or written, and seenAt is
 	// when it was first seen.
@@ -107,6 +110,7 @@
 		Checks: []backing.Check{{Key: l.Key(), Revision: revision}},
 		Puts:   []backing.Put{backing.PutJSON(l.Key(), next)},
 	})
+	l.uncertain = err != nil && backing.IsUnknownOutcome(err)
 	if trace.IsCompareFailed(err) {
 		return false, nil
 	}
@@ -114,7 +118,7 @@
 		// The write may have taken effect. held.Fence lets the next Renew recognise the row as
 		// this daemon's own. Until then a takeover does not count as held, and of a renewal
 		// only the last confirmed one counts.
-		if backing.IsUnknownOutcome(err) && next.Fence != l.held.Fence {
+		if l.uncertain && next.Fence != l.held.Fence {
 			l.held.Fence = next.Fence
 			l.renewed = time.Time{}
 		}
@@ -146,10 +150,16 @@
 
 // Release gives up the lease so that another daemon can take it at once.
 func (l *Lease) Release(ctx context.Context) error {
-	if l.renewed.IsZero() {
+	if l.renewed.IsZero() && !l.uncertain {
 		return nil
 	}
 	l.renewed = time.Time{}
+	if l.uncertain {
+		own, err := l.readOwnRevision(ctx)
+		if !own || err != nil {
+			return err
+		}
+	}
 	_, err := l.table.Commit(ctx, backing.Txn{
 		Checks: []backing.Check{{Key: l.Key(), Revision: l.revision}},
 		Puts:   []backing.Put{backing.PutJSON(l.Key(), row{Fence: l.held.Fence})},
@@ -159,3 +169,14 @@
 	}
 	return trace.Wrap(err)
 }
+
+// readOwnRevision reads the revision of the row and reports whether this daemon holds the lease.
+func (l *Lease) readOwnRevision(ctx context.Context) (own bool, err error) {
+	var current row
+	revision, err := backing.GetJSON(ctx, l.table, l.Key(), &current)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	l.revision, l.uncertain = revision, false
+	return current.Holder == l.self && current.Fence == l.held.Fence, nil
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -121,3 +121,27 @@
 	require.True(t, renew(t, b))
 	require.Greater(t, b.Fence(), before)
 }
+
+// Guards against a lease that stays taken for a whole duration although its holder has stopped:
+// the answer to the holder's last write was lost, so that it does not know the row's revision.
+func TestLeaseIsReleasedAfterALostAnswer(t *testing.T) {
+	for _, renewals := range []int{0, 1} {
+		clock := clockwork.NewFakeClock()
+		store := backing.NewMemory()
+		a, b := New("duty", "a", duration, store, clock), New("duty", "b", duration, store, clock)
+		for range renewals {
+			require.True(t, renew(t, a))
+		}
+		store.SetFault(func(p backing.FaultPoint) backing.FaultAction {
+			if p.Op == "commit" {
+				return backing.FaultLoseAnswer
+			}
+			return backing.FaultNone
+		})
+		_, err := a.Renew(context.Background())
+		require.Error(t, err)
+		store.SetFault(nil)
+		require.NoError(t, a.Release(context.Background()))
+		require.True(t, renew(t, b), "after %d confirmed renewals", renewals)
+	}
+}
