session: a second rotation in a row keeps the key in use

Cause: keys were dropped by their own age, except the newest; the key in use is the one before the newest for a minute after a rotation. Change: a key goes once its successor is older than the retention. Measured: the test failed before, passes now; the older test of a rotation too. Conclusion: tokens stay valid for their lifetime however often keys rotate.

--- a/internal/session/keyring.go
+++ b/internal/session/keyring.go
@@ -74,20 +74,17 @@
 	return nil
 }
 
-// Rotate adds a key and removes those older than retention, except the newest of
-// the existing keys. Tokens stay valid as long as their key is kept. The keyring
-// itself changes only at the next Refresh.
+// Rotate adds a key and removes those whose successor is older than retention: a key
+// is used until its successor replaces it. Tokens stay valid as long as their key is
+// kept. The keyring itself changes only at the next Refresh.
 func (k *Keyring) Rotate(ctx context.Context, retention time.Duration) error {
 	var set keyRow
 	revision, err := backing.GetJSON(ctx, k.table, keysRowKey, &set)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if n := len(set.Keys); n > 0 {
-		newest := set.Keys[n-1].ID
-		set.Keys = slices.DeleteFunc(set.Keys, func(key Key) bool {
-			return k.clock.Since(key.Created) > retention && key.ID != newest
-		})
+	for len(set.Keys) > 1 && k.clock.Since(set.Keys[1].Created) > retention {
+		set.Keys = set.Keys[1:]
 	}
 	return trace.Wrap(k.commitNewKey(ctx, revision, set))
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -97,3 +97,26 @@
 	require.False(t, known)
 	require.Len(t, ring.Keys(), 2, "the previously newest key and the new one")
 }
+
+// Guards against dropping a key that still signs. An operator rotates twice in a row: the first
+// key is old, and until a minute after the first rotation it is the one in use.
+func TestSecondRotationKeepsTheKeyInUse(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := backing.NewMemory()
+	ring := NewKeyring(store, clock)
+	require.NoError(t, ring.Refresh(ctx))
+	clock.Advance(48 * time.Hour)
+	inUse, err := ring.SigningKey()
+	require.NoError(t, err)
+	for range 2 {
+		require.NoError(t, ring.Rotate(ctx, time.Hour))
+	}
+	require.NoError(t, ring.Refresh(ctx))
+	_, known := ring.Lookup(inUse.ID)
+	require.True(t, known, "tokens signed a moment ago must stay valid")
+	clock.Advance(2 * time.Hour)
+	require.NoError(t, ring.Rotate(ctx, time.Hour))
+	require.NoError(t, ring.Refresh(ctx))
+	_, known = ring.Lookup(inUse.ID)
+	require.False(t, known)
+}
