claim: a successor knows of keys that were being requested

Cause: Export left pending entries out, also those that hide a tombstone, so the successor of a stopping daemon granted such a key again. Change: a hidden tombstone is exported as such, any other pending key as owned, since it may have been granted. Measured: the test failed before (granted twice), passes now. Conclusion: at most once holds across a planned stop; a caller whose request was refused at that moment is told of a duplicate.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -297,7 +297,8 @@
 
 // Export returns the state that a successor needs to act as the home of this
 // daemon's keys: the incarnations whose keys this daemon is home for, and all
-// owned keys and tombstones.
+// owned keys and tombstones. A key that is being requested counts as owned, since it
+// may have been granted, unless a tombstone says where it went.
 func (t *Table) Export() (homes []string, entries []HandoverEntry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -306,9 +307,13 @@
 		homes = append(homes, home)
 	}
 	for key, entry := range t.entries {
-		if entry.State == Owned || entry.State == Moved {
-			entries = append(entries, HandoverEntry{Key: key, Entry: entry})
+		if entry.State == Pending {
+			entry.State = Owned
+			if entry.MovedTo != "" {
+				entry.State = Moved
+			}
 		}
+		entries = append(entries, HandoverEntry{Key: key, Entry: entry})
 	}
 	return homes, entries
 }
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -174,3 +174,24 @@
 	require.NoError(t, err)
 	require.Len(t, rows, 1)
 }
+
+// Guards against granting a key a second time after a planned stop. The stopping daemon has
+// asked another one for the key and does not know the answer yet, or holds a tombstone behind
+// such a request. Its successor must know of both.
+func TestSuccessorGrantsNoKeyThatWasBeingRequested(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	stopping, successor := NewTable(incarnation(1), clock), NewTable(incarnation(2), clock)
+	elsewhere := Home{Incarnation: incarnation(3), Issued: clock.Now()}
+	asked := Key{Organisation: "o", Value: "asked"}
+	require.Equal(t, Redirect, stopping.Begin(asked, elsewhere, "d", "r1").Outcome)
+	own := Home{Incarnation: incarnation(1), Issued: clock.Now()}
+	moved := Key{Organisation: "o", Value: "moved"}
+	require.Equal(t, Granted, stopping.Take(moved, own, "d", incarnation(4)).Outcome)
+	require.Equal(t, Redirect, stopping.Begin(moved, own, "d", "r2").Outcome)
+
+	successor.Import(stopping.Export())
+	require.Equal(t, Duplicate, successor.Take(asked, elsewhere, "d", incarnation(5)).Outcome)
+	result := successor.Take(moved, own, "d", incarnation(5))
+	require.Equal(t, Redirect, result.Outcome)
+	require.Equal(t, incarnation(4), result.MovedTo)
+}
