ledger: a bill that is cancelled during its commit is closed

Cause: Void deleted a bill whose commit was in progress; the commit then left it open in the table until the daemon ended. Change: a bill of which a commit has begun is made void and closed by the next commit, also after a commit of unknown outcome. Measured: the test failed before (open in the table), passes now. Conclusion: no open bill stays behind.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -47,8 +47,9 @@
 	order int64
 	// replicated is true if enough peers hold a replica of the current bill.
 	replicated bool
-	// committed is true if the table contains the bill in state Open.
-	committed bool
+	// committed is true if the table contains the bill in state Open. commitBegun is
+	// true if it may contain the bill, since a commit of it has begun.
+	committed, commitBegun bool
 }
 
 // replicationRequest is a request to make one bill durable; done receives the
@@ -131,12 +132,12 @@
 	}
 }
 
-// Void cancels the open bill of a request that was not run. If the table already
-// contains the bill, the next commit closes it with a void one.
+// Void cancels the open bill of a request that was not run. If the table may
+// contain the bill, the next commit closes it with a void one.
 func (l *Ledger) Void(id string) {
 	l.mu.Lock()
 	e, ok := l.entries[id]
-	if ok && e.committed {
+	if ok && e.commitBegun {
 		e.bill.State = Void
 		e.bill.Amount = 0
 		l.mu.Unlock()
@@ -355,7 +356,7 @@
 func (l *Ledger) commitBills(ctx context.Context, ids []string) error {
 	l.logMu.Lock()
 	defer l.logMu.Unlock()
-	bills, _ := l.currentBills(ids)
+	bills := l.beginCommit(ids)
 	if err := l.log.Append(ctx, bills, false); err != nil {
 		return err
 	}
@@ -381,6 +382,21 @@
 	return nil
 }
 
+// beginCommit returns those of the given bills that are pending. If one is cancelled
+// during the commit, the next commit must close it.
+func (l *Ledger) beginCommit(ids []string) []Bill {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var bills []Bill
+	for _, id := range ids {
+		if e, ok := l.entries[id]; ok {
+			e.commitBegun = true
+			bills = append(bills, e.bill)
+		}
+	}
+	return bills
+}
+
 // Pending returns the number of bills that are not final in the table yet.
 func (l *Ledger) Pending() int {
 	l.mu.Lock()
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -238,3 +238,26 @@
 	require.NoError(t, err)
 	require.Len(t, listBills(t, store), n+1)
 }
+
+// Guards against a bill that stays open until its daemon ends. The request is found not to have
+// run, and its bill is cancelled, while a commit that contains the open bill is on its way.
+func TestBillIsVoidedDuringItsCommit(t *testing.T) {
+	store := backing.NewMemory()
+	l := New("a", store, noPeers{}, clockwork.NewFakeClock(), Options{
+		CommitInterval: func() time.Duration { return time.Hour }, MaxPending: 10, ReplicationTimeout: time.Second,
+	})
+	require.True(t, l.put(bill("a-1", Open), true))
+	store.SetFault(func(p backing.FaultPoint) backing.FaultAction {
+		if p.Op == "commit" {
+			l.Void("a-1")
+		}
+		return backing.FaultNone
+	})
+	require.NoError(t, l.Commit(ctx))
+	store.SetFault(nil)
+	require.NoError(t, l.Commit(ctx))
+	require.Zero(t, l.Pending())
+	for id, b := range listBills(t, store) {
+		require.NotEqual(t, Open, b.State, id)
+	}
+}
