dispatch, test/process: an attempt on its way is no use of a withdrawn version

Cause: the process test counted the engines' attempts as soon as the withdrawal was in force; an attempt that passed the check of its version before, and was still on its way, was counted later. Shown by a barrier in the send: withdrawn while the bill is recorded, the attempt is never sent; withdrawn while it is being sent, it arrives. Conclusion: the test's fault; the rule holds.

--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -41,6 +41,28 @@
 	}
 }
 
+// awaitArrivals waits until every attempt that a daemon has in flight has arrived at an engine.
+func (s *site) awaitArrivals(d *cluster.Daemon) {
+	s.t.Helper()
+	require.NoError(s.t, cluster.Eventually(func() error {
+		status, err := d.Status()
+		if err != nil {
+			return err
+		}
+		missing := 0
+		for _, u := range status.Upstreams {
+			missing += u.InFlight
+		}
+		for _, c := range s.engineCounts() {
+			missing -= c.Running
+		}
+		if missing > 0 {
+			return fmt.Errorf("%d attempts have not arrived", missing)
+		}
+		return nil
+	}))
+}
+
 // versionStarts returns how many attempts the engines started on a version, which
 // is given as "model@version".
 func (s *site) versionStarts(ref string) int {
@@ -187,6 +209,8 @@
 	}))
 	generation := s.withdraw(s.Daemons[0], "clauses", "1")
 	s.waitGeneration(generation, s.Daemons...)
+	// An attempt that was sent before may still be on its way.
+	s.awaitArrivals(s.Daemons[0])
 	after := s.versionStarts("clauses@1")
 	waiting.Wait()
 	require.Equal(t, after, s.versionStarts("clauses@1"))
