rollout: a shorter policy no longer crashes the holder of a roll-out

Cause: the stage of a running roll-out indexed the policy's stages; a policy with fewer was accepted meanwhile. Change: the next stage is a function of its own, bounded by the policy. Conclusion: a changed policy applies to what runs. A policy of one stage gives full share at once, as it says.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -221,12 +221,7 @@
 		return c.orderLoads(ctx, r, 1, l)
 	}
 	policy := snapshot.Doc.Rollouts.WithDefaults()
-	stage := max(test.Stage(evidence), r.Stage)
-	share := policy.Stages[stage]
-	if stage == len(policy.Stages)-1 {
-		// Full share requires the verdict Good.
-		stage, share = stage-1, policy.Stages[max(stage-1, 0)]
-	}
+	stage, share := nextStage(policy, test.Stage(evidence), r.Stage)
 	if stage > r.Stage {
 		if err := c.write(ctx, r, evidence, l, func(n *config.Rollout) { n.Stage, n.Share = stage, share }); err != nil {
 			return err
@@ -394,3 +389,13 @@
 }
 
 var _ Lease = (*lease.Lease)(nil)
+
+// nextStage returns the stage of a roll-out without a verdict, and its share. reached is the stage
+// that the ratings allow and current the one that the roll-out has, which may be later than all
+// stages of a policy that was changed. Unless it is the only one, the last stage requires the
+// verdict Good.
+func nextStage(policy config.RolloutPolicy, reached, current int) (stage int, share float64) {
+	beforeLast := max(len(policy.Stages)-2, 0)
+	stage = min(max(reached, current), beforeLast)
+	return stage, policy.Stages[stage]
+}
