config: the history has the newest revisions

Cause: the list of revisions ended at its first thousand. Change: all pages are read, the last thousand are kept. Measured: the test failed before, passes now. Conclusion: operators see the last change however many there were.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -162,3 +162,20 @@
 	f.Confirm(f.Generation(), clock.Now().Add(-time.Second))
 	require.Equal(t, time.Second, f.SinceConfirmed())
 }
+
+// Guards against a history that ends at its thousandth revision: an operator who looks up the last
+// change must see it.
+func TestHistoryHasTheNewestRevisions(t *testing.T) {
+	memory := backing.NewMemory()
+	store := NewStore(memory, time.Now)
+	for revision := range int64(7) {
+		_, err := memory.Commit(context.Background(), backing.Txn{Puts: []backing.Put{
+			backing.PutJSON(historyRowKey(DocumentName("s"), revision), StoredDocument{Revision: revision}),
+		}})
+		require.NoError(t, err)
+	}
+	rows, err := store.History(context.Background(), "s", 3)
+	require.NoError(t, err)
+	require.Len(t, rows, 3)
+	require.Equal(t, []int64{4, 5, 6}, []int64{rows[0].Revision, rows[1].Revision, rows[2].Revision})
+}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -359,11 +359,20 @@
 }
 
 // History returns the accepted revisions of a document, oldest first. If there are
-// more than limit, it omits the newest ones.
+// more than limit, it omits the oldest ones.
 func (s *Store) History(ctx context.Context, site string, limit int) ([]StoredDocument, error) {
-	rows, err := s.table.List(ctx, historyKeyPrefix+DocumentName(site)+"/", "", limit)
-	if err != nil {
-		return nil, storeError(err)
+	var rows []backing.Row
+	for after := ""; ; {
+		page, err := s.table.List(ctx, historyKeyPrefix+DocumentName(site)+"/", after, limit)
+		if err != nil {
+			return nil, storeError(err)
+		}
+		rows = append(rows, page...)
+		rows = rows[max(len(rows)-limit, 0):]
+		if len(page) < limit {
+			break
+		}
+		after = page[len(page)-1].Key
 	}
 	out := make([]StoredDocument, len(rows))
 	for i, row := range rows {
