caller: slow bodies, unknown roles, auto in the list of models

Cause: a caller that stopped in the middle of a body was held without end; any role was passed on; clients that offer what the list has could not choose auto. Change: a body must come within 30 s, else 408 (not run); roles are checked with the field's name; auto heads the list if there is a version to choose. Conclusion: what clients expect; lengths of cut answers stay open.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -8,6 +8,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -155,19 +157,31 @@
 }
 
 // readBody reads the request body. It returns an error if the body exceeds the
-// limit.
+// limit or does not come in time: a caller that stops in the middle of it would hold
+// the request and its memory.
 func (s *Server) readBody(c *gin.Context) ([]byte, error) {
+	control := http.NewResponseController(c.Writer)
+	hasDeadline := s.Options.BodyTimeout > 0 && control.SetReadDeadline(time.Now().Add(s.Options.BodyTimeout)) == nil
 	raw, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, s.Options.MaxBody))
+	if hasDeadline && err == nil {
+		// A writer that accepted the first deadline accepts this one too.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.BodyTooLarge, "body: longer than %d bytes", s.Options.MaxBody)
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.New(fault.SlowRequest, "body: did not come within %v", s.Options.BodyTimeout)
+	case err != nil:
 		return nil, fault.New(fault.BadRequest, "body: %v", err)
 	}
 	return raw, nil
 }
 
+// roles are the roles of messages.
+var roles = []string{"system", "developer", "user", "assistant", "tool", "function"}
+
 // toChat validates the body and converts it to an upstream.ChatRequest.
 func (b chatBody) toChat() (upstream.ChatRequest, error) {
 	chat := upstream.ChatRequest{
@@ -188,8 +202,8 @@
 		return chat, fault.New(fault.BadRequest, "max_tokens: must not be negative")
 	}
 	for i, m := range b.Messages {
-		if m.Role == "" {
-			return chat, fault.New(fault.BadRequest, "messages[%d].role: missing", i)
+		if !slices.Contains(roles, m.Role) {
+			return chat, fault.New(fault.BadRequest, "messages[%d].role: want one of %s, not %q", i, strings.Join(roles, ", "), m.Role)
 		}
 		chat.Messages = append(chat.Messages, upstream.Message{Role: m.Role, Content: string(m.Content)})
 	}
--- a/internal/caller/models.go
+++ b/internal/caller/models.go
@@ -10,8 +10,8 @@
 // modelOwner is the value of owned_by in GET /v1/models.
 const modelOwner = "hornbeamsill"
 
-// allowedModels returns the versions that an organisation may use, without those
-// that are withdrawn.
+// allowedModels returns the selectors that an organisation may use: autoModel if there is
+// any version, and the versions that are not withdrawn.
 func allowedModels(snapshot *config.Snapshot, organisation string) []model {
 	out := []model{}
 	for _, name := range slices.Sorted(maps.Keys(snapshot.Doc.Models)) {
@@ -24,5 +24,8 @@
 			out = append(out, model{ID: ref.String(), Object: "model", OwnedBy: modelOwner, State: state})
 		}
 	}
-	return out
+	if len(out) == 0 {
+		return out
+	}
+	return slices.Insert(out, 0, model{ID: autoModel, Object: "model", OwnedBy: modelOwner, State: config.Serving})
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -78,6 +78,8 @@
 type Options struct {
 	// MaxBody limits the length of a request body, in bytes.
 	MaxBody int64
+	// BodyTimeout limits the time in which a caller sends its body; 0 means no limit.
+	BodyTimeout time.Duration
 }
 
 // Deps holds the dependencies of a Server.
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -54,6 +54,10 @@
 	return platformServices{Table: platform.Table{Store: platform.NewStore(s.Platform)}, Client: backing.NewClient(s.Platform)}
 }
 
+// bodyTimeout is the time in which a caller must send its body. A body of 10 MB takes 8 s on a
+// link of 10 Mbit/s.
+const bodyTimeout = 30 * time.Second
+
 func newCaller(n *Node) *caller.Server {
 	return caller.New(caller.Deps{
 		Clock:      n.clock,
@@ -69,7 +73,7 @@
 		},
 		Signer:      n.signer,
 		Requests:    n.requests,
-		Options:     caller.Options{MaxBody: n.settings.Limits.MaxBodyBytes},
+		Options:     caller.Options{MaxBody: n.settings.Limits.MaxBodyBytes, BodyTimeout: bodyTimeout},
 		BaseContext: n.base,
 	})
 }
