forward: one function decides whether the largest model is worthwhile

Cause: both decisions about the largest model built the escalation, checked that an instance is there and asked whether it is worthwhile; the key of the estimates was written out four times. Change: one function each. Measured: the tests pass unchanged.

--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/cascade"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
@@ -196,5 +195,5 @@
 	if !a.headAt.IsZero() {
 		head, rest = a.headAt.Sub(a.sentAt), now.Sub(a.headAt)
 	}
-	a.latencies.Observe(cascade.Key{Route: a.route.Name, Model: a.model}, head, rest, a.expectedTokens(), now)
+	a.latencies.Observe(a.estimateKey(a.model), head, rest, a.expectedTokens(), now)
 }
--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -20,8 +20,7 @@
 	if smallest == largest || q.lastEventID != "" || q.mayEscalateLater() {
 		return smallest
 	}
-	confidence := q.confidences.Mean(cascade.Key{Route: q.route.Name, Model: smallest})
-	if e, ok := q.escalation(confidence, time.Now()); ok && e.Worthwhile() {
+	if q.isLargestWorthwhile(q.confidences.Mean(q.estimateKey(smallest))) {
 		return largest
 	}
 	return smallest
@@ -41,11 +40,11 @@
 	if q.model == "" || q.headSent || !a.answerHeaders.HasConfidence {
 		return false
 	}
-	q.confidences.Observe(cascade.Key{Route: q.route.Name, Model: q.model}, a.answerHeaders.Confidence)
+	q.confidences.Observe(q.estimateKey(q.model), a.answerHeaders.Confidence)
 	if !q.route.Idempotent() || q.model == q.largestModel() || q.runs >= q.route.MaxAttempts {
 		return false
 	}
-	if e, ok := q.escalation(a.answerHeaders.Confidence, time.Now()); !ok || !e.Worthwhile() {
+	if !q.isLargestWorthwhile(a.answerHeaders.Confidence) {
 		return false
 	}
 	if !q.Retries.Take(q.service.Name) {
@@ -56,17 +55,21 @@
 	return true
 }
 
-// escalation returns what is known about running the largest model instead of an answer with
-// the given confidence. ok is false if no instance may run it.
-func (q *request) escalation(confidence int, now time.Time) (e cascade.Escalation, ok bool) {
-	largest := q.largestModel()
-	e = cascade.Escalation{
-		Confidence: confidence, Elapsed: now.Sub(q.startedAt),
-		Total:     q.latencies.Estimate(cascade.Key{Route: q.route.Name, Model: largest}, q.expectedTokens(), now),
+// isLargestWorthwhile reports whether to run the largest model instead of using an answer with
+// the given confidence.
+func (q *request) isLargestWorthwhile(confidence int) bool {
+	now, largest := time.Now(), q.largestModel()
+	firstEvent, wait, ok := q.estimateFirstEvent(largest, now)
+	return ok && cascade.Escalation{
+		Confidence: confidence, Elapsed: now.Sub(q.startedAt), FirstEvent: firstEvent, Wait: wait,
+		Total:     q.latencies.Estimate(q.estimateKey(largest), q.expectedTokens(), now),
 		Objective: q.route.Objective, Timeout: q.deadline.Sub(q.startedAt),
-	}
-	e.FirstEvent, e.Wait, ok = q.estimateFirstEvent(largest, now)
-	return e, ok
+	}.Worthwhile()
+}
+
+// estimateKey returns the key of the estimates for a model's answers on the request's route.
+func (q *request) estimateKey(model string) cascade.Key {
+	return cascade.Key{Route: q.route.Name, Model: model}
 }
 
 // estimateFirstEvent estimates the time to the first event of another model's answer, at the
