--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -389,13 +389,3 @@
 }
 
 var _ Lease = (*lease.Lease)(nil)
-
-// nextStage returns the stage of a roll-out without a verdict, and its share. reached is the stage
-// that the ratings allow and current the one that the roll-out has, which may be later than all
-// stages of a policy that was changed. Unless it is the only one, the last stage requires the
-// verdict Good.
-func nextStage(policy config.RolloutPolicy, reached, current int) (stage int, share float64) {
-	beforeLast := max(len(policy.Stages)-2, 0)
-	stage = min(max(reached, current), beforeLast)
-	return stage, policy.Stages[stage]
-}
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -84,6 +84,16 @@
 	return min(int(t.Progress(evidence)*float64(last)), last)
 }
 
+// nextStage returns the stage of a roll-out without a verdict, and its share. reached is the stage
+// that the ratings allow and current the one that the roll-out has, which may be later than all
+// stages of a policy that was changed. Unless it is the only one, the last stage requires the
+// verdict Good.
+func nextStage(policy config.RolloutPolicy, reached, current int) (stage int, share float64) {
+	beforeLast := max(len(policy.Stages)-2, 0)
+	stage = min(max(reached, current), beforeLast)
+	return stage, policy.Stages[stage]
+}
+
 // SumRatings sums the ratings of all kinds.
 func SumRatings(evidence []Evidence) (good, bad int64) {
 	for _, e := range evidence {
