--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -49,20 +49,23 @@
 	return s
 }
 
+// setSplitDomain places the i-th daemon of a fleet in one of splitDomains failure domains.
+func setSplitDomain(i int, r *settings.Routes) {
+	r.FailureDomains = map[string]string{}
+	for domain := range splitDomains {
+		r.FailureDomains[fmt.Sprint("domain-", domain)] = "s"
+	}
+	r.FailureDomain = fmt.Sprint("domain-", i%splitDomains)
+}
+
 // newSplitFleet returns the daemons of a split fleet, all of which know each other and have a
 // list at revision 5.
 func newSplitFleet(t *testing.T, clock clockwork.Clock) []*servedNode {
 	t.Helper()
-	domains := map[string]string{}
-	for i := range splitDomains {
-		domains[fmt.Sprint("domain-", i)] = "s"
-	}
 	var nodes []*servedNode
 	var all []member.Daemon
 	for i := range splitDomains * splitDaemonsPerDomain {
-		n := newTestNode(clock, func(r *settings.Routes) {
-			r.FailureDomain, r.FailureDomains = fmt.Sprint("domain-", i%splitDomains), domains
-		})
+		n := newTestNode(clock, func(r *settings.Routes) { setSplitDomain(i, r) })
 		nodes = append(nodes, serveNode(t, n))
 		all = append(all, n.registry.Self())
 	}
--- a/internal/entry/spread_test.go
+++ b/internal/entry/spread_test.go
@@ -23,11 +23,14 @@
 	memberLists, updates, crossUpdates int
 }
 
-func newTestFleet(size int) *testFleet {
+// newTestFleet returns daemons that know only their seeds. place sets the failure domain of the
+// i-th one.
+func newTestFleet(size int, place func(i int, r *settings.Routes)) *testFleet {
 	f := &testFleet{clock: clockwork.NewFakeClock(), byAddress: map[string]*Node{}}
 	for i := range size {
 		address := fmt.Sprint("10.0.0.", i, ":1")
 		n := newTestNode(f.clock, func(r *settings.Routes) {
+			place(i, r)
 			r.PeerListen, r.Seeds = address, []string{"10.0.0.0:1", "10.0.0.1:1"}
 		})
 		f.nodes = append(f.nodes, n)
@@ -93,7 +96,7 @@
 // less often than would suffice without it.
 func TestMembershipReachesALargeFleet(t *testing.T) {
 	const size = 88
-	f := newTestFleet(size)
+	f := newTestFleet(size, func(int, *settings.Routes) {})
 	f.runUntil(t, 12, func(n *Node) bool { return len(n.registry.Live()) == size })
 	for range 10 {
 		f.round()
@@ -119,25 +122,6 @@
 	startRound = 200 * time.Millisecond
 )
 
-// newStartingFleet returns daemons of splitDomains failure domains that know only their seeds.
-func newStartingFleet() *testFleet {
-	domains := map[string]string{}
-	for i := range splitDomains {
-		domains[fmt.Sprint("domain-", i)] = "s"
-	}
-	f := &testFleet{clock: clockwork.NewFakeClock(), byAddress: map[string]*Node{}}
-	for i := range splitFleetSize {
-		address := fmt.Sprint("10.0.0.", i, ":1")
-		n := newTestNode(f.clock, func(r *settings.Routes) {
-			r.FailureDomain, r.FailureDomains = fmt.Sprint("domain-", i%splitDomains), domains
-			r.PeerListen, r.Seeds = address, []string{"10.0.0.0:1", "10.0.0.1:1"}
-		})
-		f.nodes = append(f.nodes, n)
-		f.byAddress[address] = n
-	}
-	return f
-}
-
 // startRound lets every daemon send its heartbeats, also those of a reader, and one to a seed
 // that it does not know.
 func (f *testFleet) startRound() {
@@ -158,7 +142,7 @@
 // Within three seconds every daemon knows nearly all others, and only a part of the changes has
 // crossed failure domains.
 func TestLargeFleetThatStartsKnowsItselfInTime(t *testing.T) {
-	f := newStartingFleet()
+	f := newTestFleet(splitFleetSize, setSplitDomain)
 	for range int(3 * time.Second / startRound) {
 		f.startRound()
 	}
--- a/internal/inventory/changes.go
+++ b/internal/inventory/changes.go
@@ -70,14 +70,6 @@
 	return false
 }
 
-// Part returns the instances of one of several parts of the list, with the revision of the
-// list. Each instance is in one part, the same one at all daemons.
-func (t *Table) Part(part, parts int) Snapshot {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.snapshot(func(e *entry) bool { return e.position%uint64(max(parts, 1)) == uint64(part) })
-}
-
 // Len returns the number of instances in the list.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -15,15 +15,16 @@
 	Warming map[string]time.Duration
 }
 
-// Snapshot returns the current list, including missing entries that are still kept.
-func (t *Table) Snapshot() Snapshot { return t.Part(0, 1) }
-
-// snapshot returns the part of the list that keep accepts. The lock is held.
-func (t *Table) snapshot(keep func(*entry) bool) Snapshot {
+// Part returns the instances of one of several parts of the list, including missing entries that
+// are still kept, with the revision of the list. Each instance is in one part, the same one at all
+// daemons.
+func (t *Table) Part(part, parts int) Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := t.clock.Now()
 	s := Snapshot{Revision: t.revision, Doubted: map[string]time.Duration{}, Warming: map[string]time.Duration{}}
 	for id, e := range t.entries {
-		if e.removed || !keep(e) {
+		if e.removed || e.position%uint64(max(parts, 1)) != uint64(part) {
 			continue
 		}
 		s.Instances = append(s.Instances, e.instance)
--- a/internal/inventory/table_test.go
+++ b/internal/inventory/table_test.go
@@ -138,7 +138,7 @@
 	one.Apply([]Change{{ID: "a"}}, 6, clock.Now().Add(2*time.Second))
 	two.Replace(Snapshot{Revision: 5, Instances: []Instance{instance("a"), instance("b")}}, time.Time{})
 	clock.Advance(time.Second)
-	two.Replace(one.Snapshot(), clock.Now())
+	two.Replace(one.Part(0, 1), clock.Now())
 	require.Equal(t, []string{"a", "b"}, ids(two.Usable("catalogue")))
 	clock.Advance(1100 * time.Millisecond)
 	two.Expire()
--- a/internal/inventory/warmup_test.go
+++ b/internal/inventory/warmup_test.go
@@ -125,7 +125,7 @@
 	table.applyEntry(2, "a", coldTime)
 	clock.Advance(time.Second)
 	other, _ := newWarmTable()
-	other.Replace(table.Snapshot(), time.Time{})
+	other.Replace(table.Part(0, 1), time.Time{})
 	require.True(t, isWarming(other, "a"))
 	require.False(t, isWarming(other, "b"))
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -240,14 +240,20 @@
 	require.Less(t, seeds, len(neighbours))
 }
 
+// registryOf returns a registry that knows the given number of daemons.
+func registryOf(size int) *Registry {
+	r := registry(0, clockwork.NewRealClock())
+	for i := 1; i < size; i++ {
+		r.Merge([]Daemon{daemon(i)})
+	}
+	return r
+}
+
 // BenchmarkMergeOneChange is the cost of a change of one daemon in a table of the given size.
 func BenchmarkMergeOneChange(b *testing.B) {
 	for _, size := range []int{88, 1000, 2000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			r := registry(0, clockwork.NewRealClock())
-			for i := 1; i < size; i++ {
-				r.Merge([]Daemon{daemon(i)})
-			}
+			r := registryOf(size)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
@@ -263,10 +269,7 @@
 func BenchmarkTopRanked(b *testing.B) {
 	for _, size := range []int{88, 1000, 2000} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			r := registry(0, clockwork.NewRealClock())
-			for i := 1; i < size; i++ {
-				r.Merge([]Daemon{daemon(i)})
-			}
+			r := registryOf(size)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
