--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -22,6 +22,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
@@ -100,6 +101,8 @@
 	prefixes   *inventory.PrefixIndex
 	// quarantine refuses requests that crash upstream instances.
 	quarantine *quarantineManager
+	// overload decides which parts of the handling of overload apply.
+	overload *overload.Policy
 	// evacuations are the operator's orders to evacuate failure domains.
 	evacuations *evacuation.Registry
 	// freshness tracks how new this daemon's operator rows are, and operatorPoll is the long
@@ -159,11 +162,12 @@
 	if len(s.Seeds) == 0 {
 		n.startup.skipContact()
 	}
+	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Versions: n.rollouts,
-		Quarantine: n.quarantine, NotifyPeers: n.requestHeartbeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics,
+		Quarantine: n.quarantine, NotifyPeers: n.requestHeartbeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
 		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor),
 	})
 	n.duties = newRolloutDuties(n)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -21,6 +21,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
@@ -64,6 +65,8 @@
 	Metrics     *Metrics
 	// BodyBytes bounds the total size of the request bodies in memory.
 	BodyBytes *limit.ByteBudget
+	// Overload decides which parts of the handling of overload apply to a service.
+	Overload *overload.Policy
 }
 
 // Handler is the http.Handler for plain HTTP callers.
--- a/internal/inventory/instance.go
+++ b/internal/inventory/instance.go
@@ -49,4 +49,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how much longer than usual work takes on the instance's machine at this
+	// moment, as a factor; 0 means unknown. Only instances that share their machine with other
+	// programs report it.
+	Slowdown float64
 }
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"math"
 	"slices"
 	"sync"
@@ -124,6 +125,8 @@
 	evacuated map[string]bool
 	// limits contains the limits reported by instances.
 	limits map[Incarnation]limitRecord
+	// shared contains the services of which an instance has reported its slowdown.
+	shared map[string]bool
 	// warmUps contains the warm-up settings by service. shareOf computes this daemon's share
 	// of a budget.
 	warmUps map[string]catalog.WarmUp
@@ -135,7 +138,7 @@
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
 		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
-		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
+		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
 
@@ -227,10 +230,32 @@
 
 // ReportLoad records the load that an instance reported.
 func (t *Table) ReportLoad(i Instance, l Load) {
+	first := false
 	t.withEntry(i, func(e *entry) {
 		e.othersLoad = max(float64(l.Running+l.Waiting-e.inFlight), 0)
 		e.reportedAt = t.clock.Now()
+		if service := e.instance.Service; l.Slowdown > 0 && !t.shared[service] {
+			t.shared[service], first = true, true
+		}
 	})
+	if first {
+		slog.Info("service.shares_machines", "service", i.Service, "instance", i.ID, "slowdown", l.Slowdown)
+	}
+}
+
+// SharesMachines reports whether instances of a service share their machines with other
+// programs, so that their speed changes: at least one of them has reported its slowdown.
+func (t *Table) SharesMachines(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shared[service]
+}
+
+// AnySharesMachines reports whether SharesMachines is true of any service.
+func (t *Table) AnySharesMachines() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.shared) > 0
 }
 
 // End counts the end of a request and records its outcome.
--- /dev/null
+++ b/internal/overload/policy_test.go
@@ -0,0 +1,42 @@
+package overload
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+type shared map[string]bool
+
+func (s shared) SharesMachines(service string) bool { return s[service] }
+func (s shared) AnySharesMachines() bool            { return len(s) > 0 }
+
+// Guards against a part that takes effect in a deployment that does not call for it, or that an
+// operator cannot switch.
+func TestPartsApplyWhereCalledFor(t *testing.T) {
+	calm := NewPolicy(DefaultSettings(), false, shared{})
+	require.False(t, calm.Admission("a") || calm.FairShares("a") || calm.ModelPrice("a") || calm.InstanceSpeed("a") ||
+		calm.ProvenInstances("a") || calm.SlowCallers() || calm.RestartSurvey() || calm.DirectoryWeights())
+
+	uneven := NewPolicy(DefaultSettings(), false, shared{"a": true})
+	require.True(t, uneven.Admission("a") && uneven.InstanceSpeed("a") && uneven.SlowCallers())
+	require.False(t, uneven.Admission("b") || uneven.InstanceSpeed("b"))
+
+	contended := NewPolicy(DefaultSettings(), true, shared{})
+	require.True(t, contended.Admission("a") && contended.FairShares("a") && contended.RestartSurvey())
+	require.False(t, contended.InstanceSpeed("a"), "no instance reports its slowdown")
+
+	switched := DefaultSettings()
+	switched.Admission, switched.InstanceSpeed = Off, On
+	p := NewPolicy(switched, true, shared{})
+	require.False(t, p.Admission("a"))
+	require.True(t, p.InstanceSpeed("a"))
+}
+
+// Guards against an error that does not name the wrong field.
+func TestUnknownModeNamesField(t *testing.T) {
+	require.NoError(t, DefaultSettings().Check("/routes/overload"))
+	s := DefaultSettings()
+	s.SlowCallers = "sometimes"
+	require.EqualError(t, s.Check("/routes/overload"), `/routes/overload/slow_callers: "sometimes" is none of auto, on, off`)
+}
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 )
 
 // RoutesFile is the settings file of a daemon that routes plain HTTP requests by
@@ -50,6 +51,13 @@
 	// unknown. In a failure domain, daemons with fast links read the store on behalf
 	// of the others.
 	LinkMbps float64 `json:"link_mbps"`
+	// CPUShare is the part of a processor core that the machine has; 0 means unknown.
+	CPUShare float64 `json:"cpu_share"`
+	// Contracts are the names of the platform's contracts in force.
+	Contracts []string `json:"contracts"`
+	// Overload says which parts of the handling of overload apply. The default is auto: those
+	// that the deployment calls for.
+	Overload overload.Settings `json:"overload"`
 
 	// SessionS is the longest pause between two requests of a session, in seconds.
 	SessionS float64 `json:"session_s"`
@@ -89,7 +97,7 @@
 	if probe.Routes == nil {
 		return f, false, nil
 	}
-	f = RoutesFile{Routes: Routes{ExposureShare: defaultExposureShare}, LogLevel: "info", Trace: Trace{Exporter: "none"}}
+	f = RoutesFile{Routes: Routes{ExposureShare: defaultExposureShare, Overload: overload.DefaultSettings()}, LogLevel: "info", Trace: Trace{Exporter: "none"}}
 	if err := config.DecodeStrict(text, &f); err != nil {
 		return f, true, trace.BadParameter("%s: %v", path, err)
 	}
@@ -123,6 +131,12 @@
 	if r.LinkMbps < 0 {
 		return trace.BadParameter("/routes/link_mbps: must not be negative")
 	}
+	if r.CPUShare < 0 {
+		return trace.BadParameter("/routes/cpu_share: must not be negative")
+	}
+	if err := r.Overload.Check("/routes/overload"); err != nil {
+		return err
+	}
 	if r.RetryRatio < 0 || r.RetrySlack < 0 {
 		return trace.BadParameter("/routes/retry_ratio, /routes/retry_slack: must not be negative")
 	}
