--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
+	"github.com/hornbeamsill/hornbeamsill/internal/capacity"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
@@ -103,6 +104,11 @@
 	quarantine *quarantineManager
 	// overload decides which parts of the handling of overload apply.
 	overload *overload.Policy
+	// meter counts the work of this daemon, and account holds that of all daemons, which usage
+	// exchanges.
+	meter   *capacity.Meter
+	account *capacity.Account
+	usage   *usageExchange
 	// evacuations are the operator's orders to evacuate failure domains.
 	evacuations *evacuation.Registry
 	// freshness tracks how new this daemon's operator rows are, and operatorPoll is the long
@@ -163,11 +169,15 @@
 		n.startup.skipContact()
 	}
 	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
+	n.meter = capacity.NewMeter(clock, n.overload.CountsUsage)
+	n.account = capacity.NewAccount(clock, n.meter, n.overload.FairShares)
+	n.usage = newUsageExchange()
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Versions: n.rollouts,
 		Quarantine: n.quarantine, NotifyPeers: n.requestHeartbeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
+		Meter: n.meter, Account: n.account,
 		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor),
 	})
 	n.duties = newRolloutDuties(n)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/capacity"
 	"github.com/hornbeamsill/hornbeamsill/internal/cascade"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
@@ -67,6 +68,9 @@
 	BodyBytes *limit.ByteBudget
 	// Overload decides which parts of the handling of overload apply to a service.
 	Overload *overload.Policy
+	// Meter counts the work of this daemon, and Account holds that of all daemons. Both may be nil.
+	Meter   *capacity.Meter
+	Account *capacity.Account
 }
 
 // Handler is the http.Handler for plain HTTP callers.
--- a/internal/overload/policy.go
+++ b/internal/overload/policy.go
@@ -112,6 +112,17 @@
 	return p.applies(p.settings.FairShares, p.called(service))
 }
 
+// CountsUsage reports whether daemons count the work of the service: fair shares and admission
+// control go by it.
+func (p *Policy) CountsUsage(service string) bool {
+	return p.FairShares(service) || p.Admission(service)
+}
+
+// ExchangesUsage reports whether CountsUsage is true of any service.
+func (p *Policy) ExchangesUsage() bool {
+	return p.applies(p.settings.FairShares, p.calledAnywhere) || p.applies(p.settings.Admission, p.calledAnywhere)
+}
+
 // ModelPrice reports whether models are chosen by the current cost of engine time.
 func (p *Policy) ModelPrice(service string) bool {
 	return p.applies(p.settings.ModelPrice, p.called(service))
--- a/internal/overload/policy_test.go
+++ b/internal/overload/policy_test.go
@@ -26,10 +26,17 @@
 	require.True(t, contended.Admission("a") && contended.FairShares("a") && contended.RestartSurvey())
 	require.False(t, contended.InstanceSpeed("a"), "no instance reports its slowdown")
 
+	require.False(t, calm.CountsUsage("a") || calm.ExchangesUsage() || uneven.CountsUsage("b"))
+	require.True(t, uneven.CountsUsage("a") && uneven.ExchangesUsage() && contended.CountsUsage("a"))
+
 	switched := DefaultSettings()
 	switched.Admission, switched.InstanceSpeed = Off, On
 	p := NewPolicy(switched, true, shared{})
 	require.False(t, p.Admission("a"))
+	require.True(t, p.CountsUsage("a") && p.ExchangesUsage(), "fair shares still need it")
+	switched.FairShares = Off
+	off := NewPolicy(switched, true, shared{})
+	require.False(t, off.CountsUsage("a") || off.ExchangesUsage())
 	require.True(t, p.InstanceSpeed("a"))
 }
 
