entry, peer: exchange of usage once a second, along the rounds of work

Cause: daemons know only the demand that reaches themselves.

Change: DaemonWork, FleetWork and DomainWork have a field Usage, and FleetWork asks for it with WantUsage, so that two readers both get whole reports. The capacity rises at once and falls slowly. Nothing is sent unless FairShares or Admission applies to some service.

--- a/internal/capacity/account.go
+++ b/internal/capacity/account.go
@@ -21,8 +21,8 @@
 type Service struct {
 	// Known is false if no figures have arrived since the start.
 	Known bool
-	// Completed and Demand are work per second. Capacity is the completed work averaged over a
-	// longer time: what the service can complete, while it is short of capacity.
+	// Completed and Demand are work per second. Capacity is the most work per second completed
+	// within the last seconds: what the service can complete, while it is short of capacity.
 	Completed, Demand, Capacity float64
 	// Requests and Refused are requests per second.
 	Requests, Refused float64
--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,240 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	simService = "s"
+	simStep    = 10 * time.Millisecond
+	simDomains = 4
+	// simWork is the work of a request, and simPatience how long it waits before it is refused.
+	simWork     = 0.1
+	simPatience = 500 * time.Millisecond
+)
+
+// fleet simulates daemons that exchange usage through one reader for each failure domain, and a
+// service that completes a fixed amount of work per second. Requests beyond an organisation's share
+// wait behind the others, as in the admission control.
+type fleet struct {
+	clock    *clockwork.FakeClock
+	random   *rand.Rand
+	daemons  []*simDaemon
+	readers  [simDomains]*simReader
+	capacity float64
+	// loses reports whether a message is lost between a reader and a daemon, or between the readers
+	// of two domains.
+	loses       func(domain, daemon int) bool
+	losesDomain func(from, to int) bool
+	// within and beyond are the requests in the order in which they are served.
+	within, beyond []simRequest
+	credit         float64
+	arrived        map[string]int
+	served         map[string]int
+	changes        int
+}
+
+type simDaemon struct {
+	meter   *Meter
+	account *Account
+	// granted accumulates the fractions of each organisation's requests that may start.
+	granted map[string]float64
+	waiting int
+	dead    bool
+	// old is set for a build that does not exchange usage.
+	old bool
+}
+
+type simReader struct{ sum *Sum }
+
+type simRequest struct {
+	daemon       *simDaemon
+	organisation string
+	at           time.Time
+}
+
+func newFleet(n int, capacity float64) *fleet {
+	f := &fleet{
+		clock: clockwork.NewFakeClockAt(time.Unix(1_000_000, 0)), random: rand.New(rand.NewPCG(1, 2)), capacity: capacity,
+		loses: func(int, int) bool { return false }, losesDomain: func(int, int) bool { return false },
+	}
+	for range n {
+		m := NewMeter(f.clock, func(string) bool { return true })
+		f.daemons = append(f.daemons, &simDaemon{meter: m, account: NewAccount(f.clock, m, func(string) bool { return true }), granted: map[string]float64{}})
+	}
+	for i := range f.readers {
+		f.readers[i] = &simReader{sum: NewSum()}
+	}
+	f.reset()
+	return f
+}
+
+func (f *fleet) reset() { f.arrived, f.served, f.changes = map[string]int{}, map[string]int{}, 0 }
+
+// run simulates a time in which each organisation sends the given work per second.
+func (f *fleet) run(d time.Duration, demand map[string]float64) {
+	for range d / simStep {
+		f.clock.Advance(simStep)
+		for organisation := range len(demand) {
+			name := organisationName(organisation)
+			for n := demand[name] / simWork * simStep.Seconds(); f.random.Float64() < n; n-- {
+				f.arrive(name)
+			}
+		}
+		f.serve()
+		switch f.clock.Now().UnixMilli() % 1000 {
+		case 900:
+			f.collect()
+		case 0:
+			f.send()
+		}
+	}
+}
+
+func (f *fleet) arrive(organisation string) {
+	d := f.daemons[f.random.IntN(len(f.daemons))]
+	for d.dead {
+		d = f.daemons[f.random.IntN(len(f.daemons))]
+	}
+	f.arrived[organisation]++
+	d.meter.Arrived(simService, organisation, simWork)
+	r := simRequest{daemon: d, organisation: organisation, at: f.clock.Now()}
+	d.waiting++
+	fraction, _ := d.account.Share(simService, organisation)
+	if d.granted[organisation] += fraction; d.granted[organisation] >= 1 {
+		d.granted[organisation]--
+		f.within = append(f.within, r)
+		return
+	}
+	f.beyond = append(f.beyond, r)
+}
+
+// serve completes work in order and refuses what has waited too long.
+func (f *fleet) serve() {
+	f.credit = min(f.credit, simWork) + f.capacity*simStep.Seconds()
+	for _, queue := range []*[]simRequest{&f.within, &f.beyond} {
+		for len(*queue) > 0 {
+			r := (*queue)[0]
+			late := f.clock.Since(r.at) > simPatience
+			if !late && f.credit < simWork {
+				break
+			}
+			*queue = (*queue)[1:]
+			r.daemon.waiting--
+			if late {
+				r.daemon.meter.Refused(simService, r.organisation)
+				continue
+			}
+			f.credit -= simWork
+			f.served[r.organisation]++
+			r.daemon.meter.Finished(simService, simWork)
+		}
+	}
+	for _, d := range f.daemons {
+		d.meter.SetWaiting(simService, d.waiting)
+	}
+}
+
+// collect collects usage in each domain and exchanges it between domains.
+func (f *fleet) collect() {
+	now := f.clock.Now()
+	for i, d := range f.daemons {
+		if domain := i % simDomains; !d.dead && !d.old && !f.loses(domain, i) {
+			f.readers[domain].sum.Add(fmt.Sprint(i), d.meter.Usage().Bounded(), now)
+		}
+	}
+	for from, reader := range f.readers {
+		for to := range f.readers {
+			if from != to && !f.losesDomain(from, to) {
+				f.readers[to].sum.AddDomain(fmt.Sprint(from), reader.sum.Group(now), now)
+			}
+		}
+	}
+}
+
+func (f *fleet) send() {
+	now := f.clock.Now()
+	for i, d := range f.daemons {
+		if domain := i % simDomains; !d.dead && !d.old && !f.loses(domain, i) {
+			f.changes += len(d.account.SetFleet(f.readers[domain].sum.Fleet(now), now))
+		}
+	}
+}
+
+// fraction returns which fraction of an organisation's requests was served.
+func (f *fleet) fraction(organisation string) float64 {
+	return float64(f.served[organisation]) / float64(max(f.arrived[organisation], 1))
+}
+
+// share returns an organisation's share at the first daemon.
+func (f *fleet) share(organisation string) float64 {
+	share, _ := f.daemons[0].account.Share(simService, organisation)
+	return share
+}
+
+func organisationName(i int) string { return fmt.Sprint("org-", i) }
+
+// demandOf returns the demand of n organisations with 1 unit of work per second each, the first of
+// which sends greed times as much.
+func demandOf(n int, greed float64) map[string]float64 {
+	out := map[string]float64{}
+	for i := range n {
+		out[organisationName(i)] = 1
+	}
+	out[organisationName(0)] = greed
+	return out
+}
+
+const greedy = "org-0"
+
+// minFairness is which fraction of the requests of all but the greedy organisation must be served.
+// They send 23 units, the service completes 26, and the greedy one is entitled to 1.5.
+const minFairness = 0.95
+
+func (f *fleet) requireFair(t *testing.T, n int) {
+	t.Helper()
+	served, arrived := 0, 0
+	for i := 1; i < n; i++ {
+		served += f.served[organisationName(i)]
+		arrived += f.arrived[organisationName(i)]
+	}
+	require.Greater(t, float64(served)/float64(arrived), minFairness)
+}
+
+// Guards against an organisation at 7.5 times its usual load that takes the capacity from 23
+// others, is cut to nothing itself, or stays limited after it has become modest.
+func TestGreedyOrganisationOver70Daemons(t *testing.T) {
+	f := newFleet(70, 26)
+	f.run(5*time.Second, demandOf(24, 1))
+	require.Equal(t, 1.0, f.share(greedy), "there is free capacity")
+	f.run(2*time.Second, demandOf(24, 7.5))
+	require.Less(t, f.share(greedy), 1.0, "known within two seconds")
+	f.reset()
+	f.run(10*time.Second, demandOf(24, 7.5))
+	f.requireFair(t, 24)
+	t.Logf("greedy served %.3f, another %.3f, share of the greedy one %.3f, changes %d", f.fraction(greedy), f.fraction("org-1"), f.share(greedy), f.changes)
+	require.Greater(t, f.fraction(greedy), minFraction*26/30.5)
+	require.Zero(t, f.changes, "the state does not flap")
+	f.run(3*time.Second, demandOf(24, 1))
+	require.Equal(t, 1.0, f.share(greedy))
+}
+
+// Guards against capacity that stays reserved for an organisation that has stopped: another one
+// gets it within two seconds.
+func TestUnusedShareIsRedistributed(t *testing.T) {
+	for phase := range 10 {
+		f := newFleet(70, 20)
+		demand := map[string]float64{"org-0": 15, "org-1": 15, "org-2": 1, "org-3": 1}
+		f.run(8*time.Second+time.Duration(phase)*100*time.Millisecond, demand)
+		require.InDelta(t, 0.6, f.share("org-0"), 0.1, "each of the large ones gets 9 units")
+		demand["org-1"] = 0
+		f.run(2*time.Second, demand)
+		require.Greater(t, f.share("org-0"), 0.95, "phase %d", phase)
+	}
+}
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -19,8 +19,9 @@
 	// outweigh all other requests for long.
 	maxWork = 600
 	// negligible is the rate below which an organisation or a service without waiting requests is
-	// forgotten: a single request of 10 ms falls below it within 13 half-lives.
-	negligible = 1e-6
+	// forgotten. A single request of 10 ms falls below it within 7 half-lives, and 1.4% of its work
+	// is then not counted.
+	negligible = 1e-4
 )
 
 // rate is an exponentially weighted average of amounts per second.
--- a/internal/capacity/service.go
+++ b/internal/capacity/service.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// capacityHalfLife is the half-life of the average of completed work that counts as capacity.
-	// Over a shorter time the completions of long streams vary too much.
+	// capacityHalfLife is the half-life with which the capacity falls to the completed work. The
+	// completions of long streams vary too much to follow them at once, and a capacity that is too
+	// low limits organisations without need. It rises at once.
 	capacityHalfLife = 2 * time.Second
 	// fallFraction is how far the demand of an organisation within the last interval must be
 	// below its average for the former to count. By the average alone, capacity would stay
@@ -43,7 +44,8 @@
 
 // update sets the usage of the service by the given number of daemons.
 func (s *serviceState) update(u ServiceUsage, daemons int, now time.Time, terms map[Key]Terms) {
-	s.capacity += (1 - remaining(now.Sub(s.updated), capacityHalfLife)) * (u.Completed - s.capacity)
+	old := remaining(now.Sub(s.updated), capacityHalfLife)
+	s.capacity = max(u.Completed, old*s.capacity+(1-old)*u.Completed)
 	s.usage, s.updated = u, now
 	recent := s.recent(u, daemons, now)
 	s.shortage.update(recent, u.Total().Demand, s.capacity, now)
--- a/internal/capacity/sum.go
+++ b/internal/capacity/sum.go
@@ -34,6 +34,17 @@
 	s.domains[domain] = report{usage: u, at: now}
 }
 
+// Daemons returns the number of daemons of the group whose reports are included.
+func (s *Sum) Daemons(now time.Time) int {
+	n := 0
+	for _, r := range s.daemons {
+		if now.Sub(r.at) <= reportTTL {
+			n++
+		}
+	}
+	return n
+}
+
 // Group returns the usage of the daemons of the group.
 func (s *Sum) Group(now time.Time) Usage {
 	var out Usage
--- /dev/null
+++ b/internal/entry/usage_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/capacity"
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+)
+
+// newUsageFleet returns daemons that know each other, answer calls on loopback, and exchange usage
+// if the mode says so. The first daemon takes the role of the reader in these tests.
+func newUsageFleet(t *testing.T, clock clockwork.Clock, n int, mode overload.Mode) []*servedNode {
+	t.Helper()
+	var nodes []*servedNode
+	var all []member.Daemon
+	for range n {
+		node := newTestNode(clock, func(r *settings.Routes) { r.Overload.FairShares, r.Overload.Admission = mode, overload.Off })
+		nodes = append(nodes, serveNode(t, node))
+		all = append(all, node.registry.Self())
+	}
+	for _, node := range nodes {
+		node.registry.Merge(all)
+	}
+	return nodes
+}
+
+// Guards against usage that does not reach all daemons within two rounds of a reader, that is sent
+// more often than once a second, or that is asked for at a wrong time.
+func TestUsageReachesAllDaemons(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	nodes := newUsageFleet(t, clock, 4, overload.On)
+	reader := nodes[0]
+	for i, n := range nodes {
+		n.meter.Arrived("s", fmt.Sprint("org-", i), 1)
+	}
+	reader.sendFleetWork(t.Context(), 0)
+	require.Zero(t, nodes[1].account.Daemons(), "a new reader knows nothing yet")
+	for range 30 {
+		clock.Advance(workInterval)
+		reader.sendFleetWork(t.Context(), 0)
+	}
+	require.EqualValues(t, 3, reader.usage.counters.sent.Load())
+	for _, n := range nodes {
+		require.Equal(t, 4, n.account.Daemons())
+		require.Len(t, n.account.Organisations("s"), 4)
+		require.True(t, n.account.Service("s").Known)
+		require.LessOrEqual(t, n.account.Service("s").Age, time.Second)
+	}
+	require.EqualValues(t, 4, nodes[1].usage.counters.reported.Load())
+
+	other := nodes[2]
+	other.sendFleetWork(t.Context(), 0)
+	clock.Advance(workInterval)
+	other.sendFleetWork(t.Context(), 0)
+	require.EqualValues(t, 1, other.usage.counters.sent.Load(), "another daemon becomes the reader")
+	require.Equal(t, 4, nodes[1].account.Daemons())
+}
+
+// Guards against usage of another failure domain that does not reach the group, and against a
+// damaged message that changes the account.
+func TestUsageOfDomainsIsAdded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newUsageFleet(t, clock, 1, overload.On)[0]
+	n.startup.noteFleet(maxFleetWorkGroup + 1)
+	require.NotEqual(t, wholeFleet, n.workGroup())
+	n.meter.Arrived("s", "near", 1)
+	far := capacity.NewMeter(clock, func(string) bool { return true })
+	far.Arrived("s", "far", 1)
+	n.OnDomainWork(peer.DomainWork{Domain: "far", Usage: peer.PackUsage(far.Usage())})
+	n.sendFleetWork(t.Context(), 0)
+	require.NotEmpty(t, n.groupUsage())
+	require.Empty(t, n.groupUsage(), "sent once")
+	clock.Advance(workInterval)
+	n.sendFleetWork(t.Context(), 0)
+	require.Equal(t, 2, n.account.Daemons())
+	require.Len(t, n.account.Organisations("s"), 2)
+	n.OnFleetWork(peer.FleetWork{Usage: []byte{1, 2, 3}})
+	require.Equal(t, 2, n.account.Daemons())
+	require.EqualValues(t, 1, n.usage.counters.unreadable.Load())
+}
+
+// Guards against bytes and counts where the deployment does not call for them, and against a
+// reader that waits for daemons of an older build, which report no usage.
+func TestUsageIsExchangedOnlyWhereCalledFor(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	off := newUsageFleet(t, clock, 2, overload.Off)
+	off[1].meter.Arrived("s", "o", 1)
+	require.Zero(t, off[1].meter.Counters())
+	for range 30 {
+		clock.Advance(workInterval)
+		off[0].sendFleetWork(t.Context(), 0)
+	}
+	require.Zero(t, off[0].usage.counters.sent.Load())
+	require.Empty(t, off[1].OnFleetWork(peer.FleetWork{WantUsage: true}).Usage)
+
+	mixed := newUsageFleet(t, clock, 4, overload.On)
+	for _, old := range mixed[1:] {
+		// A daemon whose policy is off behaves like one of an older build.
+		old.overload = off[0].overload
+	}
+	for range int(collectTime/workInterval) - 1 {
+		mixed[0].sendFleetWork(t.Context(), 0)
+		clock.Advance(workInterval)
+	}
+	require.Zero(t, mixed[0].usage.counters.sent.Load())
+	clock.Advance(2 * workInterval)
+	mixed[0].sendFleetWork(t.Context(), 0)
+	require.Equal(t, 1, mixed[0].account.Daemons())
+}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -152,13 +152,16 @@
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
 	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes)}
-	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.workGroup()), func(call context.Context, address string) {
+	others := n.otherDaemons(n.workGroup())
+	n.fillFleetUsage(&update, len(others))
+	n.callEach(ctx, peerCallTimeout, others, func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
 		if err != nil {
 			slog.Debug("work.not_sent", "peer", address, "error", err)
 			return
 		}
 		n.workTotals.add(own, n.clock.Now())
+		n.addUsage(own)
 	})
 	return len(work)
 }
@@ -169,6 +172,7 @@
 	work, prefixes := n.workTotals.groupWork(n.clock.Now(), maxPrefixes)
 	mine := peer.DomainWork{
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
+		Usage: n.groupUsage(),
 	}
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
@@ -192,8 +196,14 @@
 func (n *Node) OnFleetWork(w peer.FleetWork) peer.DaemonWork {
 	n.table.SetFleetWork(peer.UnpackWork(w.Amounts))
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
-	return n.ownWork()
+	n.setFleetUsage(w)
+	own := n.ownWork()
+	own.Usage = n.ownUsage(w.WantUsage)
+	return own
 }
 
 // OnDomainWork implements peer.RoutesHandler.
-func (n *Node) OnDomainWork(w peer.DomainWork) { n.workTotals.addDomain(w, n.clock.Now()) }
+func (n *Node) OnDomainWork(w peer.DomainWork) {
+	n.workTotals.addDomain(w, n.clock.Now())
+	n.addDomainUsage(w)
+}
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -16,6 +16,10 @@
 	// Readings are prompt prefixes that daemons recently sent to instances, encoded by
 	// PackPrefixes.
 	Readings []byte
+	// Usage is the usage of services by all daemons, encoded by PackUsage; empty in most rounds.
+	// WantUsage asks the receiver for its own.
+	Usage     []byte
+	WantUsage bool
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -24,6 +28,8 @@
 	Incarnation string
 	Amounts     []byte
 	Readings    []byte
+	// Usage is the usage of services by this daemon, if it was asked for.
+	Usage []byte
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -32,6 +38,8 @@
 	Domain   string
 	Amounts  []byte
 	Readings []byte
+	// Usage is the usage of services by these daemons; empty in most rounds.
+	Usage []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
