capacity: failures under test, hornbeamsill load, counters

Cause: nothing shows demand and capacity by service and organisation. A daemon that is cut off limited organisations at random, since it has a request of each only every few seconds; two readers that know different daemons made a shortage look over.

Change: hornbeamsill load and /debug/load; counters in expvar under capacity. A daemon that is cut off goes over from its part of the last known demand to its own with a half-life of 10 s. A reader with fewer daemons scales the capacity down. The waiting requests are an average, as one moment says little at one daemon. A service that completes nothing limits nobody.

--- a/internal/capacity/account.go
+++ b/internal/capacity/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -26,7 +27,8 @@
 	Completed, Demand, Capacity float64
 	// Requests and Refused are requests per second.
 	Requests, Refused float64
-	Waiting           int
+	// Waiting is the number of waiting requests, averaged over about a second.
+	Waiting int
 	// Short reports whether the service is short of capacity.
 	Short bool
 	// Isolated is set if the figures are too old, so that this daemon goes by its own part of the
@@ -148,6 +150,23 @@
 	return a.daemons
 }
 
+// ShortServices returns how many services are short of capacity.
+func (a *Account) ShortServices() int {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now, short := a.clock.Now(), 0
+	a.refresh(now)
+	for _, s := range a.services {
+		if a.service(s, now).Short {
+			short++
+		}
+	}
+	return short
+}
+
 // Share returns which fraction of its offered work an organisation may start at this daemon, and
 // whether that is less than all of it.
 func (a *Account) Share(service, organisation string) (fraction float64, limited bool) {
@@ -178,7 +197,7 @@
 	total := s.usage.Total()
 	out := Service{
 		Known: true, Completed: s.usage.Completed, Demand: total.Demand, Capacity: s.capacity, Requests: s.usage.Requests,
-		Refused: total.Refused, Waiting: s.usage.Waiting, Short: s.shortage.short, Isolated: a.isolated(now), Age: a.dataAge + now.Sub(a.receivedAt),
+		Refused: total.Refused, Waiting: int(math.Round(s.usage.Waiting)), Short: s.shortage.short, Isolated: a.isolated(now), Age: a.dataAge + now.Sub(a.receivedAt),
 	}
 	if out.Isolated {
 		out.Short = s.localShortage.short
@@ -205,6 +224,6 @@
 	a.localAt = now
 	own := a.meter.Usage().Bounded()
 	for key, s := range a.services {
-		s.updateLocal(own.Services[key], s.capacity/float64(a.daemons), now)
+		s.updateLocal(own.Services[key], now)
 	}
 }
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -105,7 +105,7 @@
 	f.arrived[organisation]++
 	d.meter.Arrived(simService, organisation, simWork)
 	r := simRequest{daemon: d, organisation: organisation, at: f.clock.Now()}
-	d.waiting++
+	d.wait(1)
 	fraction, _ := d.account.Share(simService, organisation)
 	if d.granted[organisation] += fraction; d.granted[organisation] >= 1 {
 		d.granted[organisation]--
@@ -126,7 +126,7 @@
 				break
 			}
 			*queue = (*queue)[1:]
-			r.daemon.waiting--
+			r.daemon.wait(-1)
 			if late {
 				r.daemon.meter.Refused(simService, r.organisation)
 				continue
@@ -136,9 +136,12 @@
 			r.daemon.meter.Finished(simService, simWork)
 		}
 	}
-	for _, d := range f.daemons {
-		d.meter.SetWaiting(simService, d.waiting)
-	}
+}
+
+// wait changes the number of requests that wait at a daemon.
+func (d *simDaemon) wait(change int) {
+	d.waiting += change
+	d.meter.SetWaiting(simService, d.waiting)
 }
 
 // collect collects usage in each domain and exchanges it between domains.
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -38,18 +38,25 @@
 // get returns the rate at the given time and moves the average there. A clock that jumps back
 // does not change the value.
 func (r *rate) get(now time.Time) float64 {
-	if elapsed := now.Sub(r.at); elapsed > 0 && r.value > 0 {
-		r.value *= math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
-	}
+	r.value *= remaining(now.Sub(r.at), halfLife)
 	r.at = now
 	return r.value
 }
 
+// remaining returns which part of an average is left after the given time.
+func remaining(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
+}
+
 // meteredService is what a Meter counts for one service.
 type meteredService struct {
 	completed, requests rate
-	waiting             int
-	organisations       map[Key]*meteredLoad
+	// waiting is the number of requests that wait since waitingAt, and meanWaiting its average until
+	// then.
+	waiting       int
+	meanWaiting   float64
+	waitingAt     time.Time
+	organisations map[Key]*meteredLoad
 }
 
 type meteredLoad struct{ demand, refused rate }
@@ -107,7 +114,10 @@
 
 // SetWaiting sets how many requests wait at this daemon until an instance can start them.
 func (m *Meter) SetWaiting(service string, requests int) {
-	m.with(service, func(s *meteredService, _ time.Time) { s.waiting = max(requests, 0) })
+	m.with(service, func(s *meteredService, now time.Time) {
+		s.averageWaiting(now)
+		s.waiting = max(requests, 0)
+	})
 }
 
 // Counters returns the numbers of events counted so far.
@@ -131,7 +141,7 @@
 	now := m.clock.Now()
 	for key, s := range m.services {
 		u := ServiceUsage{
-			Completed: s.completed.get(now), Requests: s.requests.get(now), Waiting: s.waiting,
+			Completed: s.completed.get(now), Requests: s.requests.get(now), Waiting: s.averageWaiting(now),
 			Organisations: make(map[Key]Load, len(s.organisations)),
 		}
 		for organisation, l := range s.organisations {
@@ -142,7 +152,7 @@
 			}
 			u.Organisations[organisation] = load
 		}
-		if u.Waiting == 0 && len(u.Organisations) == 0 && u.Completed < negligible && u.Requests < negligible {
+		if s.waiting == 0 && u.Waiting < negligible && len(u.Organisations) == 0 && u.Completed < negligible && u.Requests < negligible {
 			delete(m.services, key)
 			continue
 		}
@@ -164,12 +174,20 @@
 		if len(m.services) >= maxMetered {
 			return
 		}
-		s = &meteredService{organisations: map[Key]*meteredLoad{}}
+		s = &meteredService{organisations: map[Key]*meteredLoad{}, waitingAt: m.clock.Now()}
 		m.services[key] = s
 	}
 	f(s, m.clock.Now())
 }
 
+// averageWaiting moves the average of the waiting requests to the given time and returns it.
+func (s *meteredService) averageWaiting(now time.Time) float64 {
+	old := remaining(now.Sub(s.waitingAt), halfLife)
+	s.meanWaiting = old*s.meanWaiting + (1-old)*float64(s.waiting)
+	s.waitingAt = now
+	return s.meanWaiting
+}
+
 // load returns the load of an organisation. If there are too many, the one with the lowest demand
 // is added to OtherOrganisations to make room.
 func (s *meteredService) load(organisation string, now time.Time) *meteredLoad {
--- a/internal/capacity/service.go
+++ b/internal/capacity/service.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"math"
 	"time"
 )
 
@@ -10,6 +9,10 @@
 	// completions of long streams vary too much to follow them at once, and a capacity that is too
 	// low limits organisations without need. It rises at once.
 	capacityHalfLife = 2 * time.Second
+	// localHalfLife is the half-life with which a daemon that is cut off goes over from its part of
+	// the last known demand to that at itself. In a large fleet a daemon has a request of an
+	// organisation every few seconds, so over a shorter time the demands there say little.
+	localHalfLife = 10 * time.Second
 	// fallFraction is how far the demand of an organisation within the last interval must be
 	// below its average for the former to count. By the average alone, capacity would stay
 	// reserved for an organisation for seconds after it has stopped.
@@ -22,6 +25,7 @@
 // serviceState is what an Account keeps of one service.
 type serviceState struct {
 	usage    ServiceUsage
+	daemons  int
 	capacity float64
 	updated  time.Time
 	shortage shortage
@@ -30,38 +34,65 @@
 	before        ServiceUsage
 	beforeAt      time.Time
 	beforeDaemons int
-	// localShortage and localShares are used while no figures of the fleet arrive.
+	// localShortage, localDemands and localShares are used while no figures of the fleet arrive.
+	// localDemands are the demands of organisations at this daemon.
 	localShortage shortage
+	localDemands  map[Key]float64
 	localShares   shares
 }
 
 func newServiceState(u ServiceUsage, daemons int, now time.Time) *serviceState {
 	return &serviceState{
-		usage: u, capacity: u.Completed, updated: now, before: u, beforeAt: now, beforeDaemons: daemons,
+		usage: u, daemons: daemons, capacity: u.Completed, updated: now, before: u, beforeAt: now, beforeDaemons: daemons,
 		shares: unlimited(), localShares: unlimited(),
 	}
 }
 
 // update sets the usage of the service by the given number of daemons.
 func (s *serviceState) update(u ServiceUsage, daemons int, now time.Time, terms map[Key]Terms) {
+	// A reader that knows fewer daemons reports less of the demand, which must not look small
+	// beside the capacity that another reader has reported.
+	known := min(float64(daemons)/float64(max(s.daemons, 1)), 1) * s.capacity
 	old := remaining(now.Sub(s.updated), capacityHalfLife)
-	s.capacity = max(u.Completed, old*s.capacity+(1-old)*u.Completed)
-	s.usage, s.updated = u, now
+	s.capacity = max(u.Completed, old*known+(1-old)*u.Completed)
+	s.usage, s.updated, s.daemons = u, now, daemons
 	recent := s.recent(u, daemons, now)
 	s.shortage.update(recent, u.Total().Demand, s.capacity, now)
-	s.localShortage = s.shortage
+	s.localShortage, s.localDemands = s.shortage, nil
 	s.shares = unlimited()
 	if s.shortage.short {
 		s.shares = divide(s.capacity, demands(recent), terms)
 	}
 }
 
-// updateLocal sets the shares of this daemon's own usage in its part of the capacity.
-func (s *serviceState) updateLocal(own ServiceUsage, part float64, now time.Time) {
-	s.localShortage.update(own, own.Total().Demand, part, now)
+// updateLocal sets the shares of this daemon's own usage in its part of the capacity, with equal
+// weights. It is called every localInterval.
+func (s *serviceState) updateLocal(own ServiceUsage, now time.Time) {
+	n := float64(max(s.daemons, 1))
+	if s.localDemands == nil {
+		s.localDemands = demands(s.usage)
+		for key := range s.localDemands {
+			s.localDemands[key] /= n
+		}
+	}
+	old, total := remaining(localInterval, localHalfLife), 0.0
+	for key, before := range s.localDemands {
+		s.localDemands[key] = old * before
+		if before < negligible {
+			delete(s.localDemands, key)
+		}
+	}
+	for key, l := range own.Organisations {
+		s.localDemands[key] += (1 - old) * l.Demand
+	}
+	for _, demand := range s.localDemands {
+		total += demand
+	}
+	part := s.capacity / n
+	s.localShortage.update(own, total, part, now)
 	s.localShares = unlimited()
 	if s.localShortage.short {
-		s.localShares = divide(part, demands(own), nil)
+		s.localShares = divide(part, s.localDemands, nil)
 	}
 }
 
@@ -86,7 +117,7 @@
 		return now
 	}
 	out := u
-	out.Requests = fallen(u.Requests, before.Requests)
+	out.Requests, out.Waiting = fallen(u.Requests, before.Requests), fallen(u.Waiting, before.Waiting)
 	out.Organisations = make(map[Key]Load, len(u.Organisations))
 	for key, l := range u.Organisations {
 		earlier := before.Organisations[key]
@@ -95,11 +126,6 @@
 	return out
 }
 
-// remaining returns which part of an average is left after the given time.
-func remaining(elapsed, halfLife time.Duration) float64 {
-	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
-}
-
 // demands returns the demand of each organisation.
 func demands(u ServiceUsage) map[Key]float64 {
 	out := make(map[Key]float64, len(u.Organisations))
--- a/internal/capacity/shares.go
+++ b/internal/capacity/shares.go
@@ -53,7 +53,8 @@
 			smallest = min(smallest, demand)
 		}
 	}
-	if total <= capacity {
+	if total <= capacity || capacity <= 0 {
+		// A service that completes nothing has failed. Nothing can be divided then.
 		return unlimited()
 	}
 	alike := capacity / total
--- a/internal/capacity/shortage.go
+++ b/internal/capacity/shortage.go
@@ -9,6 +9,9 @@
 	shortMargin     = 1.05
 	longDelay       = 50 * time.Millisecond
 	refusedFraction = 0.01
+	// minRefused is the rate of refused requests, per second, below which there are none: the rate
+	// falls below it within seven seconds of a single refusal.
+	minRefused = 0.01
 	// The shortage lasts while the wait or the refusals are above calmFraction of these, and for
 	// calmTime after, so that one report without them does not end it.
 	calmFraction = 0.25
@@ -43,6 +46,6 @@
 // thresholds. By Little's law the average wait is the number of waiting requests divided by the
 // rate at which requests arrive.
 func evident(u ServiceUsage, fraction float64) bool {
-	waits := float64(u.Waiting) > fraction*longDelay.Seconds()*u.Requests
-	return waits || u.Total().Refused > fraction*refusedFraction*u.Requests
+	waits := u.Waiting > fraction*longDelay.Seconds()*u.Requests
+	return waits || u.Total().Refused > max(fraction*refusedFraction*u.Requests, minRefused)
 }
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -48,8 +48,9 @@
 type ServiceUsage struct {
 	// Completed is the completed work per second, and Requests the arriving requests per second.
 	Completed, Requests float64
-	// Waiting is the number of requests that wait at daemons.
-	Waiting int
+	// Waiting is the average number of requests that wait at daemons. At a daemon with few
+	// requests, the number at one moment says little.
+	Waiting float64
 	// Organisations is the load of each organisation; that of the ones beyond the bound is
 	// summed under OtherOrganisations.
 	Organisations map[Key]Load
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,6 +67,7 @@
 	Restore   restoreCommand   `command:"restore" description:"use the upstreams of an evacuated failure domain again"`
 	Evacuated evacuatedCommand `command:"evacuated" description:"list the evacuated failure domains"`
 	Entries   entriesCommand   `command:"entries" description:"list the daemons that callers may use"`
+	Load      loadCommand      `command:"load" description:"show the demand and the capacity of services that a daemon knows"`
 	Entry     struct {
 		Check    entryCheck    `command:"check" description:"check the settings of a daemon for plain HTTP callers"`
 		Manifest entryManifest `command:"manifest" description:"check an operator's declaration"`
--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 
@@ -93,7 +94,7 @@
 		load := ServiceLoad{
 			Name: service, Short: s.Short, Isolated: s.Isolated, AgeMS: s.Age.Milliseconds(), CompletedPerS: s.Completed, CapacityPerS: s.Capacity,
 			DemandPerS: s.Demand, RequestsPerS: s.Requests, RefusedPerS: s.Refused, Waiting: s.Waiting,
-			OwnCompletedPerS: mine.Completed, OwnDemandPerS: mine.Total().Demand, OwnWaiting: mine.Waiting, Organisations: []OrganisationLoad{},
+			OwnCompletedPerS: mine.Completed, OwnDemandPerS: mine.Total().Demand, OwnWaiting: int(math.Round(mine.Waiting)), Organisations: []OrganisationLoad{},
 		}
 		organisations := n.account.Organisations(service)
 		for _, key := range slices.Sorted(maps.Keys(organisations)) {
@@ -109,6 +110,29 @@
 	return out
 }
 
+// capacityVars are the counters of the capacity accounting.
+type capacityVars struct {
+	capacity.Counters
+	// Sent and Received count messages with the usage of all daemons, Reported those with the usage
+	// of this daemon, and Unreadable those that could not be decoded.
+	Sent       int64 `json:"usage_sent"`
+	Received   int64 `json:"usage_received"`
+	Reported   int64 `json:"usage_reported"`
+	Unreadable int64 `json:"usage_unreadable"`
+	// ShortServices is the number of services that are short of capacity, and ShortChanges the
+	// number of times that this has begun or ended for a service.
+	ShortServices int   `json:"services_short"`
+	ShortChanges  int64 `json:"short_changes"`
+}
+
+func (n *Node) capacityVars() capacityVars {
+	c := &n.usage.counters
+	return capacityVars{
+		Counters: n.meter.Counters(), Sent: c.sent.Load(), Received: c.received.Load(), Reported: c.reported.Load(),
+		Unreadable: c.unreadable.Load(), ShortServices: n.account.ShortServices(), ShortChanges: c.shortChanges.Load(),
+	}
+}
+
 func (n *Node) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(n.Load()); err != nil {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -269,6 +269,8 @@
 	// NoEscalation is the number of answers of a small model that were kept only because no
 	// retry was left to run the largest model.
 	NoEscalation int64 `json:"no_escalation"`
+	// Capacity has the counters of the capacity accounting.
+	Capacity capacityVars `json:"capacity"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
 }
@@ -286,6 +288,7 @@
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
+			Capacity: n.capacityVars(),
 		}
 	})
 }
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -83,12 +83,13 @@
 	StatusPath = "/debug/beliefs"
 )
 
-// debugHandler serves the counters, the daemon's status and the quarantine API.
+// debugHandler serves the counters, the daemon's status and load, and the quarantine API.
 func (n *Node) debugHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+varsPath, expvar.Handler())
 	mux.HandleFunc("GET "+QuarantinePath, n.quarantine.serveList)
 	mux.HandleFunc("POST "+ReleasePath+"{digest}", n.quarantine.serveRelease)
+	mux.HandleFunc("GET "+LoadPath, n.serveLoad)
 	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -45,7 +45,8 @@
 type usageCounters struct {
 	// sent and received count messages with the usage of all daemons, reported the own usage
 	// given to readers, and unreadable messages that could not be decoded.
-	sent, received, reported, unreadable atomic.Int64
+	// shortChanges counts how often a service has become short of capacity or has ceased to be.
+	sent, received, reported, unreadable, shortChanges atomic.Int64
 }
 
 func newUsageExchange() *usageExchange { return &usageExchange{sum: capacity.NewSum()} }
@@ -191,6 +192,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	n.usage.counters.shortChanges.Add(int64(len(changes)))
 	names := n.capacityNames()
 	for _, c := range changes {
 		slog.Info("capacity.changed", "service", names.of(c.Key), "short", c.Short, "demand", c.Demand,
--- a/internal/entry/usage_test.go
+++ b/internal/entry/usage_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/capacity"
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -115,3 +119,49 @@
 	mixed[0].sendFleetWork(t.Context(), 0)
 	require.Equal(t, 1, mixed[0].account.Daemons())
 }
+
+// Guards against an accounting for operators without names, shares or the figures of this daemon.
+func TestLoadNamesServicesAndOrganisations(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newUsageFleet(t, clock, 1, overload.On)[0]
+	n.installConfig(catalog.New(catalog.Declared{
+		Version: 1, Services: []catalog.Service{{Name: "s"}, {Name: "idle"}},
+		Keys: map[string]catalog.Organisation{"k1": {Name: "large"}, "k2": {Name: "large"}, "k3": {Name: "small"}},
+	}), nil, "test")
+	for range 10 {
+		n.meter.Arrived("s", "large", 1)
+	}
+	n.meter.Arrived("s", "small", 1)
+	n.meter.Arrived("s", "gone", 0.5)
+	n.meter.Arrived("s", "", 0.25)
+	n.meter.Finished("s", 2)
+	n.meter.SetWaiting("s", 100)
+	clock.Advance(workInterval)
+	n.sendFleetWork(t.Context(), 0)
+	clock.Advance(workInterval)
+	n.sendFleetWork(t.Context(), 0)
+
+	server := httptest.NewServer(n.debugHandler())
+	defer server.Close()
+	resp, err := http.Get(server.URL + LoadPath)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var load LoadStatus
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&load))
+	require.True(t, load.Exchanged)
+	require.Len(t, load.Services, 1)
+	s := load.Services[0]
+	require.True(t, s.Short)
+	require.Positive(t, s.Waiting)
+	require.Greater(t, s.OwnWaiting, s.Waiting)
+	var names []string
+	for _, o := range s.Organisations {
+		names = append(names, o.Name)
+	}
+	require.Equal(t, []string{"large", "small", fmt.Sprintf("%08x", uint32(capacity.KeyOf("gone"))), "(none)"}, names)
+	require.Less(t, s.Organisations[0].Share, 0.25)
+	require.Equal(t, 1.0, s.Organisations[3].Share)
+	require.Equal(t, 1, n.capacityVars().ShortServices)
+	require.EqualValues(t, 1, n.capacityVars().ShortChanges)
+	require.EqualValues(t, 13, n.capacityVars().Arrived)
+}
--- a/internal/peer/usage.go
+++ b/internal/peer/usage.go
@@ -14,7 +14,7 @@
 
 // An encoded capacity.Usage has the format byte, the number of daemons and the age in
 // milliseconds, the keys of all organisations, and the services. A service has its key, its
-// rates, the number of waiting requests and the loads of its organisations. An organisation is
+// rates, the waiting requests and the loads of its organisations. An organisation is
 // named there by its index, whose lowest bit tells that a rate of refused requests follows that of
 // the demand. With 24 organisations at 6 services this takes 0.7 kB; gob takes 5 kB.
 
@@ -56,7 +56,7 @@
 		out = binary.BigEndian.AppendUint32(out, uint32(key))
 		out = appendRate(out, s.Completed)
 		out = appendRate(out, s.Requests)
-		out = appendCount(out, s.Waiting)
+		out = appendRate(out, s.Waiting)
 		out = appendCount(out, len(s.Organisations))
 		for organisation, l := range s.Organisations {
 			refused := l.Refused > 0
@@ -101,7 +101,7 @@
 	}
 	for range r.count(capacity.MaxServices) {
 		key := r.key()
-		s := capacity.ServiceUsage{Completed: r.rate(), Requests: r.rate(), Waiting: r.count(maxCount), Organisations: map[capacity.Key]capacity.Load{}}
+		s := capacity.ServiceUsage{Completed: r.rate(), Requests: r.rate(), Waiting: r.rate(), Organisations: map[capacity.Key]capacity.Load{}}
 		for range r.count(capacity.MaxOrganisations + 1) {
 			head := r.count(2 * maxUsageOrganisations)
 			l := capacity.Load{Demand: r.rate()}
