speed, place: placement by the expected time at each instance

Cause: placement counts work in prompt tokens and does not know that an instance takes longer than another. With one plain server of four six times as slow, 6.4% of requests take longer than 150 ms at 60% load.

Change: package speed estimates one slowdown factor an incarnation from observed against usual times and from the slowdown that the instance reports. place.Soonest chooses by expected time where overload.Policy.InstanceSpeed applies: plain servers by the end of the answer, engines by the first event. Work that other daemons send between two exchanges is taken to fill up the soonest engines, so that daemons with the same figures spread their prompts. Another failure domain costs 3 to 40% of the objective, by the hash of the prompt. Elsewhere the code path is unchanged. "hornbeamsill entry show" prints factor, mean and age of each instance.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -80,6 +80,15 @@
 	return fmt.Sprintf("%g/s", v.Limit)
 }
 
+// formatSpeed formats how many times as long as usual an instance takes: at this moment, on
+// average, and the age of the data.
+func formatSpeed(v inventory.View) string {
+	if v.Speed.Now == 0 {
+		return "usual"
+	}
+	return fmt.Sprintf("%.2f (mean %.2f, %d ms old)", v.Speed.Now, v.Speed.Mean, v.Speed.Age.Milliseconds())
+}
+
 func printStatus(w io.Writer, status entry.DaemonStatus) {
 	printLine(w, "daemon\t%s\tready %v\treads the store %v\tstale %v", status.Instance, status.Ready, status.Reader, status.Stale())
 	printLine(w, "config\tversion %d\t%d ms old\tbody limit %d bytes", status.Config.Version, status.Config.AgeMS, status.Config.Limits.BodyBytes)
@@ -89,7 +98,7 @@
 	printLine(w, "list\trevision %d\t%d ms old", status.List.Revision, status.List.AgeMS)
 	for service, views := range status.List.Instances {
 		for _, v := range views {
-			printLine(w, "upstream\t%s\t%s\t%s\t%s\topen %d\tejected %v\twarming %v\tlimit %s", service, v.Instance.ID, v.Instance.Address, v.Instance.Version, v.Open, v.Ejected, v.Warming, formatLimit(v))
+			printLine(w, "upstream\t%s\t%s\t%s\t%s\topen %d\tejected %v\twarming %v\tlimit %s\tslowdown %s", service, v.Instance.ID, v.Instance.Address, v.Instance.Version, v.Open, v.Ejected, v.Warming, formatLimit(v), formatSpeed(v))
 		}
 	}
 	for _, e := range status.Evacuations {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,6 +37,10 @@
 	// warming is set if the instance was warming up when it was chosen, so that it accepted only
 	// part of its normal load.
 	warming bool
+	// byTime is set if the instance was chosen by expected time. crowding is how many times as
+	// long its answer takes because requests wait for slots there.
+	byTime   bool
+	crowding float64
 	progress
 	// dropped is set if the answer was deliberately not read to its end.
 	dropped bool
@@ -50,8 +54,9 @@
 func (e *refusedError) Error() string { return "refused by " + e.instance }
 
 // chooseInstance picks the instance for the next attempt: one that is due for a probe; the
-// better of two random ones if an instance has ended under the request; the one with the
-// lowest prefill cost if the prompt has shared parts; otherwise the least loaded one.
+// better of two random ones if an instance has ended under the request; the one with the least
+// expected time if the speed of instances counts; the one with the lowest prefill cost if the
+// prompt has shared parts; otherwise the least loaded one.
 func (q *request) chooseInstance() (picked place.Candidate, instance inventory.Instance, ok bool) {
 	candidates := q.candidates()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -59,6 +64,8 @@
 		picked, ok = probe, true
 	} else if q.instanceEnded {
 		picked, ok = place.TwoChoices(candidates, random)
+	} else if q.placesByTime() {
+		picked, ok = place.Soonest(candidates, q.placementRequest(), random)
 	} else if key := q.placementKey(); key != "" {
 		if n := len(q.route.Models); n > 1 && q.model != q.route.Models[n-1] {
 			candidates = place.Local(candidates)
@@ -120,6 +127,7 @@
 	a := &attempt{
 		span: span, request: q, instance: instance, cancel: cancel, sentAt: time.Now(),
 		prefill: picked.Prefill, queuedPrefill: picked.Waiting, isWaiting: true, warming: picked.Warming,
+		byTime: q.placesByTime(), crowding: crowding(picked),
 	}
 	q.Table.Begin(instance, a.prefill)
 	if !picked.Canary {
@@ -309,6 +317,7 @@
 	a.removeWaiting()
 	a.Table.End(a.instance, outcome)
 	a.observeLatency(outcome)
+	a.noteSpeed(outcome)
 	if o, ok := a.finalObservation(outcome); ok {
 		a.Versions.Observe(a.service.Name, o)
 	}
--- /dev/null
+++ b/internal/forward/instance_speed.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/place"
+	"github.com/hornbeamsill/hornbeamsill/internal/speed"
+)
+
+// minSpeedWork is the work below which the time to a first event says little about an engine: it
+// is then mostly network latency and a few generation steps.
+const minSpeedWork = 1000
+
+// placesByTime reports whether the request is placed by the expected time at each instance.
+func (q *request) placesByTime() bool {
+	return q.Overload != nil && q.Overload.InstanceSpeed(q.service.Name)
+}
+
+// placementRequest returns what place.Soonest needs to know of the request.
+func (q *request) placementRequest() place.Request {
+	usual := q.Table.Usual(q.service.Name)
+	r := place.Request{Engine: q.service.Engine, Hold: usual.Hold, Objective: q.route.Objective}
+	if r.Engine {
+		const work = 1e6
+		r.Key = q.placementKey()
+		r.PerWork = q.prefillRate.Estimate(work, time.Now()).Seconds() / work
+		daemons := time.Duration(max(q.DaemonCount(), 1))
+		r.Unseen = q.Table.UnseenFor() * (daemons - 1) / daemons
+	}
+	return r
+}
+
+// noteSpeed records what the end of the attempt says about the speed of the instance. An attempt
+// that timed out gives a lower bound. The speed of an instance that warms up is not its usual one.
+func (a *attempt) noteSpeed(outcome inventory.Outcome) {
+	if !a.byTime || a.warming || outcome != inventory.OutcomeSuccess && outcome != inventory.OutcomeTimeout {
+		return
+	}
+	now := time.Now()
+	timedOut := outcome == inventory.OutcomeTimeout
+	a.mu.Lock()
+	headAt, pace := a.headAt, time.Duration(0)
+	if a.eventCount >= minPaceEvents && !a.dropped {
+		pace = a.lastEventAt.Sub(headAt) / time.Duration(a.eventCount)
+	}
+	a.mu.Unlock()
+	if !timedOut && !a.dropped {
+		a.Table.ObserveUsual(a.service.Name, now.Sub(a.sentAt), 0)
+	}
+	if !a.service.Engine {
+		if a.route.Kind != catalog.Stream {
+			kind := speed.Kind{Measure: speed.PlainAnswer, Name: a.service.Name, Model: a.route.Name}
+			a.Table.ObserveSpeed(a.instance, kind, now.Sub(a.sentAt).Seconds()/a.crowding, timedOut)
+		}
+		return
+	}
+	firstEvent := headAt.Sub(a.sentAt)
+	if timedOut && headAt.IsZero() {
+		firstEvent = now.Sub(a.sentAt)
+	}
+	if a.queuedPrefill+a.prefill >= minSpeedWork {
+		multiple := firstEvent.Seconds() / a.expectedFirstEvent.Seconds()
+		a.Table.ObserveSpeed(a.instance, speed.Kind{Measure: speed.FirstEvent, Name: a.service.Name}, multiple, timedOut)
+	}
+	if pace > 0 {
+		a.Table.ObserveSpeed(a.instance, speed.Kind{Measure: speed.EventTime, Name: a.route.Name, Model: a.model}, pace.Seconds(), false)
+	}
+}
+
+// crowding returns how many times as long a plain answer takes because requests wait for slots.
+func crowding(c place.Candidate) float64 {
+	slots := float64(max(c.Slots, 1))
+	return 1 + max(c.Load+1-slots, 0)/slots
+}
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -232,6 +232,7 @@
 	t.reindex(e, false)
 	delete(t.missing, e)
 	delete(t.busy, e)
+	delete(t.sampled, e)
 }
 
 // keepUntil keeps an entry that is no longer listed until the given time.
--- /dev/null
+++ b/internal/inventory/speed.go
@@ -0,0 +1,146 @@
+package inventory
+
+import (
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/speed"
+)
+
+// Speeds contains samples of slowdown factors by instance.
+type Speeds map[InstanceHash]speed.Sample
+
+// ServiceUsual is what is usual for the requests of a service.
+type ServiceUsual struct {
+	// Hold is the time for which a request takes a slot; 0 if unknown.
+	Hold time.Duration
+	// Tokens is the memory that a request takes at an engine; 0 if unknown.
+	Tokens float64
+}
+
+// factor returns the slowdown factor of an instance. The lock is held.
+func (t *Table) factor(e *entry, now time.Time) speed.Factor {
+	others, known := t.otherSpeeds[e.hash]
+	if e.speed == nil && !known {
+		return speed.Factor{}
+	}
+	received := speed.Others{Sample: others}
+	if known {
+		received.At = t.otherSpeedsAt
+	}
+	return e.speed.Factor(received, now)
+}
+
+// estimator returns the estimator of an entry. The lock is held.
+func (t *Table) estimator(e *entry) *speed.Estimator {
+	if e.speed == nil {
+		e.speed = &speed.Estimator{}
+		t.sampled[e] = struct{}{}
+	}
+	return e.speed
+}
+
+// ObserveSpeed records an amount, mostly a time, that would be the usual one of its kind at an
+// instance of usual speed. If atLeast is set, the true amount is larger, and the amount counts
+// only if that alone shows that the instance is slower than assumed.
+func (t *Table) ObserveSpeed(i Instance, k speed.Kind, amount float64, atLeast bool) {
+	t.withEntry(i, func(e *entry) {
+		now := t.clock.Now()
+		var multiple float64
+		var ok bool
+		if atLeast {
+			multiple, ok = t.usual.Multiple(k, amount)
+			ok = ok && multiple > max(t.factor(e, now).Mean, 1)
+		} else {
+			multiple, ok = t.usual.Compare(k, amount, now)
+		}
+		if ok {
+			t.estimator(e).Observe(multiple, now)
+		}
+	})
+}
+
+// ObserveUsual records the time for which a request of a service took a slot, and the memory that
+// it took; 0 means unknown.
+func (t *Table) ObserveUsual(service string, held time.Duration, tokens float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	if held > 0 {
+		t.usual.Add(speed.Kind{Measure: speed.Hold, Name: service}, held.Seconds(), now)
+	}
+	if tokens > 0 {
+		t.usual.Add(speed.Kind{Measure: speed.Tokens, Name: service}, tokens, now)
+	}
+}
+
+// Usual returns what is usual for the requests of a service.
+func (t *Table) Usual(service string) ServiceUsual {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hold := t.usual.Mean(speed.Kind{Measure: speed.Hold, Name: service}, 0)
+	return ServiceUsual{
+		Hold:   time.Duration(hold * float64(time.Second)),
+		Tokens: t.usual.Mean(speed.Kind{Measure: speed.Tokens, Name: service}, 0),
+	}
+}
+
+// minSentWeight is the weight below which a sample is neither sent nor kept. A single
+// sample has that weight after some 20 s.
+const minSentWeight = 1.0 / 16
+
+// OwnSpeeds returns the samples of this daemon.
+func (t *Table) OwnSpeeds() Speeds {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ownSpeeds(t.clock.Now())
+}
+
+// ownSpeeds is OwnSpeeds with the lock held. It forgets samples that have become too old.
+func (t *Table) ownSpeeds(now time.Time) Speeds {
+	out := make(Speeds, len(t.sampled))
+	for e := range t.sampled {
+		switch own := e.speed.Own(now); {
+		case own.Weight >= minSentWeight:
+			out[e.hash] = own
+		case e.removed || e.speed.Factor(speed.Others{}, now).Age > forgetSpeedAfter:
+			e.speed = nil
+			delete(t.sampled, e)
+		}
+	}
+	return out
+}
+
+// forgetSpeedAfter is the age of the last sample or report after which an instance's own samples
+// are forgotten. By then its factor has decayed to 1.
+const forgetSpeedAfter = time.Minute
+
+// SetFleetSpeeds sets the samples of all daemons, including this one.
+func (t *Table) SetFleetSpeeds(fleet Speeds) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	others, own := make(Speeds, len(fleet)), t.ownSpeeds(now)
+	for instance, all := range fleet {
+		if rest := all.Without(own[instance]); rest.Weight >= minSentWeight {
+			others[instance] = rest
+		}
+	}
+	t.otherSpeeds, t.otherSpeedsAt = others, now
+}
+
+// UnseenFor returns the time for which the requests of other daemons are unknown. Work that was
+// known before has then mostly been done, so there is no need to tell longer times apart.
+func (t *Table) UnseenFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := t.clock.Now(); t.fleetKnown(now) {
+		return min(now.Sub(t.fleetAt), fleetHalfLife)
+	}
+	return fleetHalfLife
+}
+
+// HoldTokens counts memory that a request of this daemon takes at an instance, until it is called
+// again with the negative amount.
+func (t *Table) HoldTokens(i Instance, tokens float64) {
+	t.withEntry(i, func(e *entry) { e.tokens = max(e.tokens+tokens, 0) })
+}
--- /dev/null
+++ b/internal/inventory/speed_test.go
@@ -0,0 +1,44 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/speed"
+)
+
+// Guards against a restarted instance that is held to be as slow as its former incarnation, and
+// against an entry of that one which is never freed.
+func TestSpeedBelongsToOneIncarnation(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := NewTable(clock)
+	slow := Instance{ID: "a", Born: 1, Service: "s"}
+	table.Replace(Snapshot{Revision: 1, Instances: []Instance{slow, {ID: "b", Born: 1, Service: "s"}}}, time.Time{})
+	kind := speed.Kind{Measure: speed.PlainAnswer, Name: "s"}
+	for range 40 {
+		table.ObserveSpeed(Instance{ID: "b", Born: 1}, kind, 0.03, false)
+		table.ObserveSpeed(slow, kind, 0.18, false)
+		table.ObserveSpeed(slow, kind, 0.01, true)
+	}
+	require.Greater(t, table.Usable("s")[0].Speed.Mean, 1.8)
+	require.Less(t, table.Usable("s")[1].Speed.Mean, 0.6)
+	table.SetFleetSpeeds(table.OwnSpeeds())
+	require.Empty(t, table.otherSpeeds, "own samples")
+
+	restarted := slow
+	restarted.Born = 2
+	table.Replace(Snapshot{Revision: 2, Instances: []Instance{restarted, {ID: "b", Born: 1, Service: "s"}}}, time.Time{})
+	table.ObserveSpeed(slow, kind, 0.18, false)
+	require.Equal(t, speed.Factor{}, table.Usable("s")[0].Speed)
+	require.Len(t, table.OwnSpeeds(), 1)
+	clock.Advance(2 * time.Minute)
+	require.Empty(t, table.OwnSpeeds())
+	require.Empty(t, table.sampled)
+	require.Equal(t, speed.Factor{}, table.Usable("s")[1].Speed)
+
+	table.SetFleetSpeeds(Speeds{restarted.Hash(): {Factor: 4, Weight: 30}})
+	require.InDelta(t, 4, table.Usable("s")[0].Speed.Now, 0.3, "another daemon's samples")
+}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/pacing"
+	"github.com/hornbeamsill/hornbeamsill/internal/speed"
 )
 
 const (
@@ -52,6 +53,10 @@
 	// at reportedAt.
 	othersLoad float64
 	reportedAt time.Time
+	// tokens is the memory that this daemon's open requests take there.
+	tokens float64
+	// speed has this daemon's samples of the instance's speed; nil if there are none.
+	speed *speed.Estimator
 }
 
 // View is the state of an instance that placement uses.
@@ -85,6 +90,10 @@
 	NoTurn bool
 	// ProbeDue is set if a request is needed to find out whether Limit still applies.
 	ProbeDue bool
+	// Speed is how many times as long as usual the instance takes.
+	Speed speed.Factor
+	// OwnTokens is the memory that this daemon's open requests take there.
+	OwnTokens float64
 }
 
 // Table is the table of upstream instances.
@@ -127,6 +136,12 @@
 	limits map[Incarnation]limitRecord
 	// shared contains the services of which an instance has reported its slowdown.
 	shared map[string]bool
+	// usual holds what is usual over all instances. sampled contains the entries with own samples
+	// of their speed, and otherSpeeds those of the other daemons, received at otherSpeedsAt.
+	usual         speed.Means
+	sampled       map[*entry]struct{}
+	otherSpeeds   Speeds
+	otherSpeedsAt time.Time
 	// warmUps contains the warm-up settings by service. shareOf computes this daemon's share
 	// of a budget.
 	warmUps map[string]catalog.WarmUp
@@ -138,7 +153,7 @@
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
 		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
-		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
+		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
 
@@ -168,7 +183,9 @@
 		Wait:     turn.Wait,
 		NoTurn:   turn.NotOwner,
 		ProbeDue: t.isProbeDue(e, now),
+		Speed:    t.factor(e, now),
 
+		OwnTokens:   e.tokens,
 		Unannounced: t.isUnannounced(e.instance.Service, e.instance.Version, now),
 	}
 }
@@ -234,6 +251,9 @@
 	t.withEntry(i, func(e *entry) {
 		e.othersLoad = max(float64(l.Running+l.Waiting-e.inFlight), 0)
 		e.reportedAt = t.clock.Now()
+		if l.Slowdown > 0 {
+			t.estimator(e).Report(l.Slowdown, e.reportedAt)
+		}
 		if service := e.instance.Service; l.Slowdown > 0 && !t.shared[service] {
 			t.shared[service], first = true, true
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -44,6 +44,10 @@
 	// Canary instances run a new version and serve part of the sessions before the other
 	// instances of that version get any.
 	Canary bool
+	// Factor is how many times as long as usual the instance takes; 0 means as long as usual.
+	Factor float64
+	// Tokens is the memory that the requests at an engine take.
+	Tokens float64
 }
 
 const (
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -140,3 +140,32 @@
 	_, ok := TwoChoices(nil, random)
 	require.False(t, ok)
 }
+
+// Guards against a choice that costs more than a pass over the candidates.
+func BenchmarkChoice(b *testing.B) {
+	all := candidates(192)
+	for i := range all {
+		all[i].Waiting, all[i].Prefill, all[i].Factor, all[i].Local = float64(i%7)*1000, 9000, 0.5+float64(i%5)/4, i%4 == 0
+	}
+	r, random := Request{Engine: true, Key: "subject", PerWork: 1e-4, Unseen: 100e6, Objective: 2e9}, random()
+	b.Run("lowest cost", func(b *testing.B) {
+		for b.Loop() {
+			LowestCost(all, r.Key, random)
+		}
+	})
+	b.Run("soonest engine", func(b *testing.B) {
+		for b.Loop() {
+			Soonest(all, r, random)
+		}
+	})
+	b.Run("least loaded", func(b *testing.B) {
+		for b.Loop() {
+			LeastLoaded(all, random)
+		}
+	})
+	b.Run("soonest plain", func(b *testing.B) {
+		for b.Loop() {
+			Soonest(all, Request{Objective: 15e7}, random)
+		}
+	})
+}
