forward, inventory: requests that must not be repeated go to proven instances

A server that loses answers for some seconds still got non-idempotent requests, each of which fails without a second attempt.

Attempts whose answer could not be replaced go to proven instances with a free slot, then to the one with the least recent loss.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -80,6 +81,15 @@
 	return fmt.Sprintf("%g/s", v.Limit)
 }
 
+// formatProven formats whether requests that must not be repeated prefer an instance, and since
+// when that is so.
+func formatProven(v inventory.View) string {
+	if v.ProvenSince.IsZero() {
+		return fmt.Sprint(v.Proven)
+	}
+	return fmt.Sprintf("%v since %s", v.Proven, v.ProvenSince.UTC().Format(time.RFC3339))
+}
+
 func printStatus(w io.Writer, status entry.DaemonStatus) {
 	printLine(w, "daemon\t%s\tready %v\treads the store %v\tstale %v", status.Instance, status.Ready, status.Reader, status.Stale())
 	printLine(w, "config\tversion %d\t%d ms old\tbody limit %d bytes", status.Config.Version, status.Config.AgeMS, status.Config.Limits.BodyBytes)
@@ -89,7 +99,7 @@
 	printLine(w, "list\trevision %d\t%d ms old", status.List.Revision, status.List.AgeMS)
 	for service, views := range status.List.Instances {
 		for _, v := range views {
-			printLine(w, "upstream\t%s\t%s\t%s\t%s\topen %d\tejected %v\twarming %v\tlimit %s", service, v.Instance.ID, v.Instance.Address, v.Instance.Version, v.Open, v.Ejected, v.Warming, formatLimit(v))
+			printLine(w, "upstream\t%s\t%s\t%s\t%s\topen %d\tejected %v\twarming %v\tlimit %s\tproven %s", service, v.Instance.ID, v.Instance.Address, v.Instance.Version, v.Open, v.Ejected, v.Warming, formatLimit(v), formatProven(v))
 		}
 	}
 	for _, e := range status.Evacuations {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -269,6 +269,10 @@
 	// NoEscalation is the number of answers of a small model that were kept only because no
 	// retry was left to run the largest model.
 	NoEscalation int64 `json:"no_escalation"`
+	// LostAnswers is the number of answers that instances lost or corrupted, and UnprovenRuns the
+	// number of attempts that must not run twice and went to an instance that is not proven.
+	LostAnswers  int64 `json:"lost_answers"`
+	UnprovenRuns int64 `json:"unproven_runs"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
 }
@@ -286,6 +290,7 @@
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
+			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(),
 		}
 	})
 }
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -48,6 +48,7 @@
 	// pendingForGroup and pendingForDomains are prefixes that were not sent to the group and
 	// to other failure domains yet.
 	pendingForGroup, pendingForDomains []inventory.CachedPrefix
+	losses                             *inventory.LossSum
 }
 
 type domainWork struct {
@@ -56,7 +57,7 @@
 }
 
 func newWorkTotals() *workTotals {
-	return &workTotals{group: inventory.NewWorkSum(), domains: map[string]domainWork{}}
+	return &workTotals{group: inventory.NewWorkSum(), domains: map[string]domainWork{}, losses: inventory.NewLossSum()}
 }
 
 // add records the work of a daemon of the group.
@@ -64,6 +65,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.group.Add(own.Incarnation, peer.UnpackWork(own.Amounts), now)
+	w.losses.Add(own.Incarnation, peer.UnpackLosses(own.Losses), now)
 	prefixes := peer.UnpackPrefixes(own.Readings)
 	w.pendingForGroup = newest(append(w.pendingForGroup, prefixes...), maxPendingPrefixes)
 	w.pendingForDomains = newest(append(w.pendingForDomains, prefixes...), maxPendingPrefixes)
@@ -74,6 +76,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.domains[d.Domain] = domainWork{work: peer.UnpackWork(d.Amounts), at: now}
+	w.losses.AddDomain(d.Domain, peer.UnpackLosses(d.Losses), now)
 	w.pendingForGroup = newest(append(w.pendingForGroup, peer.UnpackPrefixes(d.Readings)...), maxPendingPrefixes)
 }
 
@@ -151,7 +154,7 @@
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
-	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes)}
+	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses()}
 	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.workGroup()), func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
 		if err != nil {
@@ -169,6 +172,7 @@
 	work, prefixes := n.workTotals.groupWork(n.clock.Now(), maxPrefixes)
 	mine := peer.DomainWork{
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
+		Losses: n.workTotals.groupLosses(n.clock.Now()),
 	}
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
@@ -185,6 +189,7 @@
 	return peer.DaemonWork{
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
+		Losses: peer.PackLosses(n.table.OwnLosses(maxSentLosses)),
 	}
 }
 
@@ -192,6 +197,7 @@
 func (n *Node) OnFleetWork(w peer.FleetWork) peer.DaemonWork {
 	n.table.SetFleetWork(peer.UnpackWork(w.Amounts))
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
+	n.mergeLosses(peer.UnpackLosses(w.Losses))
 	return n.ownWork()
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,10 +38,11 @@
 	// part of its normal load.
 	warming bool
 	progress
-	// dropped is set if the answer was deliberately not read to its end.
-	dropped bool
-	ended   bool
-	span    oteltrace.Span
+	// dropped is set if the answer was deliberately not read to its end, and callerFailed if it was
+	// not because the caller's connection failed.
+	dropped, callerFailed bool
+	ended                 bool
+	span                  oteltrace.Span
 }
 
 // refusedError means that the instance refused the request and did not run it.
@@ -53,7 +54,7 @@
 // better of two random ones if an instance has ended under the request; the one with the
 // lowest prefill cost if the prompt has shared parts; otherwise the least loaded one.
 func (q *request) chooseInstance() (picked place.Candidate, instance inventory.Instance, ok bool) {
-	candidates := q.candidates()
+	candidates := q.preferProven(q.candidates())
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
@@ -122,6 +123,7 @@
 		prefill: picked.Prefill, queuedPrefill: picked.Waiting, isWaiting: true, warming: picked.Warming,
 	}
 	q.Table.Begin(instance, a.prefill)
+	q.countUnproven(picked)
 	if !picked.Canary {
 		// Prompts sent to canary instances are not recorded as cached there. The few canary
 		// instances process nearly all prompts before the other instances of their version get
@@ -287,6 +289,7 @@
 		if isConnectionBroken(err) {
 			a.quarantineDecided = a.Quarantine.ConnectionBroken(a.instance, a.suspect())
 		}
+		a.noteLoss(err)
 		slog.Info("attempt.failed", "request", a.request.headers.ID, "instance", a.instance.ID, "version", a.instance.Version,
 			"digest", a.digest, "model", a.model, "list", a.Table.Revision(), "after_ms", time.Since(a.sentAt).Milliseconds(), "error", err)
 	}
@@ -300,6 +303,7 @@
 		return
 	}
 	a.ended = true
+	a.noteWhole(outcome)
 	a.stopOverdueChecks()
 	a.span.End()
 	if a.exchange != nil {
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -131,5 +131,6 @@
 		ID: v.Instance.ID, Local: v.Instance.FailureDomain == s.FailureDomain, Slots: v.Instance.Slots,
 		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Prefill: s.uncachedPrefill(s.work, v.Instance), Ejected: v.Ejected,
 		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary,
+		Proof: place.Proof{Unproven: !v.Proven, LostAt: v.LostAt},
 	}
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -53,6 +53,9 @@
 	// NoEscalation counts the answers of a small model that were kept only because no retry was
 	// left to run the largest model.
 	NoEscalation atomic.Int64
+	// LostAnswers counts the answers that instances lost or corrupted, and UnprovenRuns the attempts
+	// that must not run twice and went to an instance that is not proven.
+	LostAnswers, UnprovenRuns atomic.Int64
 
 	mu     sync.Mutex
 	routes map[string]*routeMetrics
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -119,7 +119,9 @@
 // relayLong sends an answer that is too long to be buffered.
 func (q *request) relayLong(a *attempt, start io.Reader) error {
 	q.sendHead(a.exchange.Status(), a.exchange.Header())
-	if _, err := io.Copy(q.w, io.MultiReader(start, a.exchange)); err != nil {
+	source := &errorReader{Reader: io.MultiReader(start, a.exchange)}
+	if _, err := io.Copy(q.w, source); err != nil {
+		a.callerFailed = source.err == nil
 		err = fmt.Errorf("%w: %w", errAnswerCut, err)
 		a.fail(err)
 		return err
@@ -130,6 +132,21 @@
 	return nil
 }
 
+// errorReader remembers the error of a reader, other than its end.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // sendHead sends the head of an answer to the caller.
 func (q *request) sendHead(status int, from http.Header) {
 	header := q.w.Header()
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -182,6 +182,7 @@
 		}
 		e = &entry{position: positionOf(i.ID), hash: i.Hash(), removed: true}
 		t.entries[i.ID] = e
+		t.noteStart(e)
 	}
 	i.Service, i.Version, i.FailureDomain = t.intern(i.Service), t.intern(i.Version), t.intern(i.FailureDomain)
 	t.noteVersion(i)
@@ -232,6 +233,7 @@
 	t.reindex(e, false)
 	delete(t.missing, e)
 	delete(t.busy, e)
+	delete(t.unproven, e)
 }
 
 // keepUntil keeps an entry that is no longer listed until the given time.
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -43,6 +43,7 @@
 	removeAt time.Time
 	health   health
 	budget   budget
+	proof    proof
 
 	// inFlight is the number of this daemon's open requests there. waiting is the work of
 	// those that have no first event yet.
@@ -85,6 +86,12 @@
 	NoTurn bool
 	// ProbeDue is set if a request is needed to find out whether Limit still applies.
 	ProbeDue bool
+	// Proven is set unless the instance has recently lost an answer or started. ProvenSince is
+	// since when Proven has its value; zero if that is not known.
+	Proven      bool
+	ProvenSince time.Time
+	// LostAt is when the instance last lost an answer; zero if that is not known.
+	LostAt time.Time
 }
 
 // Table is the table of upstream instances.
@@ -108,6 +115,8 @@
 	missing map[*entry]struct{}
 	// busy contains the entries with open requests of this daemon.
 	busy map[*entry]struct{}
+	// unproven contains the entries with a recent loss of an answer or a recent start.
+	unproven map[*entry]struct{}
 	// fleet is the work of all daemons, received at fleetAt. fleetOwn is this daemon's part of
 	// it.
 	fleet, fleetOwn Work
@@ -137,7 +146,7 @@
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
-		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
+		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, unproven: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
 		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
@@ -168,6 +177,7 @@
 		Wait:     turn.Wait,
 		NoTurn:   turn.NotOwner,
 		ProbeDue: t.isProbeDue(e, now),
+		Proven:   e.proof.isProven(now), ProvenSince: e.proof.since(now), LostAt: e.proof.lostAt,
 
 		Unannounced: t.isUnannounced(e.instance.Service, e.instance.Version, now),
 	}
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -16,6 +16,8 @@
 	// Readings are prompt prefixes that daemons recently sent to instances, encoded by
 	// PackPrefixes.
 	Readings []byte
+	// Losses is what all daemons know of instances that have lost answers, encoded by PackLosses.
+	Losses []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -24,6 +26,7 @@
 	Incarnation string
 	Amounts     []byte
 	Readings    []byte
+	Losses      []byte
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -32,6 +35,7 @@
 	Domain   string
 	Amounts  []byte
 	Readings []byte
+	Losses   []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -44,6 +44,7 @@
 	// Canary instances run a new version and serve part of the sessions before the other
 	// instances of that version get any.
 	Canary bool
+	Proof
 }
 
 const (
