forward, limit: one budget for the bytes held for slow callers, and answers read ahead of them

Writes to callers had no deadline, answers and events were not counted in any budget, and a slow caller of a stream or a long answer held the instance's slot.

All bytes held for callers count in one budget of an eighth of memory_mb; beyond it, the requests that hold the most for the longest are aborted.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -131,7 +131,7 @@
 
 // listenCallers serves callers and returns the address.
 func (p *Process) listenCallers() (string, error) {
-	l, err := net.Listen("tcp", p.settings.CallerListen)
+	l, err := p.listenForCallers()
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
@@ -273,6 +273,12 @@
 	// number of attempts that must not run twice and went to an instance that is not proven.
 	LostAnswers  int64 `json:"lost_answers"`
 	UnprovenRuns int64 `json:"unproven_runs"`
+	// HeldBytes is the number of bytes held for callers and instances, StalledCallers the number of
+	// callers dropped because they did not take their answer, and AbortedCallers the number of those
+	// dropped to free memory.
+	HeldBytes      int   `json:"held_bytes"`
+	StalledCallers int64 `json:"callers_stalled"`
+	AbortedCallers int64 `json:"callers_aborted"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
 }
@@ -291,6 +297,7 @@
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(),
+			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
 		}
 	})
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -45,7 +45,8 @@
 	// forgetAfter is how long daemons that have left are remembered, so that late updates
 	// about them do not count as new.
 	forgetAfter = 60 * time.Second
-	// bodyMemoryDivisor is the divisor of the memory that gives the budget for request bodies.
+	// bodyMemoryDivisor is the divisor of the memory that gives the budget for request bodies, and
+	// where overload.Policy.SlowCallers applies for all bytes held for callers and instances.
 	bodyMemoryDivisor = 8
 )
 
@@ -63,9 +64,11 @@
 	pool     *upconn.Pool
 	retries  *limit.FleetRetryBudget
 	metrics  *forward.Metrics
-	handler  *forward.Handler
-	peers    *peer.Client
-	duties   *rolloutDuties
+	// held is the budget of the bytes held for callers and instances.
+	held    *limit.HeldBytes
+	handler *forward.Handler
+	peers   *peer.Client
+	duties  *rolloutDuties
 
 	// current is the configuration in force, and manifest its encoded form.
 	configMu sync.Mutex
@@ -165,10 +168,11 @@
 	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
+	n.held = limit.NewHeldBytes(s.MemoryMB << 20 / bodyMemoryDivisor)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Versions: n.rollouts,
 		Quarantine: n.quarantine, NotifyPeers: n.requestHeartbeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
-		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor),
+		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor), Held: n.held,
 	})
 	n.duties = newRolloutDuties(n)
 	store.OnRestore(n.onStoreRestored)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -65,6 +65,8 @@
 	Metrics     *Metrics
 	// BodyBytes bounds the total size of the request bodies in memory.
 	BodyBytes *limit.ByteBudget
+	// Held bounds all bytes held for callers and instances where Overload.SlowCallers applies.
+	Held *limit.HeldBytes
 	// Overload decides which parts of the handling of overload apply to a service.
 	Overload *overload.Policy
 }
@@ -97,6 +99,7 @@
 	organisation *catalog.Organisation
 	service      *catalog.Service
 	body         []byte
+	callerMemory
 	// digest identifies repetitions of the same request.
 	digest quarantine.Digest
 	// quarantineDecided is closed once the request may be tried again; nil means at once.
@@ -159,13 +162,14 @@
 }
 
 func (q *request) serve(ctx context.Context) error {
+	defer q.holdBytes()()
 	if err := q.admit(); err != nil {
 		return err
 	}
 	if err := q.readBody(); err != nil {
 		return err
 	}
-	defer q.BodyBytes.Release(len(q.body))
+	defer q.releaseBody()
 	if err := q.checkQuarantine(); err != nil {
 		return err
 	}
@@ -269,17 +273,19 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
-	body, err := httpbody.ReadUntil(q.w, reader, q.deadline)
+	body, err := httpbody.ReadUntil(q.w, q.countBody(reader), q.deadline)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.New(fault.SlowRequest, "the body did not come in time")
+	case errors.Is(err, errNoMemory):
+		return noMemoryFault()
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
 	case err != nil:
 		return fault.New(fault.BadRequest, "the body could not be read: %v", err)
 	}
-	if !q.BodyBytes.Take(len(body)) {
+	if !q.takeBody(len(body)) {
 		return fault.New(fault.NoCapacity, "too many request bodies are in memory").WithRetryAfter(defaultRetryAfter)
 	}
 	q.body = body
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -83,11 +83,19 @@
 		return nil, err
 	}
 	var body bytes.Buffer
-	n, err := io.CopyN(&body, a.exchange, maxBufferedAnswer)
+	source := q.countAnswer(a.exchange)
+	n, err := io.CopyN(&body, source, maxBufferedAnswer)
 	switch {
+	case err == nil && n == maxBufferedAnswer && q.held != nil:
+		return nil, q.relayChunks(a, body.Bytes())
 	case err == nil && n == maxBufferedAnswer:
 		return nil, q.relayLong(a, &body)
+	case errors.Is(err, errNoMemory):
+		source.release()
+		a.end(inventory.OutcomeNone)
+		return nil, noMemoryFault()
 	case err != io.EOF:
+		source.release()
 		err = fmt.Errorf("%w: %w", errAnswerCut, err)
 		a.fail(err)
 		return nil, err
@@ -162,6 +170,11 @@
 // sendAnswer sends a complete answer to the caller.
 func (q *request) sendAnswer(a *answer) {
 	q.sendHead(a.status, a.header)
+	if q.held != nil {
+		// The error is logged, and the caller cannot receive another one.
+		_ = q.write(a.body, false)
+		return
+	}
 	if _, err := q.w.Write(a.body); err != nil {
 		// The caller has disconnected and cannot receive an error.
 		slog.Debug("request.answer_not_sent", "request", q.headers.ID, "error", err)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -77,6 +77,9 @@
 		a.end(inventory.OutcomeSuccess)
 		return nil, err
 	}
+	if q.held != nil {
+		return nil, q.relayEvents(a)
+	}
 	stall := time.AfterFunc(q.stallTimeout(), a.cancel)
 	defer stall.Stop()
 	events := newEventReader(a.exchange)
