--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -83,11 +83,19 @@
 		return nil, err
 	}
 	var body bytes.Buffer
-	n, err := io.CopyN(&body, a.exchange, maxBufferedAnswer)
+	source := q.countAnswer(a.exchange)
+	n, err := io.CopyN(&body, source, maxBufferedAnswer)
 	switch {
+	case err == nil && n == maxBufferedAnswer && q.held != nil:
+		return nil, q.relayChunks(a, body.Bytes())
 	case err == nil && n == maxBufferedAnswer:
 		return nil, q.relayLong(a, &body)
+	case errors.Is(err, errNoMemory):
+		source.release()
+		a.end(inventory.OutcomeNone)
+		return nil, noMemoryFault()
 	case err != io.EOF:
+		source.release()
 		err = fmt.Errorf("%w: %w", errAnswerCut, err)
 		a.fail(err)
 		return nil, err
@@ -119,7 +127,9 @@
 // relayLong sends an answer that is too long to be buffered.
 func (q *request) relayLong(a *attempt, start io.Reader) error {
 	q.sendHead(a.exchange.Status(), a.exchange.Header())
-	if _, err := io.Copy(q.w, io.MultiReader(start, a.exchange)); err != nil {
+	source := &errorReader{Reader: io.MultiReader(start, a.exchange)}
+	if _, err := io.Copy(q.w, source); err != nil {
+		a.callerFailed = source.err == nil
 		err = fmt.Errorf("%w: %w", errAnswerCut, err)
 		a.fail(err)
 		return err
@@ -130,6 +140,21 @@
 	return nil
 }
 
+// errorReader remembers the error of a reader, other than its end.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // sendHead sends the head of an answer to the caller.
 func (q *request) sendHead(status int, from http.Header) {
 	header := q.w.Header()
@@ -145,6 +170,11 @@
 // sendAnswer sends a complete answer to the caller.
 func (q *request) sendAnswer(a *answer) {
 	q.sendHead(a.status, a.header)
+	if q.held != nil {
+		// The error is logged, and the caller cannot receive another one.
+		_ = q.write(a.body, false)
+		return
+	}
 	if _, err := q.w.Write(a.body); err != nil {
 		// The caller has disconnected and cannot receive an error.
 		slog.Debug("request.answer_not_sent", "request", q.headers.ID, "error", err)
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -20,6 +20,8 @@
 	// WantUsage asks the receiver for its own.
 	Usage     []byte
 	WantUsage bool
+	// Losses is what all daemons know of instances that have lost answers, encoded by PackLosses.
+	Losses []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -29,7 +31,8 @@
 	Amounts     []byte
 	Readings    []byte
 	// Usage is the usage of services by this daemon, if it was asked for.
-	Usage []byte
+	Usage  []byte
+	Losses []byte
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -39,7 +42,8 @@
 	Amounts  []byte
 	Readings []byte
 	// Usage is the usage of services by these daemons; empty in most rounds.
-	Usage []byte
+	Usage  []byte
+	Losses []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -48,6 +48,7 @@
 	Factor float64
 	// Tokens is the memory that the requests at an engine take.
 	Tokens float64
+	Proof
 }
 
 const (
