entry, peer: samples of the speed of instances are exchanged

Cause: in a large fleet a daemon sees about one request a minute of an instance, too few to tell a slow one from a fast one.

Change: each daemon adds its new samples to the reply of a work round, at most 16 instances every 500 ms. The first reader of a group sends the sums of all daemons, at most 80 instances every 500 ms, the least usual 1,000 in turn; readers of failure domains exchange those of their groups. A daemon takes its own samples out of the sum.

--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -48,6 +48,7 @@
 	// pendingForGroup and pendingForDomains are prefixes that were not sent to the group and
 	// to other failure domains yet.
 	pendingForGroup, pendingForDomains []inventory.CachedPrefix
+	speeds                             speedTotals
 }
 
 type domainWork struct {
@@ -61,6 +62,7 @@
 
 // add records the work of a daemon of the group.
 func (w *workTotals) add(own peer.DaemonWork, now time.Time) {
+	w.speeds.add(own.Speeds, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.group.Add(own.Incarnation, peer.UnpackWork(own.Amounts), now)
@@ -71,6 +73,7 @@
 
 // addDomain records the work of another failure domain.
 func (w *workTotals) addDomain(d peer.DomainWork, now time.Time) {
+	w.speeds.addDomain(d.Domain, d.Speeds, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.domains[d.Domain] = domainWork{work: peer.UnpackWork(d.Amounts), at: now}
@@ -151,7 +154,7 @@
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
-	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes)}
+	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Speeds: n.fleetSpeeds()}
 	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.workGroup()), func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
 		if err != nil {
@@ -169,6 +172,7 @@
 	work, prefixes := n.workTotals.groupWork(n.clock.Now(), maxPrefixes)
 	mine := peer.DomainWork{
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
+		Speeds: n.workTotals.speeds.forDomains(n.clock.Now()),
 	}
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
@@ -185,6 +189,7 @@
 	return peer.DaemonWork{
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
+		Speeds: n.ownSpeeds(),
 	}
 }
 
@@ -192,6 +197,7 @@
 func (n *Node) OnFleetWork(w peer.FleetWork) peer.DaemonWork {
 	n.table.SetFleetWork(peer.UnpackWork(w.Amounts))
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
+	n.onFleetSpeeds(w.Speeds)
 	return n.ownWork()
 }
 
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -233,6 +233,7 @@
 	delete(t.missing, e)
 	delete(t.busy, e)
 	delete(t.sampled, e)
+	delete(t.unsent, e)
 }
 
 // keepUntil keeps an entry that is no longer listed until the given time.
--- a/internal/inventory/speed.go
+++ b/internal/inventory/speed.go
@@ -1,6 +1,9 @@
 package inventory
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/speed"
@@ -23,11 +26,7 @@
 	if e.speed == nil && !known {
 		return speed.Factor{}
 	}
-	received := speed.Others{Sample: others}
-	if known {
-		received.At = t.otherSpeedsAt
-	}
-	return e.speed.Factor(received, now)
+	return e.speed.Factor(others, now)
 }
 
 // estimator returns the estimator of an entry. The lock is held.
@@ -55,6 +54,7 @@
 		}
 		if ok {
 			t.estimator(e).Observe(multiple, now)
+			t.unsent[e] = struct{}{}
 		}
 	})
 }
@@ -84,48 +84,59 @@
 	}
 }
 
-// minSentWeight is the weight below which a sample is neither sent nor kept. A single
-// sample has that weight after some 20 s.
-const minSentWeight = 1.0 / 16
+// MinSpeedWeight is the weight below which samples are neither sent nor kept. A single one has
+// that weight after some 20 s.
+const MinSpeedWeight = 1.0 / 16
 
-// OwnSpeeds returns the samples of this daemon.
-func (t *Table) OwnSpeeds() Speeds {
+// TakeSpeeds returns samples of this daemon that it has not returned before, of the n instances
+// where they say most.
+func (t *Table) TakeSpeeds(n int) Speeds {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ownSpeeds(t.clock.Now())
-}
-
-// ownSpeeds is OwnSpeeds with the lock held. It forgets samples that have become too old.
-func (t *Table) ownSpeeds(now time.Time) Speeds {
-	out := make(Speeds, len(t.sampled))
-	for e := range t.sampled {
-		switch own := e.speed.Own(now); {
-		case own.Weight >= minSentWeight:
-			out[e.hash] = own
-		case e.removed || e.speed.Factor(speed.Others{}, now).Age > forgetSpeedAfter:
-			e.speed = nil
-			delete(t.sampled, e)
+	now := t.clock.Now()
+	ranked := slices.SortedFunc(maps.Keys(t.unsent), func(a, b *entry) int {
+		return cmp.Compare(b.speed.Unsent(now).Deviation(), a.speed.Unsent(now).Deviation())
+	})
+	out := Speeds{}
+	for at, e := range ranked {
+		unsent := e.speed.Unsent(now)
+		if at < n && unsent.Weight >= MinSpeedWeight {
+			out[e.hash] = unsent
+		}
+		if at < n || unsent.Weight < MinSpeedWeight {
+			e.speed.MarkSent()
+			delete(t.unsent, e)
 		}
 	}
 	return out
 }
 
-// forgetSpeedAfter is the age of the last sample or report after which an instance's own samples
-// are forgotten. By then its factor has decayed to 1.
+// forgetSpeedAfter is the age of the last sample or report after which nothing is kept of an
+// instance's speed. By then its factor has decayed to 1.
 const forgetSpeedAfter = time.Minute
 
-// SetFleetSpeeds sets the samples of all daemons, including this one.
-func (t *Table) SetFleetSpeeds(fleet Speeds) {
+// MergeFleetSpeeds sets samples of all daemons, including this one, for the instances in fleet.
+// Those received earlier for other instances stay until they are too old.
+func (t *Table) MergeFleetSpeeds(fleet Speeds) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	others, own := make(Speeds, len(fleet)), t.ownSpeeds(now)
 	for instance, all := range fleet {
-		if rest := all.Without(own[instance]); rest.Weight >= minSentWeight {
-			others[instance] = rest
+		t.otherSpeeds[instance] = speed.Others{Sample: all, At: now}
+	}
+	for e := range t.sampled {
+		if all, ok := fleet[e.hash]; ok {
+			t.otherSpeeds[e.hash] = speed.Others{Sample: all.Without(e.speed.Sent(now)), At: now}
+		}
+		if e.removed || e.speed.Factor(speed.Others{}, now).Age > forgetSpeedAfter {
+			e.speed = nil
+			delete(t.sampled, e)
+			delete(t.unsent, e)
 		}
 	}
-	t.otherSpeeds, t.otherSpeedsAt = others, now
+	maps.DeleteFunc(t.otherSpeeds, func(_ InstanceHash, o speed.Others) bool {
+		return o.Weight < MinSpeedWeight || now.Sub(o.At) > forgetSpeedAfter
+	})
 }
 
 // UnseenFor returns the time for which the requests of other daemons are unknown. Work that was
--- a/internal/inventory/speed_test.go
+++ b/internal/inventory/speed_test.go
@@ -25,7 +25,8 @@
 	}
 	require.Greater(t, table.Usable("s")[0].Speed.Mean, 1.8)
 	require.Less(t, table.Usable("s")[1].Speed.Mean, 0.6)
-	table.SetFleetSpeeds(table.OwnSpeeds())
+	table.MergeFleetSpeeds(table.TakeSpeeds(10))
+	require.Empty(t, table.TakeSpeeds(10), "sent once")
 	require.Empty(t, table.otherSpeeds, "own samples")
 
 	restarted := slow
@@ -33,12 +34,12 @@
 	table.Replace(Snapshot{Revision: 2, Instances: []Instance{restarted, {ID: "b", Born: 1, Service: "s"}}}, time.Time{})
 	table.ObserveSpeed(slow, kind, 0.18, false)
 	require.Equal(t, speed.Factor{}, table.Usable("s")[0].Speed)
-	require.Len(t, table.OwnSpeeds(), 1)
+	require.Len(t, table.sampled, 1)
 	clock.Advance(2 * time.Minute)
-	require.Empty(t, table.OwnSpeeds())
+	table.MergeFleetSpeeds(nil)
 	require.Empty(t, table.sampled)
 	require.Equal(t, speed.Factor{}, table.Usable("s")[1].Speed)
 
-	table.SetFleetSpeeds(Speeds{restarted.Hash(): {Factor: 4, Weight: 30}})
+	table.MergeFleetSpeeds(Speeds{restarted.Hash(): {Factor: 4, Weight: 30}})
 	require.InDelta(t, 4, table.Usable("s")[0].Speed.Now, 0.3, "another daemon's samples")
 }
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -137,11 +137,12 @@
 	// shared contains the services of which an instance has reported its slowdown.
 	shared map[string]bool
 	// usual holds what is usual over all instances. sampled contains the entries with own samples
-	// of their speed, and otherSpeeds those of the other daemons, received at otherSpeedsAt.
-	usual         speed.Means
-	sampled       map[*entry]struct{}
-	otherSpeeds   Speeds
-	otherSpeedsAt time.Time
+	// of their speed, and unsent those with samples that no other daemon has. otherSpeeds is the
+	// samples of the other daemons.
+	usual       speed.Means
+	sampled     map[*entry]struct{}
+	unsent      map[*entry]struct{}
+	otherSpeeds map[InstanceHash]speed.Others
 	// warmUps contains the warm-up settings by service. shareOf computes this daemon's share
 	// of a budget.
 	warmUps map[string]catalog.WarmUp
@@ -153,7 +154,7 @@
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
 		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
-		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
+		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, unsent: map[*entry]struct{}{}, otherSpeeds: map[InstanceHash]speed.Others{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
 
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -16,6 +16,9 @@
 	// Readings are prompt prefixes that daemons recently sent to instances, encoded by
 	// PackPrefixes.
 	Readings []byte
+	// Speeds is the samples of the speed of instances, encoded by PackSpeeds; empty in most
+	// messages.
+	Speeds []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -24,6 +27,7 @@
 	Incarnation string
 	Amounts     []byte
 	Readings    []byte
+	Speeds      []byte
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -32,6 +36,7 @@
 	Domain   string
 	Amounts  []byte
 	Readings []byte
+	Speeds   []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
--- a/internal/place/speed_load_test.go
+++ b/internal/place/speed_load_test.go
@@ -204,10 +204,11 @@
 	for i := range s.speeds {
 		all := speed.Sample{Factor: 1}
 		for d := range s.known {
-			all = all.Sum(s.known[d].estimates[i].Own(at(now)))
+			s.known[d].estimates[i].MarkSent()
+			all = all.Sum(s.known[d].estimates[i].Sent(at(now)))
 		}
 		for d := range s.known {
-			s.known[d].others[i] = speed.Others{Sample: all.Without(s.known[d].estimates[i].Own(at(now))), At: at(now)}
+			s.known[d].others[i] = speed.Others{Sample: all.Without(s.known[d].estimates[i].Sent(at(now))), At: at(now)}
 		}
 	}
 }
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -68,6 +68,8 @@
 // Estimator estimates the factor of one incarnation. The zero value has no data. It has no lock.
 type Estimator struct {
 	observed mean
+	// unsent is the part of observed that has not been sent to other daemons.
+	unsent   mean
 	reported mean
 	// last is the logarithm of the slowdown reported at lastAt.
 	last   float64
@@ -77,7 +79,9 @@
 // Observe adds the time that a request took, as a multiple of the time that it takes at an
 // instance of usual speed.
 func (e *Estimator) Observe(factor float64, now time.Time) {
-	e.observed.add(clampLog(factor), 1, now, sampleHalfLife)
+	log := clampLog(factor)
+	e.observed.add(log, 1, now, sampleHalfLife)
+	e.unsent.add(log, 1, now, sampleHalfLife)
 }
 
 // Report adds the slowdown that the instance reports.
@@ -86,17 +90,39 @@
 	e.reported.add(e.last, 1, now, sampleHalfLife)
 }
 
-// Own returns the samples of this daemon, to be sent to others. Its weight goes to 0 once the last
-// one is older than dataTTL. It does so gradually: if the factor jumped to 1, all daemons would
-// send requests to a slow instance at once.
-func (e *Estimator) Own(now time.Time) Sample {
-	m := e.observed.decayed(now, sampleHalfLife)
-	if m.weight == 0 {
+// Sent returns the samples of this daemon that have been sent to other daemons.
+func (e *Estimator) Sent(now time.Time) Sample {
+	return e.observed.sample(now).Without(e.unsent.sample(now))
+}
+
+// Unsent returns the samples of this daemon since the last call of MarkSent.
+func (e *Estimator) Unsent(now time.Time) Sample { return e.unsent.sample(now) }
+
+// MarkSent says that Unsent has been sent to other daemons.
+func (e *Estimator) MarkSent() { e.unsent = mean{} }
+
+// sample returns the mean and its weight. The weight goes to 0 once the last addition is older
+// than dataTTL. It does so gradually: if the factor jumped to 1, all daemons would send requests
+// to a slow instance at once.
+func (m mean) sample(now time.Time) Sample {
+	d := m.decayed(now, sampleHalfLife)
+	if d.weight == 0 {
 		return Sample{Factor: 1}
 	}
-	return Sample{Factor: math.Exp2(m.sum / m.weight), Weight: m.weight * forgotten(now.Sub(e.observed.at))}
+	return Sample{Factor: math.Exp2(d.sum / d.weight), Weight: d.weight * forgotten(now.Sub(m.at))}
 }
 
+// Total adds up samples of several daemons.
+type Total struct{ sum mean }
+
+// Add adds samples.
+func (t *Total) Add(s Sample, now time.Time) {
+	t.sum.add(clampLog(s.Factor), s.Weight, now, sampleHalfLife)
+}
+
+// Sample returns the sum.
+func (t *Total) Sample(now time.Time) Sample { return t.sum.sample(now) }
+
 // forgotten returns the fraction that is left of data of the given age.
 func forgotten(age time.Duration) float64 {
 	if age <= dataTTL {
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -37,7 +37,7 @@
 	require.InDelta(t, 6, (*Estimator)(nil).Factor(slow, start).Now, 0.3)
 	require.Greater(t, (*Estimator)(nil).Factor(slow, start.Add(dataTTL)).Mean, 4.0)
 	require.InDelta(t, 1, (*Estimator)(nil).Factor(slow, start.Add(dataTTL+10*time.Second)).Mean, 0.1)
-	require.Less(t, e.Own(now.Add(dataTTL+20*time.Second)).Weight, 0.05, "old samples must not be kept alive by the exchange")
+	require.Less(t, e.Unsent(now.Add(dataTTL+20*time.Second)).Weight, 0.05, "old samples must not be kept alive by the exchange")
 }
 
 // The reported slowdown counts at once, and is gone some hundred milliseconds later.
