forward, place: engines are chosen within their memory

Placement counts slots alone, so engines run out of memory while others have some.

Where overload.Policy.InstanceSpeed applies, the tokens of this daemon's open requests, and open requests of other daemons times the mean at that engine plus one standard deviation, count against 95% of it. An engine without memory is chosen only if all are without.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -105,7 +105,9 @@
 	Models []Model
 	// Engine is set for a service of model engines.
 	Engine bool
-	WarmUp WarmUp
+	// KVCapacity is the number of tokens that the KV cache of an engine holds; 0 means unknown.
+	KVCapacity int
+	WarmUp     WarmUp
 }
 
 // WarmUp limits the load of an instance after its start.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,6 +41,8 @@
 	// long its answer takes because requests wait for slots there.
 	byTime   bool
 	crowding float64
+	// tokens is the memory counted for the attempt at the instance.
+	tokens float64
 	progress
 	// dropped is set if the answer was deliberately not read to its end.
 	dropped bool
@@ -63,6 +65,9 @@
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
 	} else if q.instanceEnded {
+		if q.placesByTime() {
+			candidates = place.WithMemory(candidates, q.placementRequest())
+		}
 		picked, ok = place.TwoChoices(candidates, random)
 	} else if q.placesByTime() {
 		picked, ok = place.Soonest(candidates, q.placementRequest(), random)
@@ -130,6 +135,7 @@
 		byTime: q.placesByTime(), crowding: crowding(picked),
 	}
 	q.Table.Begin(instance, a.prefill)
+	a.holdMemory()
 	if !picked.Canary {
 		// Prompts sent to canary instances are not recorded as cached there. The few canary
 		// instances process nearly all prompts before the other instances of their version get
@@ -316,6 +322,7 @@
 	a.cancel()
 	a.removeWaiting()
 	a.Table.End(a.instance, outcome)
+	a.releaseMemory()
 	a.observeLatency(outcome)
 	a.noteSpeed(outcome)
 	if o, ok := a.finalObservation(outcome); ok {
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -38,7 +38,7 @@
 // allowedCandidates returns the candidates of the first group of versions in rule that has
 // any, out of the versions that allowed accepts.
 func (q *request) allowedCandidates(rule shift.Rule, allowed func(version string, unannounced bool) bool) []place.Candidate {
-	sampler := candidateSampler{request: q, work: q.promptWork(), start: q.sampleStart()}
+	sampler := candidateSampler{request: q, work: q.promptWork(), start: q.sampleStart(), othersTokens: q.othersTokens()}
 	for _, group := range rule.Groups() {
 		sampler.canary = group.InstanceFraction > 0
 		sampler.accept = func(version string, unannounced bool) bool {
@@ -78,6 +78,9 @@
 	start  uint64
 	accept func(version string, unannounced bool) bool
 	canary bool
+	// othersTokens is the mean memory that a request takes at an engine; 0 if memory does not
+	// count.
+	othersTokens float64
 }
 
 // readyCandidates returns the untried instances of the group that may get the request, out of a
@@ -131,5 +134,19 @@
 		ID: v.Instance.ID, Local: v.Instance.FailureDomain == s.FailureDomain, Slots: v.Instance.Slots,
 		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Prefill: s.uncachedPrefill(s.work, v.Instance), Ejected: v.Ejected,
 		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary, Factor: v.Speed.Now,
+		Tokens: s.tokensAt(v),
 	}
 }
+
+// tokensAt returns the memory that the requests at an engine take; 0 if memory does not count. The
+// mean of the requests there is used, because fast engines get longer prompts than others.
+func (s *candidateSampler) tokensAt(v inventory.View) float64 {
+	if s.othersTokens == 0 {
+		return 0
+	}
+	mean := v.MeanTokens
+	if mean == 0 {
+		mean = s.othersTokens
+	}
+	return v.OwnTokens + place.OthersTokens(v.Open-v.InFlight, mean)
+}
--- a/internal/forward/instance_speed.go
+++ b/internal/forward/instance_speed.go
@@ -27,11 +27,47 @@
 		r.Key = q.placementKey()
 		r.PerWork = q.prefillRate.Estimate(work, time.Now()).Seconds() / work
 		daemons := time.Duration(max(q.DaemonCount(), 1))
+		r.Tokens, r.Capacity = q.memory(), float64(q.service.KVCapacity)
 		r.Unseen = q.Table.UnseenFor() * (daemons - 1) / daemons
 	}
 	return r
 }
 
+// memory returns the tokens that the request takes in the KV cache of an engine: its prompt, and
+// the answer that is expected.
+func (q *request) memory() float64 { return float64(q.headers.TokensIn + q.expectedTokens()) }
+
+// countsMemory reports whether the memory of engines counts for the placement.
+func (q *request) countsMemory() bool { return q.service.KVCapacity > 0 && q.placesByTime() }
+
+// othersTokens returns the memory that a request of another daemon takes on average at an instance
+// to which this daemon has sent none. Daemons exchange the number of their requests, not their
+// sizes.
+func (q *request) othersTokens() float64 {
+	if !q.countsMemory() {
+		return 0
+	}
+	if usual := q.Table.Usual(q.service.Name).Tokens; usual > 0 {
+		return usual
+	}
+	return q.memory()
+}
+
+// holdMemory counts the memory that the attempt takes at the instance.
+func (a *attempt) holdMemory() {
+	if a.countsMemory() {
+		a.tokens = a.memory()
+		a.Table.HoldTokens(a.instance, a.tokens)
+	}
+}
+
+// releaseMemory ends what holdMemory began.
+func (a *attempt) releaseMemory() {
+	if a.tokens > 0 {
+		a.Table.ReleaseTokens(a.instance, a.tokens)
+	}
+}
+
 // noteSpeed records what the end of the attempt says about the speed of the instance. An attempt
 // that timed out gives a lower bound. The speed of an instance that warms up is not its usual one.
 func (a *attempt) noteSpeed(outcome inventory.Outcome) {
@@ -47,10 +83,11 @@
 	}
 	a.mu.Unlock()
 	if !timedOut && !a.dropped {
-		a.Table.ObserveUsual(a.service.Name, now.Sub(a.sentAt), 0)
+		a.Table.ObserveHold(a.service.Name, now.Sub(a.sentAt))
 	}
 	if !a.service.Engine {
-		if a.route.Kind != catalog.Stream {
+		// The time of an answer that is passed on while it is read depends on the caller, too.
+		if a.route.Kind != catalog.Stream && !a.headSent {
 			kind := speed.Kind{Measure: speed.PlainAnswer, Name: a.service.Name, Model: a.route.Name}
 			a.Table.ObserveSpeed(a.instance, kind, now.Sub(a.sentAt).Seconds()/a.crowding, timedOut)
 		}
--- a/internal/inventory/speed.go
+++ b/internal/inventory/speed.go
@@ -59,18 +59,11 @@
 	})
 }
 
-// ObserveUsual records the time for which a request of a service took a slot, and the memory that
-// it took; 0 means unknown.
-func (t *Table) ObserveUsual(service string, held time.Duration, tokens float64) {
+// ObserveHold records the time for which a request of a service took a slot.
+func (t *Table) ObserveHold(service string, held time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.clock.Now()
-	if held > 0 {
-		t.usual.Add(speed.Kind{Measure: speed.Hold, Name: service}, held.Seconds(), now)
-	}
-	if tokens > 0 {
-		t.usual.Add(speed.Kind{Measure: speed.Tokens, Name: service}, tokens, now)
-	}
+	t.usual.Add(speed.Kind{Measure: speed.Hold, Name: service}, held.Seconds(), t.clock.Now())
 }
 
 // Usual returns what is usual for the requests of a service.
@@ -150,8 +143,24 @@
 	return fleetHalfLife
 }
 
-// HoldTokens counts memory that a request of this daemon takes at an instance, until it is called
-// again with the negative amount.
+// meanTokensWeight is the weight of a request in the mean of an instance.
+const meanTokensWeight = 1.0 / 8
+
+// HoldTokens counts memory that a request of this daemon takes at an instance, until ReleaseTokens
+// is called.
 func (t *Table) HoldTokens(i Instance, tokens float64) {
-	t.withEntry(i, func(e *entry) { e.tokens = max(e.tokens+tokens, 0) })
+	t.withEntry(i, func(e *entry) {
+		kind := speed.Kind{Measure: speed.Tokens, Name: e.instance.Service}
+		t.usual.Add(kind, tokens, t.clock.Now())
+		if e.meanTokens == 0 {
+			e.meanTokens = t.usual.Mean(kind, tokens)
+		}
+		e.tokens += tokens
+		e.meanTokens += meanTokensWeight * (tokens - e.meanTokens)
+	})
+}
+
+// ReleaseTokens ends what HoldTokens began.
+func (t *Table) ReleaseTokens(i Instance, tokens float64) {
+	t.withEntry(i, func(e *entry) { e.tokens = max(e.tokens-tokens, 0) })
 }
--- a/internal/inventory/speed_test.go
+++ b/internal/inventory/speed_test.go
@@ -43,3 +43,21 @@
 	table.MergeFleetSpeeds(Speeds{restarted.Hash(): {Factor: 4, Weight: 30}})
 	require.InDelta(t, 4, table.Usable("s")[0].Speed.Now, 0.3, "another daemon's samples")
 }
+
+// Guards against memory that stays counted after the end of its request or in a new incarnation.
+func TestTokensAreReleased(t *testing.T) {
+	table := NewTable(clockwork.NewFakeClock())
+	engine := Instance{ID: "a", Born: 1, Service: "s"}
+	table.Replace(Snapshot{Revision: 1, Instances: []Instance{engine}}, time.Time{})
+	table.HoldTokens(engine, 9000)
+	table.HoldTokens(engine, 1000)
+	require.Equal(t, 10_000.0, table.Usable("s")[0].OwnTokens)
+	require.InDelta(t, 8000, table.Usable("s")[0].MeanTokens, 1)
+	table.ReleaseTokens(engine, 9000)
+	require.Equal(t, 1000.0, table.Usable("s")[0].OwnTokens)
+	restarted := engine
+	restarted.Born = 2
+	table.Replace(Snapshot{Revision: 2, Instances: []Instance{restarted}}, time.Time{})
+	table.ReleaseTokens(engine, 1000)
+	require.Zero(t, table.Usable("s")[0].OwnTokens)
+}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -55,6 +55,8 @@
 	reportedAt time.Time
 	// tokens is the memory that this daemon's open requests take there.
 	tokens float64
+	// meanTokens is the mean memory of the requests that it has sent there; 0 if there are none.
+	meanTokens float64
 	// speed has this daemon's samples of the instance's speed; nil if there are none.
 	speed *speed.Estimator
 }
@@ -94,6 +96,9 @@
 	Speed speed.Factor
 	// OwnTokens is the memory that this daemon's open requests take there.
 	OwnTokens float64
+	// MeanTokens is the mean memory of the requests that this daemon has sent there; 0 if there
+	// are none.
+	MeanTokens float64
 }
 
 // Table is the table of upstream instances.
@@ -187,6 +192,7 @@
 		Speed:    t.factor(e, now),
 
 		OwnTokens:   e.tokens,
+		MeanTokens:  e.meanTokens,
 		Unannounced: t.isUnannounced(e.instance.Service, e.instance.Version, now),
 	}
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -169,3 +170,26 @@
 		}
 	})
 }
+
+// Guards against an engine that runs out of memory while another has some, also if it has cached
+// the prompt, and against a request without an engine if none has memory.
+func TestSoonestKeepsToMemory(t *testing.T) {
+	all := []Candidate{
+		{ID: "cached", Local: true, Slots: 64, Prefill: 100, Tokens: 560_000},
+		{ID: "far", Slots: 64, Prefill: 9000, Waiting: 30_000, Tokens: 100_000},
+		{ID: "local", Local: true, Slots: 64, Prefill: 9000, Waiting: 500_000, Open: 64, Tokens: 590_000},
+	}
+	r := Request{Engine: true, Key: "key", PerWork: 1e-4, Tokens: 9000, Capacity: 564_296, Objective: 2 * time.Second}
+	picked, ok := Soonest(all, r, random())
+	require.True(t, ok)
+	require.Equal(t, "far", picked.ID)
+	require.Len(t, WithMemory(all, r), 1)
+	picked, ok = Soonest(append(all[:1:1], all[2]), r, random())
+	require.True(t, ok)
+	require.Equal(t, "cached", picked.ID)
+	r.Capacity = 0
+	picked, _ = Soonest(all, r, random())
+	require.Equal(t, "cached", picked.ID)
+	_, ok = Soonest(nil, r, random())
+	require.False(t, ok)
+}
--- a/internal/place/soonest.go
+++ b/internal/place/soonest.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,8 +38,8 @@
 	// processed in one other place.
 	minDomainCost = 0.03
 	maxDomainCost = 0.4
-	// usableMemory is the fraction of an engine's memory that is planned for. The memory of
-	// other daemons' requests is estimated by their number.
+	// usableMemory is the fraction of an engine's memory that is planned for. The rest is for
+	// requests that other daemons have sent since the last exchange.
 	usableMemory = 0.95
 	// noMemoryCost is added at engines without memory for the request, so that they are chosen
 	// only if all are.
@@ -94,6 +95,28 @@
 	return all[best], true
 }
 
+// hasMemory reports whether an engine has memory for the request.
+func (c *Candidate) hasMemory(r Request) bool {
+	return r.Capacity <= 0 || c.Tokens+r.Tokens <= usableMemory*r.Capacity
+}
+
+// OthersTokens returns the memory that a number of requests of other daemons takes at an engine,
+// given the mean of all requests. Their sizes are unknown and vary by about as much as their mean,
+// so one standard deviation is added.
+func OthersTokens(requests int, mean float64) float64 {
+	n := float64(max(requests, 0))
+	return mean * (n + math.Sqrt(n))
+}
+
+// WithMemory returns the engines with memory for the request, or all if none has.
+func WithMemory(all []Candidate, r Request) []Candidate {
+	fitting := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return !c.hasMemory(r) })
+	if len(fitting) == 0 {
+		return all
+	}
+	return fitting
+}
+
 // amongSoonest chooses among the engines that will be the soonest when the request arrives.
 //
 // Between two exchanges all daemons see the same figures. If each chose the engine with the least
@@ -201,10 +224,9 @@
 	if over := float64(c.Open+1) - fullFraction*float64(c.Slots); over > 0 {
 		t += c.untilCompletions(over, r)
 	}
-	if r.Capacity > 0 {
-		if over := c.Tokens + r.Tokens - usableMemory*r.Capacity; over > 0 {
-			t += noMemoryCost + c.untilCompletions(over/max(r.Tokens, 1), r)
-		}
+	if !c.hasMemory(r) {
+		over := c.Tokens + r.Tokens - usableMemory*r.Capacity
+		t += noMemoryCost + c.untilCompletions(over/max(r.Tokens, 1), r)
 	}
 	return t
 }
--- a/internal/place/speed_load_test.go
+++ b/internal/place/speed_load_test.go
@@ -28,16 +28,22 @@
 	// perSecond is the number of requests, and skew how many times the demand of another domain
 	// the first domain has.
 	perSecond, skew float64
-	seeds           uint64
-	seconds         int
+	// hold is the time of a stream of events in seconds.
+	hold    float64
+	seeds   uint64
+	seconds int
+	// capacity is the memory of an engine; 0 means that it is always enough. full counts the
+	// requests that are refused for want of it.
+	capacity float64
+	full     int
 
 	random     *rand.Rand
 	idleAt     [][]float64 // when each slot of an instance is free; an engine has one for prefill
 	noisyUntil []float64
 	quietUntil []float64
 	pending    events
-	holding    [][]float64 // ends of the requests at each instance
-	queued     [][]job     // engines: work and its first event
+	holding    [][]job // end and tokens of the requests at each instance
+	queued     [][]job // engines: work and its first event
 	known      []daemonSim
 	ids        []string
 	// result: the times of all requests, and the part of them that left the domain, by second
@@ -58,7 +64,10 @@
 	loadAt    []float64
 	waiting   []float64
 	own       []float64
-	open      []int
+	tokens    []float64
+	// meanTokens is the mean of the requests sent to each instance.
+	meanTokens []float64
+	open       []int
 }
 
 // event is an answer: the head of a stream or the end of a plain one, and the end of the request.
@@ -66,6 +75,7 @@
 	at                 float64
 	daemon, instance   int
 	multiple, slowdown float64
+	tokens             float64
 	end                bool
 }
 
@@ -85,7 +95,6 @@
 const (
 	simRate = 17_000.0
 	simWork = 0.030
-	simHold = 2.0
 )
 
 func at(seconds float64) time.Time {
@@ -125,7 +134,7 @@
 func (s fleetSim) run(seed uint64, seconds float64, pick placement) fleetSim {
 	n := len(s.speeds)
 	s.random = rand.New(rand.NewPCG(seed, 7))
-	s.idleAt, s.holding, s.queued = make([][]float64, n), make([][]float64, n), make([][]job, n)
+	s.idleAt, s.holding, s.queued = make([][]float64, n), make([][]job, n), make([][]job, n)
 	s.noisyUntil, s.quietUntil = make([]float64, n), make([]float64, n)
 	s.crossed, s.asked = make([]float64, int(seconds)+1), make([]float64, int(seconds)+1)
 	for i := range n {
@@ -139,7 +148,7 @@
 	for range s.daemons {
 		s.known = append(s.known, daemonSim{
 			estimates: make([]speed.Estimator, n), others: make([]speed.Others, n), inFlight: make([]int, n), load: make([]float64, n),
-			loadAt: make([]float64, n), waiting: make([]float64, n), own: make([]float64, n), open: make([]int, n),
+			loadAt: make([]float64, n), waiting: make([]float64, n), own: make([]float64, n), tokens: make([]float64, n), meanTokens: slices.Repeat([]float64{4091}, n), open: make([]int, n),
 		})
 	}
 	nextWork, nextSpeeds := 0.0, 0.0
@@ -169,6 +178,7 @@
 	d, i := &s.known[e.daemon], e.instance
 	if e.end {
 		d.inFlight[i]--
+		d.tokens[i] -= e.tokens
 		return
 	}
 	kind := speed.Kind{Measure: "sim"}
@@ -176,19 +186,14 @@
 		d.estimates[i].Observe(multiple, at(e.at))
 	}
 	d.estimates[i].Report(e.slowdown*(0.8+0.4*s.random.Float64()), at(e.at))
-	all := 0
-	for _, end := range s.holding[i] {
-		if end > e.at {
-			all++
-		}
-	}
+	all, _ := s.held(i, e.at)
 	d.load[i], d.loadAt[i] = float64(max(all-d.inFlight[i], 0)), e.at
 }
 
 // exchangeWork tells all daemons the work and the open requests at each instance.
 func (s *fleetSim) exchangeWork(now float64) {
 	for i := range s.speeds {
-		s.holding[i] = slices.DeleteFunc(s.holding[i], func(end float64) bool { return end <= now })
+		s.held(i, now)
 		s.queued[i] = slices.DeleteFunc(s.queued[i], func(j job) bool { return j.at <= now })
 		waiting := 0.0
 		for _, j := range s.queued[i] {
@@ -200,6 +205,15 @@
 	}
 }
 
+// held returns the number and the tokens of the requests at an instance.
+func (s *fleetSim) held(i int, now float64) (n int, tokens float64) {
+	s.holding[i] = slices.DeleteFunc(s.holding[i], func(j job) bool { return j.at <= now })
+	for _, j := range s.holding[i] {
+		tokens += j.work
+	}
+	return len(s.holding[i]), tokens
+}
+
 func (s *fleetSim) exchangeSpeeds(now float64) {
 	for i := range s.speeds {
 		all := speed.Sample{Factor: 1}
@@ -218,7 +232,7 @@
 	work, subject := [...]float64{9190, 2368, 715}[s.random.IntN(3)], fmt.Sprint(s.random.IntN(10_000))
 	r := Request{Engine: s.engine, Hold: time.Duration(simWork * float64(time.Second)), Objective: 150 * time.Millisecond}
 	if s.engine {
-		r = Request{Engine: true, Key: subject, PerWork: 1 / simRate, Hold: time.Duration(simHold * float64(time.Second)), Objective: 2 * time.Second,
+		r = Request{Engine: true, Key: subject, Tokens: work, Capacity: s.capacity, PerWork: 1 / simRate, Hold: time.Duration(s.hold * float64(time.Second)), Objective: 2 * time.Second,
 			Unseen: time.Duration(math.Mod(now, s.interval) * (1 - 1/float64(s.daemons)) * float64(time.Second))}
 	}
 	all := make([]Candidate, len(s.speeds))
@@ -229,6 +243,7 @@
 			Load: float64(d.inFlight[i]) + d.load[i]*math.Exp2(-age/0.7), Open: d.open[i],
 			Waiting: d.own[i] + d.waiting[i]*math.Exp2(-math.Mod(now, s.interval)), Factor: d.estimates[i].Factor(d.others[i], at(now)).Now,
 		}
+		all[i].Tokens = d.tokens[i] + OthersTokens(d.open[i]-d.inFlight[i], d.meanTokens[i])
 		if !s.engine {
 			all[i].Waiting, all[i].Prefill = 0, 0
 		}
@@ -239,6 +254,10 @@
 	if !picked.Local {
 		s.crossed[int(now)]++
 	}
+	if _, tokens := s.held(i, now); s.capacity > 0 && tokens+work > s.capacity {
+		s.full++
+		return
+	}
 	d.inFlight[i]++
 	slowdown := s.slowdown(i, now)
 	if !s.engine {
@@ -246,24 +265,26 @@
 		start := max(s.idleAt[i][slot], now)
 		end := start + simWork*math.Exp(0.4*s.random.NormFloat64()-0.08)/s.speeds[i]*slowdown
 		s.idleAt[i][slot] = end
-		s.holding[i] = append(s.holding[i], end)
+		s.holding[i] = append(s.holding[i], job{end, 0})
 		slots := float64(s.slots)
 		s.finish(event{at: end, daemon: daemon, instance: i, slowdown: slowdown, multiple: (end - now) / (1 + max(all[i].Load+1-slots, 0)/slots)}, end, now)
 		return
 	}
 	first := max(s.idleAt[i][0], now) + work/simRate/s.speeds[i]*slowdown
 	s.idleAt[i][0] = first
-	end := first + simHold*(0.5+s.random.Float64())/s.speeds[i]
-	s.holding[i] = append(s.holding[i], end)
+	end := first + s.hold*(0.5+s.random.Float64())/s.speeds[i]
+	s.holding[i] = append(s.holding[i], job{end, work})
+	d.tokens[i] += work
+	d.meanTokens[i] += (work - d.meanTokens[i]) / 8
 	s.queued[i] = append(s.queued[i], job{first, work})
 	d.own[i] += work
 	d.open[i]++
-	s.finish(event{at: first, daemon: daemon, instance: i, slowdown: slowdown, multiple: (first - now + 0.06) / (0.06 + (all[i].Waiting+work)/simRate)}, end, now)
+	s.finish(event{at: first, daemon: daemon, tokens: work, instance: i, slowdown: slowdown, multiple: (first - now + 0.06) / (0.06 + (all[i].Waiting+work)/simRate)}, end, now)
 }
 
 func (s *fleetSim) finish(e event, end, now float64) {
 	heap.Push(&s.pending, e)
-	heap.Push(&s.pending, event{at: end, daemon: e.daemon, instance: e.instance, end: true})
+	heap.Push(&s.pending, event{at: end, daemon: e.daemon, instance: e.instance, tokens: e.tokens, end: true})
 	s.times = append(s.times, e.at-now)
 }
 
@@ -308,7 +329,7 @@
 // fast one. Engines have the speeds 0.6, 1 and 1.6 and noisy neighbours, and 60% of their capacity
 // is asked for.
 func TestEnginesOfUnevenSpeed(t *testing.T) {
-	sim := fleetSim{daemons: 20, domains: 1, slots: 64, engine: true, noisy: true, interval: 0.1, skew: 1, seeds: 4, seconds: 60, perSecond: 16 * simRate / 4091 * 0.6}
+	sim := fleetSim{daemons: 20, domains: 1, slots: 64, engine: true, noisy: true, hold: 2, interval: 0.1, skew: 1, seeds: 4, seconds: 60, perSecond: 16 * simRate / 4091 * 0.6}
 	for i := range 15 {
 		sim.speeds = append(sim.speeds, []float64{0.6, 1, 1.6}[i%3])
 	}
@@ -325,7 +346,7 @@
 // between domains with each exchange. One of four domains has three times the demand of another,
 // and figures are up to 1.5 s old.
 func TestFailureDomainWithThreeTimesTheDemand(t *testing.T) {
-	sim := fleetSim{daemons: 20, domains: 4, slots: 64, engine: true, noisy: true, interval: 1.5, skew: 3, seeds: 2, seconds: 25, perSecond: 64 * simRate / 4091 * 0.6}
+	sim := fleetSim{daemons: 20, domains: 4, slots: 64, engine: true, noisy: true, hold: 2, interval: 1.5, skew: 3, seeds: 2, seconds: 25, perSecond: 64 * simRate / 4091 * 0.6}
 	for i := range 60 {
 		sim.speeds = append(sim.speeds, []float64{0.6, 1, 1.6}[i/4%3])
 	}
@@ -339,3 +360,18 @@
 	require.Less(t, crossed, 0.45)
 	require.Less(t, step, nowStep)
 }
+
+// Guards against prompts that are refused by an engine without memory while others have some.
+func TestEnginesWithLittleMemory(t *testing.T) {
+	sim := fleetSim{daemons: 20, domains: 1, slots: 64, engine: true, interval: 0.1, skew: 1, perSecond: 16 * simRate / 4091 * 0.6, hold: 10, capacity: 160_000}
+	for i := range 15 {
+		sim.speeds = append(sim.speeds, []float64{0.6, 1, 1.6}[i%3])
+	}
+	blind := func(all []Candidate, r Request, random *rand.Rand) (Candidate, bool) {
+		r.Capacity = 0
+		return Soonest(all, r, random)
+	}
+	now, without, soonest := sim.run(1, 120, today), sim.run(1, 120, blind), sim.run(1, 120, Soonest)
+	t.Logf("refused for want of memory: today %d, without counting %d, soonest %d of %d", now.full, without.full, soonest.full, len(now.times)+now.full)
+	require.Less(t, soonest.full, min(now.full/2, without.full/4))
+}
