--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -49,6 +49,7 @@
 	// to other failure domains yet.
 	pendingForGroup, pendingForDomains []inventory.CachedPrefix
 	losses                             *inventory.LossSum
+	speeds                             speedTotals
 }
 
 type domainWork struct {
@@ -62,6 +63,7 @@
 
 // add records the work of a daemon of the group.
 func (w *workTotals) add(own peer.DaemonWork, now time.Time) {
+	w.speeds.add(own.Speeds, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.group.Add(own.Incarnation, peer.UnpackWork(own.Amounts), now)
@@ -73,6 +75,7 @@
 
 // addDomain records the work of another failure domain.
 func (w *workTotals) addDomain(d peer.DomainWork, now time.Time) {
+	w.speeds.addDomain(d.Domain, d.Speeds, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.domains[d.Domain] = domainWork{work: peer.UnpackWork(d.Amounts), at: now}
@@ -154,7 +157,7 @@
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
-	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses()}
+	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses(), Speeds: n.fleetSpeeds()}
 	others := n.otherDaemons(n.workGroup())
 	n.fillFleetUsage(&update, len(others))
 	n.callEach(ctx, peerCallTimeout, others, func(call context.Context, address string) {
@@ -177,6 +180,7 @@
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
 		Usage:  n.groupUsage(),
 		Losses: n.workTotals.groupLosses(n.clock.Now()),
+		Speeds: n.workTotals.speeds.forDomains(n.clock.Now()),
 	}
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
@@ -194,6 +198,7 @@
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
 		Losses: peer.PackLosses(n.table.OwnLosses(maxSentLosses)),
+		Speeds: n.ownSpeeds(),
 	}
 }
 
@@ -203,6 +208,7 @@
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
 	n.setFleetUsage(w)
 	n.mergeLosses(peer.UnpackLosses(w.Losses))
+	n.onFleetSpeeds(w.Speeds)
 	own := n.ownWork()
 	own.Usage = n.ownUsage(w.WantUsage)
 	return own
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -56,6 +56,8 @@
 	reportedAt time.Time
 	// tokens is the memory that this daemon's open requests take there.
 	tokens float64
+	// meanTokens is the mean memory of the requests that it has sent there; 0 if there are none.
+	meanTokens float64
 	// speed has this daemon's samples of the instance's speed; nil if there are none.
 	speed *speed.Estimator
 }
@@ -101,6 +103,9 @@
 	ProvenSince time.Time
 	// LostAt is when the instance last lost an answer; zero if that is not known.
 	LostAt time.Time
+	// MeanTokens is the mean memory of the requests that this daemon has sent there; 0 if there
+	// are none.
+	MeanTokens float64
 }
 
 // Table is the table of upstream instances.
@@ -146,11 +151,12 @@
 	// shared contains the services of which an instance has reported its slowdown.
 	shared map[string]bool
 	// usual holds what is usual over all instances. sampled contains the entries with own samples
-	// of their speed, and otherSpeeds those of the other daemons, received at otherSpeedsAt.
-	usual         speed.Means
-	sampled       map[*entry]struct{}
-	otherSpeeds   Speeds
-	otherSpeedsAt time.Time
+	// of their speed, and unsent those with samples that no other daemon has. otherSpeeds is the
+	// samples of the other daemons.
+	usual       speed.Means
+	sampled     map[*entry]struct{}
+	unsent      map[*entry]struct{}
+	otherSpeeds map[InstanceHash]speed.Others
 	// warmUps contains the warm-up settings by service. shareOf computes this daemon's share
 	// of a budget.
 	warmUps map[string]catalog.WarmUp
@@ -162,7 +168,7 @@
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
 		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, unproven: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
-		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
+		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, unsent: map[*entry]struct{}{}, otherSpeeds: map[InstanceHash]speed.Others{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
 
@@ -196,6 +202,7 @@
 		Proven:   e.proof.isProven(now), ProvenSince: e.proof.since(now), LostAt: e.proof.lostAt,
 
 		OwnTokens:   e.tokens,
+		MeanTokens:  e.meanTokens,
 		Unannounced: t.isUnannounced(e.instance.Service, e.instance.Version, now),
 	}
 }
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -22,6 +22,9 @@
 	WantUsage bool
 	// Losses is what all daemons know of instances that have lost answers, encoded by PackLosses.
 	Losses []byte
+	// Speeds is the samples of the speed of instances, encoded by PackSpeeds; empty in most
+	// messages.
+	Speeds []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -33,6 +36,7 @@
 	// Usage is the usage of services by this daemon, if it was asked for.
 	Usage  []byte
 	Losses []byte
+	Speeds []byte
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -44,6 +48,7 @@
 	// Usage is the usage of services by these daemons; empty in most rounds.
 	Usage  []byte
 	Losses []byte
+	Speeds []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
