entry: engines are asked for their state after a restart of the fleet

Cause: after all daemons restart, nothing is known of what engines cache and run, and prompts are processed again.

Change: each engine is asked once for its load and its cached prompt parts by one daemon, its owner by rendezvous hashing; the answers go to all daemons in the rounds of outstanding work. A daemon that starts among others that have run for long asks no engine and takes prefixes and learned values from one of them (Routes.Learned).

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -271,6 +271,8 @@
 	NoEscalation int64 `json:"no_escalation"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
+	// Survey has the counters of what this daemon learned from engines when it started.
+	Survey surveyVars `json:"survey"`
 }
 
 func (p *Process) publishVars() {
@@ -286,6 +288,7 @@
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
+			Survey: n.survey.vars(),
 		}
 	})
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -121,8 +121,11 @@
 	staleWindow staleWindow
 	// storeHealth tracks when the store last answered and last failed.
 	storeHealth storeHealth
-	// startup is the state of a daemon that has just started.
+	// startup is the state of a daemon that has just started. survey is what it learns from engines,
+	// which engines asks.
 	startup *startup
+	survey  *survey
+	engines *platform.Engines
 	// listTransfer is the list that is being fetched from peers.
 	listTransfer listTransfer
 	// relayQueue contains the updates to relay to the group, and readerCache the readers of
@@ -147,13 +150,13 @@
 		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
 		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
 		evacuations: evacuation.NewRegistry(clock),
-		startup:     newStartup(clock), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
+		startup:     newStartup(clock), survey: &survey{book: newSurveyBook()}, engines: platform.NewEngines(), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
 		lastPeerSearch: clock.Now(), startedAt: clock.Now(), workTotals: newWorkTotals(), peers: peer.NewClient(nil), heartbeatNow: make(chan struct{}, 1), ready: make(chan struct{}), missedHeartbeats: map[string]int{},
 	}
 	incarnation := ident.NewIncarnation()
 	n.registry = member.NewRegistry(member.Daemon{
 		Incarnation: incarnation, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Site: s.Site,
-		LinkMbps: s.LinkMbps,
+		LinkMbps: s.LinkMbps, CPUShare: s.CPUShare, MemoryMB: s.MemoryMB, Started: clock.Now().UnixMilli(),
 	}, clock, member.Options{
 		RingTargets: ringTargets, RandomTargets: randomTargets, MaxUpdates: maxUpdatesPerHeartbeat, RetransmitFactor: retransmitFactor, ForgetAfter: forgetAfter,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -284,7 +287,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop,
+		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.surveyLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -146,12 +146,15 @@
 // group, and collects the work of each daemon from the replies. It returns the
 // number of instances sent.
 func (n *Node) sendFleetWork(ctx context.Context, maxPrefixes int) int {
-	n.workTotals.add(n.ownWork(), n.clock.Now())
+	own := n.ownWork()
+	n.workTotals.add(own, n.clock.Now())
+	n.noteDaemonWork(own)
 	work, prefixes := n.workTotals.fleetWork(n.clock.Now(), maxPrefixes)
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
 	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes)}
+	n.extendFleetWork(&update)
 	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.workGroup()), func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
 		if err != nil {
@@ -159,6 +162,7 @@
 			return
 		}
 		n.workTotals.add(own, n.clock.Now())
+		n.noteDaemonWork(own)
 	})
 	return len(work)
 }
@@ -170,6 +174,7 @@
 	mine := peer.DomainWork{
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
 	}
+	n.extendDomainWork(&mine)
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
 		readers = append(readers, n.readers(1, domain)...)
@@ -182,18 +187,24 @@
 }
 
 func (n *Node) ownWork() peer.DaemonWork {
-	return peer.DaemonWork{
+	own := peer.DaemonWork{
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
 	}
+	n.extendDaemonWork(&own)
+	return own
 }
 
 // OnFleetWork implements peer.RoutesHandler.
 func (n *Node) OnFleetWork(w peer.FleetWork) peer.DaemonWork {
 	n.table.SetFleetWork(peer.UnpackWork(w.Amounts))
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
+	n.noteFleetWork(w)
 	return n.ownWork()
 }
 
 // OnDomainWork implements peer.RoutesHandler.
-func (n *Node) OnDomainWork(w peer.DomainWork) { n.workTotals.addDomain(w, n.clock.Now()) }
+func (n *Node) OnDomainWork(w peer.DomainWork) {
+	n.workTotals.addDomain(w, n.clock.Now())
+	n.noteDomainWork(w)
+}
--- a/internal/forward/prompt.go
+++ b/internal/forward/prompt.go
@@ -25,7 +25,7 @@
 		_, _ = hash.WriteString("\x00" + part.ID)
 		tokens += part.Tokens
 		p.prefixes = append(p.prefixes, inventory.Prefix{
-			Key: inventory.PrefixHash(hash.Sum64()), Work: cost * float64(tokens),
+			Key: inventory.PrefixHash(hash.Sum64()), Part: inventory.PartKey(q.modelName(), part.ID), Work: cost * float64(tokens),
 		})
 	}
 	// A caller may state fewer tokens for the prompt than for its parts together.
--- a/internal/inventory/prefixes.go
+++ b/internal/inventory/prefixes.go
@@ -16,6 +16,8 @@
 // Prefix is a prefix of a prompt.
 type Prefix struct {
 	Key PrefixHash
+	// Part is the key of the last part alone.
+	Part PrefixHash
 	// Work is the work of processing the prefix, in prompt tokens of the largest model.
 	Work float64
 }
@@ -57,6 +59,8 @@
 	current, previous map[CachedPrefix]struct{}
 	rotatedAt         time.Time
 	pending           []CachedPrefix
+	// parts are single prompt parts that engines said they cache.
+	parts map[InstanceHash]cachedParts
 }
 
 // NewPrefixIndex returns an empty index.
@@ -130,10 +134,10 @@
 	p.rotate()
 	for n := len(prefixes); n > 0; n-- {
 		if p.contains(CachedPrefix{Key: prefixes[n-1].Key, Instance: instance}) {
-			return n
+			return max(n, p.cachedParts(instance, prefixes))
 		}
 	}
-	return 0
+	return p.cachedParts(instance, prefixes)
 }
 
 func (p *PrefixIndex) contains(c CachedPrefix) bool {
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -112,6 +112,8 @@
 	// it.
 	fleet, fleetOwn Work
 	fleetAt         time.Time
+	// orphans has the requests of callers that have gone, by instance.
+	orphans map[InstanceHash]orphans
 	// firstListed is when each version of a service was first listed. It is zero for versions
 	// that were listed when this daemon started, or that were the first of their service.
 	firstListed map[string]map[string]time.Time
--- a/internal/inventory/work.go
+++ b/internal/inventory/work.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -54,11 +55,12 @@
 // fleetWaiting returns the waiting work of all daemons at an instance, or only that of this
 // daemon if no recent report of the others is available.
 func (t *Table) fleetWaiting(e *entry, now time.Time) float64 {
+	_, orphaned := t.orphansOf(e, now)
 	if !t.fleetKnown(now) {
-		return e.waiting
+		return e.waiting + orphaned
 	}
 	others := max(t.fleet[e.hash].Waiting-t.fleetOwn[e.hash].Waiting, 0)
-	return e.waiting + decayed(others, now.Sub(t.fleetAt), fleetHalfLife)
+	return e.waiting + decayed(others, now.Sub(t.fleetAt), fleetHalfLife) + orphaned
 }
 
 // fleetOpen returns the number of open requests of all daemons at an instance, or only those
@@ -66,6 +68,12 @@
 // requests that last seconds and misleading for requests of some 60 ms, most of which have
 // ended when the report arrives.
 func (t *Table) fleetOpen(e *entry, now time.Time) int {
+	orphaned, _ := t.orphansOf(e, now)
+	return t.reportedOpen(e, now) + int(math.Round(orphaned))
+}
+
+// reportedOpen is fleetOpen without the requests of callers that have gone.
+func (t *Table) reportedOpen(e *entry, now time.Time) int {
 	if !t.fleetKnown(now) {
 		return e.inFlight
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -42,7 +42,13 @@
 	Site          string
 	// LinkMbps is the capacity of the network link of its instance in Mbit/s; 0 if unknown.
 	LinkMbps float64
-	State    State
+	// CPUShare is the part of a processor core that its instance has, and MemoryMB its memory in
+	// MB; 0 if unknown.
+	CPUShare float64
+	MemoryMB int
+	// Started is when it started, in Unix milliseconds of its own clock; 0 if unknown.
+	Started int64
+	State   State
 	// Version is incremented when the incarnation refutes a suspicion.
 	Version uint64
 	// Successor is the incarnation that answers for the idempotency keys of one that has left.
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -150,6 +150,7 @@
 	OnStoreUpdate(u StoreUpdate)
 	OnFleetWork(w FleetWork) DaemonWork
 	OnDomainWork(w DomainWork)
+	OnLearned(r LearnedRequest) Learned
 	OnStoreCall(c StoreCall) StoreReply
 	OnCrashes(r CrashReport) CrashReply
 	OnQuarantineEvidence(r QuarantineEvidenceRequest) QuarantineEvidence
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -16,6 +16,8 @@
 	// Readings are prompt prefixes that daemons recently sent to instances, encoded by
 	// PackPrefixes.
 	Readings []byte
+	// Survey is what engines said when they were asked, encoded by PackSurvey.
+	Survey []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -24,6 +26,8 @@
 	Incarnation string
 	Amounts     []byte
 	Readings    []byte
+	// Survey is what engines said that this daemon has asked, encoded by PackSurvey.
+	Survey []byte
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -32,6 +36,8 @@
 	Domain   string
 	Amounts  []byte
 	Readings []byte
+	// Survey is as in FleetWork.
+	Survey []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
