entry: the directory names daemons by what they can carry

Cause: the directory names a daemon with 0.144 of a core and 10 Mbit/s as often as one with 0.8 and 200.

Change: daemons publish processor and memory beside their link. An answer leaves each daemon out in proportion to what it can carry, and names four at least. A daemon whose timers run late says so in the rounds of outstanding work and counts half or less; its level changes once a second at most.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -273,6 +273,8 @@
 	Quarantine quarantineVars `json:"quarantine"`
 	// Survey has the counters of what this daemon learned from engines when it started.
 	Survey surveyVars `json:"survey"`
+	// Directory has the counters of the directory's answers by weight.
+	Directory directoryVars `json:"directory"`
 }
 
 func (p *Process) publishVars() {
@@ -288,7 +290,7 @@
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
-			Survey: n.survey.vars(),
+			Survey: n.survey.vars(), Directory: n.directory.vars(),
 		}
 	})
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -126,6 +126,8 @@
 	startup *startup
 	survey  *survey
 	engines *platform.Engines
+	// directory is the state of the directory's answers by weight.
+	directory directory
 	// listTransfer is the list that is being fetched from peers.
 	listTransfer listTransfer
 	// relayQueue contains the updates to relay to the group, and readerCache the readers of
@@ -270,6 +272,9 @@
 // directoryAddresses returns the addresses for callers of the live daemons, those in the
 // caller's failure domain first: an answer cannot list all daemons of a large fleet.
 func (n *Node) directoryAddresses(_, failureDomain string) []string {
+	if n.overload.DirectoryWeights() {
+		return n.weightedAddresses(failureDomain)
+	}
 	var near, far []string
 	for _, d := range n.registry.Live() {
 		switch {
@@ -287,7 +292,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.surveyLoop,
+		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.surveyLoop, n.latenessLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -18,6 +18,8 @@
 	Readings []byte
 	// Survey is what engines said when they were asked, encoded by PackSurvey.
 	Survey []byte
+	// Late says which daemons are slow, encoded by PackLate; empty if this message does not.
+	Late []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -28,6 +30,8 @@
 	Readings    []byte
 	// Survey is what engines said that this daemon has asked, encoded by PackSurvey.
 	Survey []byte
+	// Late is how slow this daemon is; 0 is normal.
+	Late uint8
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -36,8 +40,9 @@
 	Domain   string
 	Amounts  []byte
 	Readings []byte
-	// Survey is as in FleetWork.
+	// Survey and Late are as in FleetWork, Late for the daemons of the failure domain.
 	Survey []byte
+	Late   []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
--- a/test/routes/restart_test.go
+++ b/test/routes/restart_test.go
@@ -87,6 +87,7 @@
 	require.Less(t, took, 2*time.Second)
 	for _, d := range s.daemons {
 		requireFinds(d)
+		s.waitForDirectory(d, len(s.daemons))
 	}
 	joined := s.startDaemon(pressured)
 	awaitSurvey(joined)
