entry: the size of a survey round follows the link of its sender

Cause: with a link of 10 Mbit/s a round of 16 kB to a group takes longer than the round. All daemons that start within a second asked the same one for what it has learned. What engines said was kept for ever.

Change: a round has what the link sends to all receivers in 30 ms. Only daemons that started a second earlier are asked, any of them. Requests of callers that have gone count for requests without a prompt, too.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -323,6 +323,7 @@
 		n.rollouts.ExpireSessions()
 		n.registry.RemoveExpired()
 		n.quarantine.list.Expire()
+		n.survey.book.expire(n.clock.Now())
 		n.pool.Sweep(n.table.HasAddress)
 		n.peers.CloseIdle(peerIdleTimeout)
 		n.logMembership()
--- a/internal/entry/survey.go
+++ b/internal/entry/survey.go
@@ -26,19 +26,26 @@
 	loadBytes = 8
 	partBytes = 4
 	// surveyTTL is how long what engines said is sent to daemons that start later.
-	surveyTTL = 15 * time.Second
+	surveyTTL = 30 * time.Second
 	// resendInterval and resendTime are how often and how long a daemon reports what its engines
 	// said: while daemons start, different ones may take themselves for the first reader.
 	resendInterval = 400 * time.Millisecond
 	resendTime     = 2 * time.Second
-	// surveyRoundBytes is the size of what one round of messages may have of a survey.
-	surveyRoundBytes = 16 << 10
+	// minRoundBytes and maxRoundBytes bound the part of a survey in one round of messages, and
+	// surveySendTime is the time that sending it to all receivers may take on this daemon's link.
+	// Longer would delay answers to callers and the other updates.
+	minRoundBytes  = 1 << 10
+	maxRoundBytes  = 16 << 10
+	surveySendTime = 30 * time.Millisecond
+	// earlierStart is how much earlier than this daemon another one must have started to have
+	// asked its engines by now.
+	earlierStart = 1 * time.Second
 )
 
 // startPeers are the other live daemons as a daemon that has just started sees them.
 type startPeers struct {
 	// settled seem to have run for long by their own clocks, and so to know the engines from
-	// requests. earlier started shortly before this daemon, the first one first.
+	// requests. earlier started recently and have asked their engines.
 	settled, earlier []member.Daemon
 	// older is set if there is a daemon of a build that does not tell when it started.
 	older bool
@@ -55,11 +62,10 @@
 			p.older = true
 		case d.Started < self.Started-recentStart.Milliseconds() && !refuted[d.Incarnation]:
 			p.settled = append(p.settled, d)
-		case d.Started < self.Started:
+		case d.Started < self.Started-earlierStart.Milliseconds():
 			p.earlier = append(p.earlier, d)
 		}
 	}
-	slices.SortFunc(p.earlier, func(a, b member.Daemon) int { return cmp.Compare(a.Started, b.Started) })
 	return p
 }
 
@@ -208,16 +214,27 @@
 	return append(queue, s)
 }
 
-// takeForGroup and takeForDomains remove and return what fits into one round.
-func (b *surveyBook) takeForGroup() []inventory.Surveyed   { return b.take(&b.forGroup) }
-func (b *surveyBook) takeForDomains() []inventory.Surveyed { return b.take(&b.forDomains) }
+// isQueued reports whether a first reader has something to send.
+func (b *surveyBook) isQueued() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.forGroup) > 0 || len(b.forDomains) > 0
+}
+
+// takeForGroup and takeForDomains remove and return what has at most the given size, but one engine
+// at least.
+func (b *surveyBook) takeForGroup(bytes int) []inventory.Surveyed { return b.take(&b.forGroup, bytes) }
 
-func (b *surveyBook) take(queue *[]inventory.Surveyed) []inventory.Surveyed {
+func (b *surveyBook) takeForDomains(bytes int) []inventory.Surveyed {
+	return b.take(&b.forDomains, bytes)
+}
+
+func (b *surveyBook) take(queue *[]inventory.Surveyed, bytes int) []inventory.Surveyed {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
-	for bytes := 0; n < len(*queue); n++ {
-		if bytes += peer.SurveyedBytes((*queue)[n]); bytes > surveyRoundBytes {
+	for ; n < len(*queue); n++ {
+		if bytes -= peer.SurveyedBytes((*queue)[n]); bytes < 0 && n > 0 {
 			break
 		}
 	}
@@ -225,3 +242,26 @@
 	*queue = (*queue)[n:]
 	return taken
 }
+
+// expire forgets what engines said longer than surveyTTL ago.
+func (b *surveyBook) expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, r := range b.records {
+		if now.Sub(r.at) > surveyTTL {
+			delete(b.records, i)
+			delete(b.relayed, i)
+			delete(b.relayedOut, i)
+		}
+	}
+}
+
+// surveyRoundBytes returns the size of the part of a survey in one round to a number of receivers.
+// linkMbps is the capacity of this daemon's link; 0 means unknown.
+func surveyRoundBytes(linkMbps float64, receivers int) int {
+	if linkMbps <= 0 {
+		return maxRoundBytes
+	}
+	total := linkMbps * 1e6 / 8 * surveySendTime.Seconds()
+	return int(min(max(total/float64(max(receivers, 1)), minRoundBytes), maxRoundBytes))
+}
--- a/internal/entry/survey_exchange.go
+++ b/internal/entry/survey_exchange.go
@@ -25,9 +25,18 @@
 	n.directory.book.noteDaemon(w.Incarnation, w.Late, n.clock.Now())
 }
 
+// surveyRoundBytes returns the size of the part of a survey in this round; 0 if there is nothing to
+// send.
+func (n *Node) surveyRoundBytes() int {
+	if !n.survey.book.isQueued() {
+		return 0
+	}
+	return surveyRoundBytes(n.settings.LinkMbps, len(n.otherDaemons(n.workGroup())))
+}
+
 // extendFleetWork adds what a round sends to the group, and applies it here.
 func (n *Node) extendFleetWork(w *peer.FleetWork) {
-	if engines := n.survey.book.takeForGroup(); len(engines) > 0 {
+	if engines := n.survey.book.takeForGroup(n.surveyRoundBytes()); len(engines) > 0 {
 		w.Survey = peer.PackSurvey(engines)
 		n.noteSurveyed(engines)
 	}
@@ -53,7 +62,7 @@
 
 // extendDomainWork adds what a round sends to other failure domains.
 func (n *Node) extendDomainWork(w *peer.DomainWork) {
-	if engines := n.survey.book.takeForDomains(); len(engines) > 0 {
+	if engines := n.survey.book.takeForDomains(n.surveyRoundBytes()); len(engines) > 0 {
 		w.Survey = peer.PackSurvey(engines)
 	}
 	if !n.overload.DirectoryWeights() {
--- a/internal/entry/survey_run.go
+++ b/internal/entry/survey_run.go
@@ -95,7 +95,7 @@
 			return
 		}
 		if len(peers.earlier) > 0 {
-			n.learnFrom(ctx, peers.earlier[0])
+			n.learnFrom(ctx, peers.earlier[rand.IntN(len(peers.earlier))])
 		}
 		n.runSurvey(ctx)
 		return
--- a/internal/inventory/parts.go
+++ b/internal/inventory/parts.go
@@ -82,22 +82,3 @@
 	}
 	return out
 }
-
-// Parts returns the prompt parts that up to n engines said they cache.
-func (p *PrefixIndex) Parts(n int) []Surveyed {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	var out []Surveyed
-	for instance, parts := range p.parts {
-		if len(out) >= n || now.After(parts.until) {
-			continue
-		}
-		s := Surveyed{Instance: instance}
-		for key := range parts.keys {
-			s.Parts = append(s.Parts, key)
-		}
-		out = append(out, s)
-	}
-	return out
-}
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -157,9 +157,11 @@
 func (t *Table) view(e *entry, now time.Time) View {
 	turn := t.turn(e, now)
 	limit, limited := t.limitOf(e)
+	// A report of the instance has the requests of callers that have gone, too.
+	orphaned, _ := t.orphansOf(e, now)
 	return View{
 		Instance: e.instance,
-		Load:     float64(e.inFlight) + decayed(e.othersLoad, now.Sub(e.reportedAt), reportHalfLife),
+		Load:     float64(e.inFlight) + max(decayed(e.othersLoad, now.Sub(e.reportedAt), reportHalfLife), orphaned),
 		Open:     t.fleetOpen(e, now),
 		InFlight: e.inFlight,
 		Waiting:  t.fleetWaiting(e, now),
--- a/internal/peer/survey_test.go
+++ b/internal/peer/survey_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,3 +24,16 @@
 	}
 	require.Empty(t, UnpackSurvey([]byte{0, 0, 0, 1, 0, 0, 0xff, 0xff, 0xff, 0xff, 0x7f}))
 }
+
+// Guards against a daemon that takes the answer of an older one, which does not have the method, for
+// knowledge.
+func TestLearnedOfOlderDaemonIsAnError(t *testing.T) {
+	older, err := Listen("127.0.0.1:0", nil, nil)
+	require.NoError(t, err)
+	defer older.Close()
+	client := NewClient(nil)
+	defer client.Close()
+	_, err = client.Learned(context.Background(), older.Address(), LearnedRequest{})
+	require.ErrorContains(t, err, "can't find")
+	require.True(t, client.HasConnections(), "the connection is still used")
+}
