member: a daemon stops at the first candidate that ranks higher

Cause: to find its engines among 10,000 a daemon of a fleet of 1,300 computes 13 million hashes when it starts, seconds on a small machine.

Change: member.IsBest compares only until a candidate ranks higher.

--- a/internal/entry/survey.go
+++ b/internal/entry/survey.go
@@ -76,7 +76,7 @@
 	incarnations := member.Incarnations(live)
 	var out []inventory.Instance
 	for _, e := range engines {
-		if !asked(e.Hash()) && member.Best("survey/"+e.ID, incarnations) == self.Incarnation {
+		if !asked(e.Hash()) && member.IsBest("survey/"+e.ID, self.Incarnation, incarnations) {
 			out = append(out, e)
 		}
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -291,3 +291,14 @@
 	b.Merge([]Daemon{left})
 	require.NotEqual(t, a.Digest(), b.Digest())
 }
+
+// Guards against a key for which no candidate, or more than one, takes itself for the best.
+func TestOneCandidateIsBest(t *testing.T) {
+	candidates := []string{"a", "b", "c", "d", "e"}
+	for i := range 200 {
+		key := fmt.Sprint(i)
+		for _, c := range candidates {
+			require.Equal(t, Best(key, candidates) == c, IsBest(key, c, candidates))
+		}
+	}
+}
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -40,3 +40,16 @@
 	}
 	return best
 }
+
+// IsBest reports whether own is Best of itself and the candidates. It stops at the first one that
+// ranks higher, after some eight of 1,300 on average: a daemon of a large fleet calls it for ten
+// thousand keys when it starts.
+func IsBest(key, own string, candidates []string) bool {
+	ownWeight := weight(key, own)
+	for _, c := range candidates {
+		if w := weight(key, c); w > ownWeight || w == ownWeight && c < own {
+			return false
+		}
+	}
+	return true
+}
