--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -283,6 +283,10 @@
 	AbortedCallers int64 `json:"callers_aborted"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
+	// Survey has the counters of what this daemon learned from engines when it started.
+	Survey surveyVars `json:"survey"`
+	// Directory has the counters of the directory's answers by weight.
+	Directory directoryVars `json:"directory"`
 }
 
 func (p *Process) publishVars() {
@@ -301,6 +305,7 @@
 			Capacity:    n.capacityVars(),
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
+			Survey: n.survey.vars(), Directory: n.directory.vars(),
 		}
 	})
 }
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -152,7 +152,9 @@
 // group, and collects the work of each daemon from the replies. It returns the
 // number of instances sent.
 func (n *Node) sendFleetWork(ctx context.Context, maxPrefixes int) int {
-	n.workTotals.add(n.ownWork(), n.clock.Now())
+	own := n.ownWork()
+	n.workTotals.add(own, n.clock.Now())
+	n.noteDaemonWork(own)
 	work, prefixes := n.workTotals.fleetWork(n.clock.Now(), maxPrefixes)
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
@@ -160,6 +162,7 @@
 	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses(), Speeds: n.fleetSpeeds()}
 	others := n.otherDaemons(n.workGroup())
 	n.fillFleetUsage(&update, len(others))
+	n.extendFleetWork(&update)
 	n.callEach(ctx, peerCallTimeout, others, func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
 		if err != nil {
@@ -168,6 +171,7 @@
 		}
 		n.workTotals.add(own, n.clock.Now())
 		n.addUsage(own)
+		n.noteDaemonWork(own)
 	})
 	return len(work)
 }
@@ -182,6 +186,7 @@
 		Losses: n.workTotals.groupLosses(n.clock.Now()),
 		Speeds: n.workTotals.speeds.forDomains(n.clock.Now()),
 	}
+	n.extendDomainWork(&mine)
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
 		readers = append(readers, n.readers(1, domain)...)
@@ -194,12 +199,14 @@
 }
 
 func (n *Node) ownWork() peer.DaemonWork {
-	return peer.DaemonWork{
+	own := peer.DaemonWork{
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
 		Losses: peer.PackLosses(n.table.OwnLosses(maxSentLosses)),
 		Speeds: n.ownSpeeds(),
 	}
+	n.extendDaemonWork(&own)
+	return own
 }
 
 // OnFleetWork implements peer.RoutesHandler.
@@ -209,6 +216,7 @@
 	n.setFleetUsage(w)
 	n.mergeLosses(peer.UnpackLosses(w.Losses))
 	n.onFleetSpeeds(w.Speeds)
+	n.noteFleetWork(w)
 	own := n.ownWork()
 	own.Usage = n.ownUsage(w.WantUsage)
 	return own
@@ -218,4 +226,5 @@
 func (n *Node) OnDomainWork(w peer.DomainWork) {
 	n.workTotals.addDomain(w, n.clock.Now())
 	n.addDomainUsage(w)
+	n.noteDomainWork(w)
 }
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -25,6 +25,10 @@
 	// Speeds is the samples of the speed of instances, encoded by PackSpeeds; empty in most
 	// messages.
 	Speeds []byte
+	// Survey is what engines said when they were asked, encoded by PackSurvey.
+	Survey []byte
+	// Late says which daemons are slow, encoded by PackLate; empty if this message does not.
+	Late []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -37,6 +41,10 @@
 	Usage  []byte
 	Losses []byte
 	Speeds []byte
+	// Survey is what engines said that this daemon has asked, encoded by PackSurvey.
+	Survey []byte
+	// Late is how slow this daemon is; 0 is normal.
+	Late uint8
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -49,6 +57,9 @@
 	Usage  []byte
 	Losses []byte
 	Speeds []byte
+	// Survey and Late are as in FleetWork, Late for the daemons of the failure domain.
+	Survey []byte
+	Late   []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
