forward: answers held in pieces; a caller aborted between two writes gets no complete answer

And if a caller was aborted between two writes, its answer was ended as if it were whole, with parts missing.

Answers are read in pieces of 4 and 16 KB, events count with their overhead, and a failed write ends the connection.

--- a/internal/forward/ahead.go
+++ b/internal/forward/ahead.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -31,6 +30,12 @@
 	ended  bool
 }
 
+// eventOverhead is the memory for an event in the buffer beside its bytes.
+const eventOverhead = 64
+
+// held returns the memory that an event takes in the buffer.
+func (e event) held() int { return len(e.bytes) + eventOverhead }
+
 func newAhead() *ahead {
 	return &ahead{more: make(chan struct{}, 1), room: make(chan struct{}, 1)}
 }
@@ -47,7 +52,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.pieces = append(b.pieces, e)
-	b.bytes += len(e.bytes)
+	b.bytes += e.held()
 	signal(b.more)
 }
 
@@ -80,7 +85,7 @@
 	}
 }
 
-// sent records that the caller has taken n bytes.
+// sent records that the caller has taken an event with the given memory.
 func (b *ahead) sent(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -134,8 +139,8 @@
 		if err := q.write(e.bytes, true); err != nil {
 			return err
 		}
-		q.held.Shrink(len(e.bytes))
-		buffer.sent(len(e.bytes))
+		q.held.Shrink(e.held())
+		buffer.sent(e.held())
 		if e.id != "" {
 			q.lastEventID = e.id
 		}
@@ -173,7 +178,7 @@
 // admitPiece adds a piece to the buffer, and waits until there is room for another one. It returns
 // false if the context ends before.
 func (q *request) admitPiece(ctx context.Context, buffer *ahead, e event) bool {
-	if !q.awaitMemory(ctx, len(e.bytes)) {
+	if !q.awaitMemory(ctx, e.held()) {
 		return false
 	}
 	buffer.push(event{bytes: append([]byte(nil), e.bytes...), id: e.id})
@@ -200,17 +205,22 @@
 	return q.finishAhead(a, err)
 }
 
-// relayChunks is relayLong for a caller that is read ahead of. It takes over the bytes of start,
-// which are already counted.
-func (q *request) relayChunks(a *attempt, start []byte) error {
-	q.held.Shrink(len(start))
-	source, chunk := io.MultiReader(bytes.NewReader(start), a.exchange), make([]byte, writeBytes)
+// relayChunks is relayLong for a caller that is read ahead of. It takes over the pieces that were
+// read, which are already counted.
+func (q *request) relayChunks(a *attempt, start [][]byte) error {
+	q.releaseAnswer(start)
+	chunk := make([]byte, writeBytes)
 	var last error
 	err := q.relayAhead(a, func() (event, error) {
+		if len(start) > 0 {
+			e := event{bytes: start[0]}
+			start = start[1:]
+			return e, nil
+		}
 		if last != nil {
 			return event{}, last
 		}
-		n, err := source.Read(chunk)
+		n, err := a.exchange.Read(chunk)
 		if n > 0 {
 			// The error is kept: after a truncated answer, another read would return io.EOF.
 			last, err = err, nil
--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -18,7 +18,9 @@
 	// writeBytes is the most that is written at once. A caller has progressTimeout for it, which is
 	// the slowest pace, 8 KB/s, at which it gets an answer: 256 KB within 32 s, longer than callers
 	// wait on any route. Servers cut off answers that stay unread for some seconds as well.
-	writeBytes      = 16 << 10
+	writeBytes = 16 << 10
+	// firstPiece is the size of the first piece of an answer in memory; most answers fit into it.
+	firstPiece      = 4 << 10
 	progressTimeout = 2 * time.Second
 	// freeWrite is the time of a write that is not held against the caller. A daemon with a tenth of
 	// a core may not run for that long.
@@ -86,7 +88,9 @@
 		return n, errNoMemory
 	}
 	if held.Aborted() {
-		b.request.noteDropped(errCallerAborted, 0)
+		_ = b.request.noteDropped(errCallerAborted, 0)
+		// The caller still gets the answer that its request has not run.
+		_ = http.NewResponseController(b.request.w).SetWriteDeadline(time.Now().Add(progressTimeout))
 		return n, os.ErrDeadlineExceeded
 	}
 	return n, err
@@ -100,34 +104,32 @@
 	return &bodyReader{Reader: body, request: q}
 }
 
-// answerReader counts the bytes of an answer that is read into memory.
-type answerReader struct {
-	io.Reader
-	request *request
-	count   int
-}
-
-// countAnswer returns a reader that counts an answer while it is read.
-func (q *request) countAnswer(answer io.Reader) *answerReader {
-	return &answerReader{Reader: answer, request: q}
-}
-
-// Read implements io.Reader.
-func (r *answerReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if n > 0 && r.request.held != nil {
-		if !r.request.awaitMemoryBriefly(n) {
-			return 0, errNoMemory
+// readPieces reads an answer of at most maxBufferedAnswer bytes, which count as held. The error is
+// nil if the answer is longer. A buffer that grows would take up to three times the bytes counted.
+func (q *request) readPieces(source io.Reader) (pieces [][]byte, err error) {
+	size, total := firstPiece, 0
+	for err == nil && total < maxBufferedAnswer {
+		piece, n := make([]byte, min(size, maxBufferedAnswer-total)), 0
+		for err == nil && n < len(piece) {
+			var m int
+			m, err = source.Read(piece[n:])
+			n += m
+		}
+		if n > 0 && !q.awaitMemoryBriefly(n) {
+			return pieces, errNoMemory
 		}
-		r.count += n
+		pieces, size, total = append(pieces, piece[:n]), writeBytes, total+n
 	}
-	return n, err
+	return pieces, err
 }
 
-// release frees the bytes of an answer that is not sent to the caller.
-func (r *answerReader) release() {
-	if r.request.held != nil {
-		r.request.held.Shrink(r.count)
+// releaseAnswer frees the bytes of an answer that is not sent to the caller.
+func (q *request) releaseAnswer(pieces [][]byte) {
+	if q.held == nil {
+		return
+	}
+	for _, piece := range pieces {
+		q.held.Shrink(len(piece))
 	}
 }
 
@@ -212,7 +214,6 @@
 		q.Metrics.StalledCallers.Add(1)
 	}
 	if reason != "" {
-		q.status = 0
 		slog.Warn("caller.dropped", "request", q.headers.ID, "reason", reason, "sent", sent, "held", q.Held.Used(),
 			"after_ms", time.Since(q.startedAt).Milliseconds())
 	}
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -39,7 +39,8 @@
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is the body in pieces.
+	body [][]byte
 }
 
 // runPlain serves a request whose answer is a single body.
@@ -70,8 +71,7 @@
 		return err
 	}
 	q.ran = fault.RanYes
-	q.sendAnswer(failed)
-	return nil
+	return q.sendAnswer(failed)
 }
 
 // relay reads the answer of an attempt and sends it to the caller. If it returns an error, the
@@ -82,25 +82,23 @@
 		a.fail(err)
 		return nil, err
 	}
-	var body bytes.Buffer
-	source := q.countAnswer(a.exchange)
-	n, err := io.CopyN(&body, source, maxBufferedAnswer)
+	body, err := q.readAnswer(a)
 	switch {
-	case err == nil && n == maxBufferedAnswer && q.held != nil:
-		return nil, q.relayChunks(a, body.Bytes())
-	case err == nil && n == maxBufferedAnswer:
-		return nil, q.relayLong(a, &body)
+	case err == nil && q.held != nil:
+		return nil, q.relayChunks(a, body)
+	case err == nil:
+		return nil, q.relayLong(a, bytes.NewReader(body[0]))
 	case errors.Is(err, errNoMemory):
-		source.release()
+		q.releaseAnswer(body)
 		a.end(inventory.OutcomeNone)
 		return nil, noMemoryFault()
 	case err != io.EOF:
-		source.release()
+		q.releaseAnswer(body)
 		err = fmt.Errorf("%w: %w", errAnswerCut, err)
 		a.fail(err)
 		return nil, err
 	}
-	whole := &answer{status: a.exchange.Status(), header: a.exchange.Header(), body: body.Bytes()}
+	whole := &answer{status: a.exchange.Status(), header: a.exchange.Header(), body: body}
 	if whole.status >= http.StatusInternalServerError {
 		err := &serverError{status: whole.status}
 		a.noteFinished()
@@ -110,8 +108,18 @@
 	a.noteFinished()
 	a.end(inventory.OutcomeSuccess)
 	q.ran = fault.RanYes
-	q.sendAnswer(whole)
-	return nil, nil
+	return nil, q.sendAnswer(whole)
+}
+
+// readAnswer reads the body of an answer. The error is io.EOF if that is the whole body, and nil if it
+// is longer than maxBufferedAnswer.
+func (q *request) readAnswer(a *attempt) (body [][]byte, err error) {
+	if q.held != nil {
+		return q.readPieces(a.exchange)
+	}
+	var buffer bytes.Buffer
+	_, err = io.CopyN(&buffer, a.exchange, maxBufferedAnswer)
+	return [][]byte{buffer.Bytes()}, err
 }
 
 // checkHead returns an error for answers that callers must not get as a success: those without
@@ -167,16 +175,19 @@
 	q.w.WriteHeader(status)
 }
 
-// sendAnswer sends a complete answer to the caller.
-func (q *request) sendAnswer(a *answer) {
+// sendAnswer sends a complete answer to the caller. It returns an error if the caller was dropped
+// with part of the answer, so that the connection is closed and the part does not look complete.
+func (q *request) sendAnswer(a *answer) error {
 	q.sendHead(a.status, a.header)
-	if q.held != nil {
-		// The error is logged, and the caller cannot receive another one.
-		_ = q.write(a.body, false)
-		return
-	}
-	if _, err := q.w.Write(a.body); err != nil {
-		// The caller has disconnected and cannot receive an error.
-		slog.Debug("request.answer_not_sent", "request", q.headers.ID, "error", err)
+	for _, piece := range a.body {
+		if q.held != nil {
+			if err := q.write(piece, false); err != nil {
+				return err
+			}
+		} else if _, err := q.w.Write(piece); err != nil {
+			// The caller has disconnected and cannot receive an error.
+			slog.Debug("request.answer_not_sent", "request", q.headers.ID, "error", err)
+		}
 	}
+	return nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,6 +51,9 @@
 		switch {
 		case err == nil:
 			return nil
+		case q.held != nil && fault.Is(err, fault.Cancelled):
+			// A dropped caller must not cost another attempt.
+			return err
 		case errors.As(err, &lowConfidence):
 			q.model = q.route.Models[len(q.route.Models)-1]
 			delete(q.tried, q.lastInstance.ID)
