entry: a daemon that starts a moment later learns the survey so far

Cause: a daemon that starts within a second after others asked none of them, so it lacked what readers had sent before they knew it, and asked its part of the engines again. TestRestartedFleetFindsCachedPrompts failed for this in a run of the whole package. The directory of a fleet of 1,300 daemons took 7.1 ms for an answer, since dividing chances did not stop once none exceeded 1.

Change: it asks one of the quarter of the earlier daemons that started first. The division stops once no chance exceeds 1.

Measured: the test passes in six runs of six.

--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -150,7 +150,7 @@
 		return out
 	}
 	// What exceeds 1 is divided between the others, which may then exceed it, too.
-	for range out {
+	for exceeded := true; exceeded; {
 		full, rest := 0.0, 0.0
 		for _, c := range out {
 			if c >= 1 {
@@ -162,10 +162,12 @@
 		if rest == 0 {
 			break
 		}
+		exceeded = false
 		factor := (total - full) / rest
 		for i, c := range out {
 			if c < 1 {
 				out[i] = min(c*factor, 1)
+				exceeded = exceeded || c*factor > 1
 			}
 		}
 	}
--- a/internal/entry/survey.go
+++ b/internal/entry/survey.go
@@ -37,15 +37,12 @@
 	minRoundBytes  = 1 << 10
 	maxRoundBytes  = 16 << 10
 	surveySendTime = 30 * time.Millisecond
-	// earlierStart is how much earlier than this daemon another one must have started to have
-	// asked its engines by now.
-	earlierStart = 1 * time.Second
 )
 
 // startPeers are the other live daemons as a daemon that has just started sees them.
 type startPeers struct {
 	// settled seem to have run for long by their own clocks, and so to know the engines from
-	// requests. earlier started recently and have asked their engines.
+	// requests. earlier started recently, but before this daemon, the first one first.
 	settled, earlier []member.Daemon
 	// older is set if there is a daemon of a build that does not tell when it started.
 	older bool
@@ -62,13 +59,19 @@
 			p.older = true
 		case d.Started < self.Started-recentStart.Milliseconds() && !refuted[d.Incarnation]:
 			p.settled = append(p.settled, d)
-		case d.Started < self.Started-earlierStart.Milliseconds():
+		case d.Started < self.Started:
 			p.earlier = append(p.earlier, d)
 		}
 	}
+	slices.SortFunc(p.earlier, func(a, b member.Daemon) int { return cmp.Compare(a.Started, b.Started) })
 	return p
 }
 
+// mayKnow returns the quarter of the earlier daemons that started first. They most likely have the
+// survey so far, which rounds do not bring to a daemon that is not known yet. The calls of all
+// daemons that start are spread over them.
+func (p startPeers) mayKnow() []member.Daemon { return p.earlier[:(len(p.earlier)+3)/4] }
+
 // ownedEngines returns the engines that this daemon asks: of those that nobody is known to have
 // asked, the ones for which it ranks first among the live daemons. A survey takes place only if
 // all of them started recently.
--- a/internal/entry/survey_run.go
+++ b/internal/entry/survey_run.go
@@ -94,8 +94,8 @@
 			slog.Info("survey.not_needed", "peer", "older")
 			return
 		}
-		if len(peers.earlier) > 0 {
-			n.learnFrom(ctx, peers.earlier[rand.IntN(len(peers.earlier))])
+		if first := peers.mayKnow(); len(first) > 0 {
+			n.learnFrom(ctx, first[rand.IntN(len(first))])
 		}
 		n.runSurvey(ctx)
 		return
--- a/internal/entry/survey_test.go
+++ b/internal/entry/survey_test.go
@@ -46,7 +46,10 @@
 	require.Len(t, asked, 89)
 	late := startedDaemon(70, 5*time.Second)
 	require.Empty(t, ownedEngines(late, append(live, late), engines, func(i inventory.InstanceHash) bool { return asked[i] }))
-	require.Len(t, peersAtStart(late, live, nil).earlier, 70)
+	first := peersAtStart(late, live, nil).mayKnow()
+	require.Len(t, first, 18)
+	require.Equal(t, "d0", first[0].Incarnation)
+	require.Len(t, peersAtStart(live[1], live, nil).mayKnow(), 1, "a daemon that starts a moment later may lack the survey, too")
 
 	alone := startedDaemon(71, time.Minute)
 	require.Len(t, peersAtStart(alone, live, nil).settled, 70)
