forward: first events are compared with those of the same model

Cause: the ratio of the observed to the expected time of a first event differs between models, because the constant part weighs more for a small one; the mix of models at an instance looked like a difference of speed.

Change: the usual ratio is kept for each model that the daemon chooses.

--- a/internal/forward/instance_speed.go
+++ b/internal/forward/instance_speed.go
@@ -99,7 +99,9 @@
 	}
 	if a.queuedPrefill+a.prefill >= minSpeedWork {
 		multiple := firstEvent.Seconds() / a.expectedFirstEvent.Seconds()
-		a.Table.ObserveSpeed(a.instance, speed.Kind{Measure: speed.FirstEvent, Name: a.service.Name}, multiple, timedOut)
+		// A model that the caller names is not used: there would be a mean for each name.
+		kind := speed.Kind{Measure: speed.FirstEvent, Name: a.service.Name, Model: a.model}
+		a.Table.ObserveSpeed(a.instance, kind, multiple, timedOut)
 	}
 	if pace > 0 {
 		a.Table.ObserveSpeed(a.instance, speed.Kind{Measure: speed.EventTime, Name: a.route.Name, Model: a.model}, pace.Seconds(), false)
