forward, place, cascade: connections, and the chance that an answer ends in time

The choice of the larger model went by the least work at any instance and a fixed part of the timeout; more runs of that model were started than ended in time. It goes by the chance that the answer ends in time, from the spread of earlier ones, and by expected times.

--- a/internal/cascade/escalation.go
+++ b/internal/cascade/escalation.go
@@ -35,6 +35,10 @@
 	// Objective and Timeout are the times that the caller allows to the first event and to the
 	// end.
 	Objective, Timeout time.Duration
+	// InTime is the probability that the largest model's answer ends in time, if HasInTime is
+	// set.
+	InTime    float64
+	HasInTime bool
 }
 
 // Worthwhile reports whether to run the largest model: its answer is expected in time, and the
@@ -44,6 +48,9 @@
 // worth more. The longer prompts wait, the more a run costs other requests. An answer whose
 // first event is not expected in time would delay answers that can still be in time.
 func (e Escalation) Worthwhile() bool {
+	if e.HasInTime {
+		return e.Elapsed+e.FirstEvent < e.Objective && e.InTime-float64(e.Confidence)/100 > runCost+waitCostPerSecond*e.Wait.Seconds()
+	}
 	if e.Elapsed+e.FirstEvent >= e.Objective || float64(e.Elapsed+e.Total) >= deadlineFraction*float64(e.Timeout) {
 		return false
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,7 +61,7 @@
 // expected time if the speed of instances counts; the one with the lowest prefill cost if the
 // prompt has shared parts; otherwise the least loaded one.
 func (q *request) chooseInstance() (picked place.Candidate, instance inventory.Instance, ok bool) {
-	candidates := q.preferProven(q.candidates())
+	candidates := q.preferProven(place.WithConnection(q.candidates()))
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
@@ -94,7 +94,21 @@
 		return 0
 	}
 	const minimum = 2
-	return max(q.service.MaxConnections/max(q.DaemonCount(), 1), minimum)
+	return max(q.connectionShare()*q.service.MaxConnections/max(q.DaemonCount(), 1), minimum)
+}
+
+// unevenShares is how many times its even part of an instance's connections a daemon may open
+// where daemons and instances get requests in proportion to what they can carry. The slots of an
+// instance, and the requests that it queues, are a small part of its connections, so that others
+// leave theirs unused.
+const unevenShares = 3
+
+// connectionShare returns how many times its even part of the connections this daemon may open.
+func (q *request) connectionShare() int {
+	if q.placesByTime() {
+		return unevenShares
+	}
+	return 1
 }
 
 // startAttempt sends the request to an instance and reads the head of the answer. The head
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -39,6 +39,9 @@
 // any, out of the versions that allowed accepts.
 func (q *request) allowedCandidates(rule shift.Rule, allowed func(version string, unannounced bool) bool) []place.Candidate {
 	sampler := candidateSampler{request: q, work: q.promptWork(), start: q.sampleStart(), othersTokens: q.othersTokens()}
+	if q.placesByTime() {
+		sampler.byTime, sampler.connections = true, q.maxConnections()
+	}
 	for _, group := range rule.Groups() {
 		sampler.canary = group.InstanceFraction > 0
 		sampler.accept = func(version string, unannounced bool) bool {
@@ -81,6 +84,11 @@
 	// othersTokens is the mean memory that a request takes at an engine; 0 if memory does not
 	// count.
 	othersTokens float64
+	// byTime is set if the request is placed by the expected time at each instance. connections is
+	// then the number of requests that this daemon may have open at an instance, each of which needs a
+	// connection; 0 means no limit.
+	byTime      bool
+	connections int
 }
 
 // readyCandidates returns the untried instances of the group that may get the request, out of a
@@ -130,12 +138,16 @@
 }
 
 func (s *candidateSampler) candidate(v inventory.View) place.Candidate {
+	factor := 0.0
+	if s.byTime {
+		factor = v.Speed.Now
+	}
 	return place.Candidate{
 		ID: v.Instance.ID, Local: v.Instance.FailureDomain == s.FailureDomain, Slots: v.Instance.Slots,
 		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Prefill: s.uncachedPrefill(s.work, v.Instance), Ejected: v.Ejected,
-		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary, Factor: v.Speed.Now,
+		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary, Factor: factor,
 		Proof:  place.Proof{Unproven: !v.Proven, LostAt: v.LostAt},
-		Tokens: s.tokensAt(v),
+		Tokens: s.tokensAt(v), NoConnection: s.connections > 0 && v.InFlight >= s.connections,
 	}
 }
 
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -195,5 +195,7 @@
 	if !a.headAt.IsZero() {
 		head, rest = a.headAt.Sub(a.sentAt), now.Sub(a.headAt)
 	}
-	a.latencies.Observe(a.estimateKey(a.model), head, rest, a.expectedTokens(), now)
+	key, tokens := a.estimateKey(a.model), a.expectedTokens()
+	a.spreads.Observe(key, head+rest, a.latencies.Mean(key, tokens))
+	a.latencies.Observe(key, head, rest, tokens, now)
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -80,13 +80,14 @@
 	Deps
 	latencies   *cascade.LatencyEstimator
 	confidences *cascade.ConfidenceMeans
+	spreads     *cascade.Spreads
 	prefillRate *cascade.PrefillRate
 }
 
 // New returns a handler.
 func New(d Deps) *Handler {
 	return &Handler{
-		Deps: d, latencies: cascade.NewLatencyEstimator(), confidences: cascade.NewConfidenceMeans(), prefillRate: &cascade.PrefillRate{},
+		Deps: d, latencies: cascade.NewLatencyEstimator(), spreads: cascade.NewSpreads(), confidences: cascade.NewConfidenceMeans(), prefillRate: &cascade.PrefillRate{},
 	}
 }
 
--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -60,11 +60,16 @@
 func (q *request) isLargestWorthwhile(confidence int) bool {
 	now, largest := time.Now(), q.largestModel()
 	firstEvent, wait, ok := q.estimateFirstEvent(largest, now)
-	return ok && cascade.Escalation{
+	key, timeout := q.estimateKey(largest), q.deadline.Sub(q.startedAt)
+	e := cascade.Escalation{
 		Confidence: confidence, Elapsed: now.Sub(q.startedAt), FirstEvent: firstEvent, Wait: wait,
-		Total:     q.latencies.Estimate(q.estimateKey(largest), q.expectedTokens(), now),
-		Objective: q.route.Objective, Timeout: q.deadline.Sub(q.startedAt),
-	}.Worthwhile()
+		Total:     q.latencies.Estimate(key, q.expectedTokens(), now),
+		Objective: q.route.Objective, Timeout: timeout,
+	}
+	if q.Overload != nil && q.Overload.ModelPrice(q.service.Name) {
+		e.InTime, e.HasInTime = q.spreads.Chance(key, q.latencies.Mean(key, q.expectedTokens()), timeout-e.Elapsed), true
+	}
+	return ok && e.Worthwhile()
 }
 
 // estimateKey returns the key of the estimates for a model's answers on the request's route.
@@ -87,8 +92,8 @@
 	}
 	least, waiting := math.Inf(1), 0.0
 	for _, c := range candidates {
-		least = min(least, c.Waiting+c.Prefill)
-		waiting += c.Waiting / float64(len(candidates))
+		least = min(least, c.PrefillTime())
+		waiting += c.QueueTime() / float64(len(candidates))
 	}
 	return cascade.CachedFirstEvent + q.prefillRate.Estimate(least, now), q.prefillRate.Estimate(waiting, now), true
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -48,6 +48,8 @@
 	Factor float64
 	// Tokens is the memory that the requests at an engine take.
 	Tokens float64
+	// NoConnection is set if this daemon has no connection left for the instance.
+	NoConnection bool
 	Proof
 }
 
@@ -99,6 +101,19 @@
 	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return tried[c.ID] })
 }
 
+// WithConnection removes instances to which this daemon has no connection left, if there are
+// others. Fast instances get most requests, and one without a connection would cost an attempt.
+func WithConnection(all []Candidate) []Candidate {
+	full := func(c Candidate) bool { return c.NoConnection }
+	if !slices.ContainsFunc(all, full) {
+		return all
+	}
+	if left := slices.DeleteFunc(slices.Clone(all), full); len(left) > 0 {
+		return left
+	}
+	return all
+}
+
 // Ready removes instances that may not receive requests yet if there are others. If all have
 // to be waited for, it returns only the one with the shortest wait, preferably one at which
 // this daemon has a turn.
--- a/internal/place/soonest.go
+++ b/internal/place/soonest.go
@@ -61,6 +61,13 @@
 	defaultHold = time.Second
 )
 
+// PrefillTime returns the work until the first event of a request at the instance, as the work that
+// an instance of usual speed does in that time.
+func (c *Candidate) PrefillTime() float64 { return c.factor() * (c.Waiting + c.Prefill) }
+
+// QueueTime is PrefillTime of the queued work alone.
+func (c *Candidate) QueueTime() float64 { return c.factor() * c.Waiting }
+
 func (c *Candidate) factor() float64 {
 	if c.Factor <= 0 {
 		return 1
