terms: terms of organisations from the settings

Cause: capacity.Account takes a weight, a guaranteed minimum and a cap of each organisation, but no setting leads there.

Change: routes.overload.organisations declares them; hornbeamsill entry check and the start of a daemon refuse values out of range, a minimum above its cap and minimums above 1 together, with an error that names the field. Weights are from 0.001 to 1000, since the division does not find a common level over many orders of magnitude.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -27,6 +27,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
+	"github.com/hornbeamsill/hornbeamsill/internal/terms"
 	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
@@ -171,6 +172,7 @@
 	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
 	n.meter = capacity.NewMeter(clock, n.overload.CountsUsage)
 	n.account = capacity.NewAccount(clock, n.meter, n.overload.FairShares)
+	n.account.SetTerms(terms.ForAccount(s.Overload.Organisations.Values()))
 	n.usage = newUsageExchange()
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
--- a/internal/overload/policy.go
+++ b/internal/overload/policy.go
@@ -2,7 +2,11 @@
 // apply to a service: by default those that the deployment calls for. It does no I/O.
 package overload
 
-import "github.com/gravitational/trace"
+import (
+	"github.com/gravitational/trace"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/terms"
+)
 
 // Mode says when a part applies.
 type Mode string
@@ -44,6 +48,8 @@
 	RestartSurvey Mode `json:"restart_survey"`
 	// DirectoryWeights names daemons to callers in proportion to what each can carry.
 	DirectoryWeights Mode `json:"directory_weights"`
+	// Organisations are the terms of organisations where FairShares applies.
+	Organisations terms.Declared `json:"organisations"`
 }
 
 // DefaultSettings returns settings with all parts in the mode Auto.
@@ -68,7 +74,7 @@
 			return err
 		}
 	}
-	return nil
+	return s.Organisations.Check(prefix + "/organisations")
 }
 
 // Policy answers whether a part applies.
@@ -112,6 +118,11 @@
 	return p.applies(p.settings.FairShares, p.called(service))
 }
 
+// FairSharesAnywhere reports whether FairShares is true of any service.
+func (p *Policy) FairSharesAnywhere() bool {
+	return p.applies(p.settings.FairShares, p.calledAnywhere)
+}
+
 // CountsUsage reports whether daemons count the work of the service: fair shares and admission
 // control go by it.
 func (p *Policy) CountsUsage(service string) bool {
@@ -120,7 +131,7 @@
 
 // ExchangesUsage reports whether CountsUsage is true of any service.
 func (p *Policy) ExchangesUsage() bool {
-	return p.applies(p.settings.FairShares, p.calledAnywhere) || p.applies(p.settings.Admission, p.calledAnywhere)
+	return p.FairSharesAnywhere() || p.applies(p.settings.Admission, p.calledAnywhere)
 }
 
 // ModelPrice reports whether models are chosen by the current cost of engine time.
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -55,8 +55,9 @@
 	CPUShare float64 `json:"cpu_share"`
 	// Contracts are the names of the platform's contracts in force.
 	Contracts []string `json:"contracts"`
-	// Overload says which parts of the handling of overload apply. The default is auto: those
-	// that the deployment calls for.
+	// Overload says which parts of the handling of overload apply, and which terms organisations
+	// have. By default the parts apply that the deployment calls for, and all organisations have
+	// the same terms.
 	Overload overload.Settings `json:"overload"`
 
 	// SessionS is the longest pause between two requests of a session, in seconds.
