terms: operators override terms for a limited time from any daemon

Cause: terms from the settings need a restart of all daemons to change.

Change: hornbeamsill load terms set, list and clear change overrides through any daemon. An override is a row terms/ORGANISATION. A change is committed on the revision of that row and of the row terms/, which each change writes, so that two operators can neither overwrite each other nor take the minimums above 1 together. The daemon sends a stored override to all others, through the readers of each group in a large fleet; a checksum in heartbeats shows who lacks it.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -67,7 +67,7 @@
 	Restore   restoreCommand   `command:"restore" description:"use the upstreams of an evacuated failure domain again"`
 	Evacuated evacuatedCommand `command:"evacuated" description:"list the evacuated failure domains"`
 	Entries   entriesCommand   `command:"entries" description:"list the daemons that callers may use"`
-	Load      loadCommand      `command:"load" description:"show the demand and the capacity of services that a daemon knows"`
+	Load      loadCommand      `command:"load" subcommands-optional:"true" description:"show the demand and the capacity of services that a daemon knows"`
 	Entry     struct {
 		Check    entryCheck    `command:"check" description:"check the settings of a daemon for plain HTTP callers"`
 		Manifest entryManifest `command:"manifest" description:"check an operator's declaration"`
@@ -90,6 +90,7 @@
 // Main runs the command that args name and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var c commands
+	c.Load.Terms.setMetrics(&c.Load.metricsOption)
 	parser := flags.NewNamedParser("hornbeamsill", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Global options", "", &c); err != nil {
 		fmt.Fprintln(stderr, err)
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -11,6 +11,7 @@
 type loadCommand struct {
 	noopCommander
 	metricsOption
+	Terms loadTerms `command:"terms" description:"terms of organisations at services that are short of capacity"`
 }
 
 func (c *loadCommand) run(a *app) error {
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -121,6 +121,7 @@
 	h := peer.RoutesHeartbeat{
 		From: n.registry.Self(), Digest: n.registry.Digest(),
 		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Checksum(), Left: n.table.RecentlyLeaving(),
+		Terms:     n.terms.book.Checksum(n.clock.Now()),
 		Evacuated: n.evacuations.Checksum(), Limits: n.table.RecentLimits(), Live: n.registry.LiveCount(),
 	}
 	if n.carriesNews(to) {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -273,6 +273,8 @@
 	Capacity capacityVars `json:"capacity"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
+	// Terms has the counters of the terms of organisations.
+	Terms termsVars `json:"terms"`
 }
 
 func (p *Process) publishVars() {
@@ -288,7 +290,7 @@
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
-			Capacity: n.capacityVars(),
+			Capacity: n.capacityVars(), Terms: n.terms.vars(),
 		}
 	})
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -27,7 +27,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
-	"github.com/hornbeamsill/hornbeamsill/internal/terms"
 	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
@@ -110,6 +109,8 @@
 	meter   *capacity.Meter
 	account *capacity.Account
 	usage   *usageExchange
+	// terms puts the terms of organisations in force.
+	terms *termsManager
 	// evacuations are the operator's orders to evacuate failure domains.
 	evacuations *evacuation.Registry
 	// freshness tracks how new this daemon's operator rows are, and operatorPoll is the long
@@ -172,7 +173,7 @@
 	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
 	n.meter = capacity.NewMeter(clock, n.overload.CountsUsage)
 	n.account = capacity.NewAccount(clock, n.meter, n.overload.FairShares)
-	n.account.SetTerms(terms.ForAccount(s.Overload.Organisations.Values()))
+	n.terms = newTermsManager(n)
 	n.usage = newUsageExchange()
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
@@ -298,6 +299,7 @@
 	for _, loop := range []func(context.Context){
 		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
+		n.terms.run, n.terms.relayLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -132,8 +132,9 @@
 		Quarantine:  h.Quarantine != 0 && h.Quarantine != mine.Quarantine,
 		Evacuations: h.Evacuated != 0 && h.Evacuated != mine.Evacuated,
 		Limits:      h.Limited != mine.Limited,
+		Terms:       h.Terms != 0 && h.Terms != mine.Terms,
 	}
-	return request, takeConfig || request.Instances || request.Operator || request.Shifts || request.Members || request.Quarantine || request.Evacuations || request.Limits
+	return request, takeConfig || request.Instances || request.Operator || request.Shifts || request.Members || request.Quarantine || request.Evacuations || request.Limits || request.Terms
 }
 
 // takesConfigFrom reports whether this daemon fetches a newer configuration from a peer.
@@ -232,6 +233,7 @@
 		n.applyRolloutState(s, address)
 	}
 	n.quarantine.applyEntries(reply.Quarantine, address)
+	n.terms.apply(reply.Terms)
 	n.adoptFreshness(reply)
 	n.publishCallerURL()
 }
@@ -330,6 +332,9 @@
 	if r.Limits {
 		reply.Limits = n.table.Limits()
 	}
+	if r.Terms {
+		reply.Terms = n.terms.book.Overrides(n.clock.Now())
+	}
 	n.configMu.Lock()
 	if c := n.current.Load(); c != nil && c.Version > r.Config {
 		reply.Manifest = n.manifest
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -90,6 +90,8 @@
 	mux.HandleFunc("GET "+QuarantinePath, n.quarantine.serveList)
 	mux.HandleFunc("POST "+ReleasePath+"{digest}", n.quarantine.serveRelease)
 	mux.HandleFunc("GET "+LoadPath, n.serveLoad)
+	mux.HandleFunc("GET "+TermsPath, n.terms.serveList)
+	mux.HandleFunc("POST "+TermsPath, n.terms.serveChange)
 	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -9,6 +9,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
 	"github.com/hornbeamsill/hornbeamsill/internal/shift"
+	"github.com/hornbeamsill/hornbeamsill/internal/terms"
 )
 
 // routesName is the name of the net/rpc service between the daemons of package entry, which
@@ -34,6 +35,8 @@
 	Quarantine uint64
 	// Evacuated is a checksum of the evacuations in force; 0 if they are not known.
 	Evacuated uint64
+	// Terms is a checksum of the overrides of the terms of organisations; 0 if there are none.
+	Terms uint64
 	// Left are upstream instances that were found to be leaving within the last seconds.
 	Left []inventory.Incarnation
 	// Limits are rate limits of upstream instances that changed within the last seconds.
@@ -67,6 +70,8 @@
 	Evacuations bool
 	// Limits asks for the rate limits of upstream instances.
 	Limits bool
+	// Terms asks for the overrides of the terms of organisations.
+	Terms bool
 }
 
 // SyncReply is the requested part of what a daemon knows about the installation. A daemon that
@@ -90,6 +95,8 @@
 	EvacuationsKnown bool
 	// Limits are the rate limits of upstream instances, including lifted ones.
 	Limits []inventory.Limit
+	// Terms are the overrides of the terms of organisations, including those that have ended.
+	Terms []terms.Override
 }
 
 // StoreUpdate is what a reader, a daemon that reads the store for its group, sends to the other
@@ -154,6 +161,7 @@
 	OnCrashes(r CrashReport) CrashReply
 	OnQuarantineEvidence(r QuarantineEvidenceRequest) QuarantineEvidence
 	OnQuarantineUpdate(u QuarantineUpdate)
+	OnTermsUpdate(u TermsUpdate)
 }
 
 // routesService exposes a RoutesHandler with the method signatures that net/rpc requires.
--- a/internal/terms/book.go
+++ b/internal/terms/book.go
@@ -83,7 +83,7 @@
 	var changed []Override
 	for _, o := range overrides {
 		old, known := b.overrides[o.Organisation]
-		if o.Check() != nil || o.Age > keepTime || known && old.Version >= o.Version || !known && len(b.overrides) >= maxOverrides {
+		if o.Check() != nil || o.Age > KeepTime || known && old.Version >= o.Version || !known && len(b.overrides) >= maxOverrides {
 			continue
 		}
 		o.Age, o.Left = max(o.Age, 0), min(o.Left, MaxDuration)
@@ -93,9 +93,9 @@
 	return changed
 }
 
-// forget removes overrides that were set more than keepTime ago. The lock is held.
+// forget removes overrides that were set more than KeepTime ago. The lock is held.
 func (b *Book) forget(now time.Time) {
-	maps.DeleteFunc(b.overrides, func(_ string, k kept) bool { return now.Sub(k.setAt) > keepTime })
+	maps.DeleteFunc(b.overrides, func(_ string, k kept) bool { return now.Sub(k.setAt) > KeepTime })
 }
 
 // Overrides returns all overrides by organisation, including those that have ended.
@@ -226,7 +226,7 @@
 			next.Reason = c.Reason
 		}
 	} else {
-		present := defaultValues
+		present := DefaultValues
 		if e, ok := inForce[c.Organisation]; ok {
 			present = e.Values
 		}
--- a/internal/terms/book_test.go
+++ b/internal/terms/book_test.go
@@ -139,10 +139,10 @@
 func TestOverridesAreBounded(t *testing.T) {
 	b := NewBook(nil)
 	for i := range maxOverrides {
-		b.Merge([]Override{{Organisation: fmt.Sprint(i), Values: defaultValues, Reason: "r", Version: 1, Left: time.Hour}}, start)
+		b.Merge([]Override{{Organisation: fmt.Sprint(i), Values: DefaultValues, Reason: "r", Version: 1, Left: time.Hour}}, start)
 	}
 	_, err := b.Plan(set("one more", 0, Given{}, time.Hour), start, 1)
 	require.EqualError(t, err, "organisation: 200 overrides were set within 24h0m0s, which is the most")
-	require.Empty(t, b.Merge([]Override{{Organisation: "x", Values: defaultValues, Reason: "r", Version: 1, Left: 1}}, start))
-	apply(t, b, set("one more", 0, Given{}, time.Hour), start.Add(keepTime+1))
+	require.Empty(t, b.Merge([]Override{{Organisation: "x", Values: DefaultValues, Reason: "r", Version: 1, Left: 1}}, start))
+	apply(t, b, set("one more", 0, Given{}, time.Hour), start.Add(KeepTime+1))
 }
--- a/internal/terms/override.go
+++ b/internal/terms/override.go
@@ -10,10 +10,10 @@
 const (
 	// MaxDuration is the longest time for which an override is in force.
 	MaxDuration = 24 * time.Hour
-	// keepTime is how long overrides that have ended are kept after they were set. An older
+	// KeepTime is how long overrides that have ended are kept after they were set. An older
 	// override of the same organisation, which a peer or the store may still have, has ended by
 	// then; it would come into force again if the newer one were forgotten before.
-	keepTime = MaxDuration + time.Minute
+	KeepTime = MaxDuration + time.Minute
 	// maxOverrides bounds the overrides that are kept, including those that have ended. 200 take
 	// some 60 kB.
 	maxOverrides = 200
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -30,8 +30,8 @@
 	Cap     float64 `json:"cap"`
 }
 
-// defaultValues are the terms of an organisation for which nothing is set.
-var defaultValues = Values{Weight: 1}
+// DefaultValues are the terms of an organisation for which nothing is set.
+var DefaultValues = Values{Weight: 1}
 
 // Given are the values that a setting or an operator gives; nil keeps the present one.
 type Given struct {
@@ -79,7 +79,7 @@
 func (d Declared) Values() map[string]Values {
 	out := make(map[string]Values, len(d))
 	for organisation, given := range d {
-		out[organisation] = given.over(defaultValues)
+		out[organisation] = given.over(DefaultValues)
 	}
 	return out
 }
