--- a/internal/entry/terms_http.go
+++ b/internal/entry/terms_http.go
@@ -37,8 +37,8 @@
 	// Applies is set if a service is divided between organisations. Otherwise the terms have no
 	// effect for now.
 	Applies bool `json:"applies"`
-	// StoreRead is set if the overrides are those of the store. Otherwise they are those that this
-	// daemon knows.
+	// StoreRead is set if the store was read for the list or within termsListInterval before.
+	// Otherwise the overrides are those that this daemon knows.
 	StoreRead     bool                `json:"store_read"`
 	Organisations []OrganisationTerms `json:"organisations"`
 }
--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
@@ -135,7 +136,7 @@
 		CallerListen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", DirectoryListen: "127.0.0.1:0",
 		PeerListen: "127.0.0.1:0", MetricsListen: "127.0.0.1:0",
 		MemoryMB: 256, Descriptors: 1000, SessionS: 2, StopS: 8, DrainMS: 1000, ExposureShare: 0.15,
-		RetryRatio: 0.9, RetrySlack: 50, RetryWindowS: 10, Seeds: []string{},
+		RetryRatio: 0.9, RetrySlack: 50, RetryWindowS: 10, Seeds: []string{}, Overload: overload.DefaultSettings(),
 	}
 	for _, d := range s.daemons {
 		r.Seeds = append(r.Seeds, d.peerAddress)
