terms: an override ends on time while the store does not answer

Cause: the loop that ends overrides also read the store, so at a store reader an override could end up to 1.5 s late, the timeout of a read.

Change: overrides end in the loop that removes other expired state; the other loop only reads.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -299,7 +299,7 @@
 	for _, loop := range []func(context.Context){
 		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
-		n.terms.run, n.terms.relayLoop,
+		n.terms.readLoop, n.terms.relayLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
 	}
@@ -329,6 +329,7 @@
 		n.rollouts.ExpireSessions()
 		n.registry.RemoveExpired()
 		n.quarantine.list.Expire()
+		n.terms.refresh()
 		n.pool.Sweep(n.table.HasAddress)
 		n.peers.CloseIdle(peerIdleTimeout)
 		n.logMembership()
--- a/internal/entry/terms.go
+++ b/internal/entry/terms.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	// termsInterval is how often a daemon checks whether overrides have ended and whether it has to
-	// read them.
+	// termsInterval is how often a daemon checks whether it has to read the overrides.
 	termsInterval = 500 * time.Millisecond
 	// termsReadInterval is how often a store reader reads the overrides again. Daemons send each
 	// other what they store; a read finds only what a daemon has stored just before it ended.
@@ -57,17 +56,17 @@
 	return t
 }
 
-// run puts terms in force as overrides begin and end, and reads the overrides when due.
-func (t *termsManager) run(ctx context.Context) {
+// readLoop reads the overrides when due.
+func (t *termsManager) readLoop(ctx context.Context) {
 	for t.sleep(ctx, termsInterval) {
-		t.refresh()
 		if t.readDue() {
 			t.readAndTidy(ctx)
 		}
 	}
 }
 
-// refresh puts the present terms in force.
+// refresh puts the present terms in force. It is called at every change and, since overrides end by
+// themselves, every cleanupInterval.
 func (t *termsManager) refresh() {
 	t.refreshMu.Lock()
 	defer t.refreshMu.Unlock()
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -110,6 +110,8 @@
 	require.Empty(t, one.Merge([]Override{old}, now))
 	require.Empty(t, one.InForce(now))
 	require.Zero(t, one.Checksum(now.Add(2*time.Minute)), "forgotten in the end")
+	old.Age = KeepTime + 1
+	require.Empty(t, one.Merge([]Override{old}, now.Add(2*time.Minute)))
 }
 
 // Guards against settings that the division cannot keep, and against an error that does not name
