--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -287,6 +287,8 @@
 	Survey surveyVars `json:"survey"`
 	// Directory has the counters of the directory's answers by weight.
 	Directory directoryVars `json:"directory"`
+	// Terms has the counters of the terms of organisations.
+	Terms termsVars `json:"terms"`
 }
 
 func (p *Process) publishVars() {
@@ -306,6 +308,7 @@
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
 			Survey: n.survey.vars(), Directory: n.directory.vars(),
+			Terms: n.terms.vars(),
 		}
 	})
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -112,6 +112,8 @@
 	meter   *capacity.Meter
 	account *capacity.Account
 	usage   *usageExchange
+	// terms puts the terms of organisations in force.
+	terms *termsManager
 	// evacuations are the operator's orders to evacuate failure domains.
 	evacuations *evacuation.Registry
 	// freshness tracks how new this daemon's operator rows are, and operatorPoll is the long
@@ -179,6 +181,7 @@
 	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
 	n.meter = capacity.NewMeter(clock, n.overload.CountsUsage)
 	n.account = capacity.NewAccount(clock, n.meter, n.overload.FairShares)
+	n.terms = newTermsManager(n)
 	n.usage = newUsageExchange()
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
@@ -308,6 +311,7 @@
 	for _, loop := range []func(context.Context){
 		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.surveyLoop, n.latenessLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
+		n.terms.readLoop, n.terms.relayLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
 	}
@@ -338,6 +342,7 @@
 		n.registry.RemoveExpired()
 		n.quarantine.list.Expire()
 		n.survey.book.expire(n.clock.Now())
+		n.terms.refresh()
 		n.pool.Sweep(n.table.HasAddress)
 		n.peers.CloseIdle(peerIdleTimeout)
 		n.logMembership()
