forward, limit: requests wait at the daemon for free capacity

Cause: each request was sent to an instance at once. While callers compete for too little capacity, engines ran requests into their deadline. Change: where admission control applies, a request goes out if an instance has free capacity and otherwise waits in limit.Queue, or is refused at once if it cannot end in time. The queue orders by class, priority, fair share of organisations and deadline, and estimates waits by work.

--- a/internal/cascade/latency.go
+++ b/internal/cascade/latency.go
@@ -88,3 +88,14 @@
 	decay := math.Exp2(-float64(now.Sub(e.at)) / float64(estimateHalfLife))
 	return time.Duration(e.total(tokens) * decay * float64(time.Second))
 }
+
+// Mean returns the mean time of an answer of the given length, or 0 if there are no
+// observations.
+func (t *LatencyEstimator) Mean(key Key, tokens int, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.table[key]
+	e.overrun = 0
+	decay := math.Exp2(-float64(now.Sub(e.at)) / float64(estimateHalfLife))
+	return time.Duration(e.total(tokens) * decay * float64(time.Second))
+}
--- /dev/null
+++ b/internal/forward/admission_capacity.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/place"
+)
+
+const (
+	// queuedFraction is the fraction of the objective by which work that is queued at an instance
+	// may delay a first event. Queued work keeps the instance busy until the daemons notice that
+	// it has free capacity; the rest of the objective is left for the request itself.
+	queuedFraction = 0.5
+	// maxQueuedPerSlot bounds the requests queued at an instance, as a multiple of its slots.
+	// Servers with short requests refuse longer queues.
+	maxQueuedPerSlot = 1.0
+	// viewInterval is the time between two reports of the work of other daemons. Between them,
+	// all daemons see the same free capacity.
+	viewInterval = 500 * time.Millisecond
+	// ampleFraction is the fraction of the whole capacity that must be free for this daemon to
+	// use as much of it as it needs. Below, it uses only its share.
+	ampleFraction = 0.5
+	// implausibleOpen is the number of open requests, as a multiple of the slots, from which on a
+	// figure is ignored. An instance refuses requests long before it has as many.
+	implausibleOpen = 16
+	// implausibleDelay is the delay by queued prompts from which on that figure is ignored. It
+	// exceeds the longest timeout of a caller.
+	implausibleDelay = 2 * time.Minute
+)
+
+// capacityRule determines how many requests an instance may be sent.
+type capacityRule struct {
+	// objective is the shortest objective of the requests for the service. One that is longer for
+	// some routes would let their requests take all capacity from those of the others.
+	objective time.Duration
+	// occupancy is the mean time that a request takes a slot; 0 means unknown.
+	occupancy time.Duration
+	// prefillRate is the work of prompts that an engine processes per second.
+	prefillRate float64
+	// engine is set for services whose requests last for seconds, so that the open requests
+	// that daemons exchange are accurate.
+	engine bool
+}
+
+// capacity returns the number of requests that an instance may have, including queued ones.
+func (r capacityRule) capacity(slots int) float64 {
+	queued := 0.0
+	if r.occupancy > 0 {
+		queued = min(queuedFraction*float64(r.objective)/float64(r.occupancy), maxQueuedPerSlot)
+	}
+	return float64(slots) * (1 + queued)
+}
+
+// room returns how many more requests the instance may be sent; at most 0 if none. granted is
+// the number of requests that this daemon is about to send there.
+func (r capacityRule) room(c place.Candidate, granted int) float64 {
+	delay := c.Waiting / r.prefillRate
+	if delay > queuedFraction*r.objective.Seconds() && delay < implausibleDelay.Seconds() {
+		return 0
+	}
+	if c.Slots <= 0 {
+		return 1
+	}
+	open := float64(c.Open)
+	if !r.engine || c.Open > implausibleOpen*c.Slots || c.Open < 0 {
+		// The last report of the instance itself is newer, or the only plausible one.
+		open = c.Load
+	}
+	if math.IsNaN(open) || open > float64(implausibleOpen*c.Slots) {
+		open = 0
+	}
+	return r.capacity(c.Slots) - open - float64(granted)
+}
+
+// freeCapacity is the capacity for requests at the instances that a request may use.
+type freeCapacity struct {
+	// total and room are the requests that the instances may have, and how many more.
+	total, room float64
+	// slots is the number of slots of all instances.
+	slots float64
+}
+
+// freeInstances returns the candidates with free capacity, and the capacity of all. granted is
+// the number of requests by instance that this daemon is about to send. A candidate
+// that is due for a probe counts as free, since the probe decides whether its limit applies.
+func (r capacityRule) freeInstances(all []place.Candidate, granted map[string]int) ([]place.Candidate, freeCapacity) {
+	var sum freeCapacity
+	free := make([]place.Candidate, 0, len(all))
+	for _, c := range all {
+		room := r.room(c, granted[c.ID])
+		sum.total += r.capacity(max(c.Slots, 1))
+		sum.slots += float64(max(c.Slots, 1))
+		sum.room += max(room, 0)
+		if room >= 1 || room > 0 && c.Open == 0 || c.ProbeDue {
+			free = append(free, c)
+		}
+	}
+	return free, sum
+}
+
+// capacityShare limits the requests that this daemon sends to free capacity that all daemons
+// see. Its part of it becomes available in the course of viewInterval, at least one request.
+type capacityShare struct {
+	// requests is the number that may be sent as of at.
+	requests float64
+	at       time.Time
+	// ended is the number of requests of this daemon that have ended since endedAt. Their capacity
+	// is known to this daemon alone until the next report.
+	ended   int
+	endedAt time.Time
+}
+
+// allows reports whether a request may be sent. fraction is this daemon's part of the free
+// capacity.
+func (s *capacityShare) allows(f freeCapacity, fraction float64, now time.Time) bool {
+	if f.room >= ampleFraction*f.total {
+		return true
+	}
+	most := max(f.room*fraction, 1)
+	if s.at.IsZero() {
+		s.requests = most
+	} else if elapsed := now.Sub(s.at); elapsed > 0 {
+		s.requests += most * float64(elapsed) / float64(viewInterval)
+	}
+	s.at = now
+	s.requests = min(s.requests, most)
+	return s.requests >= 1 || s.hasEnded(now)
+}
+
+func (s *capacityShare) hasEnded(now time.Time) bool {
+	return s.ended > 0 && now.Sub(s.endedAt) < viewInterval
+}
+
+// take counts a request that is sent.
+func (s *capacityShare) take(now time.Time) {
+	if s.hasEnded(now) {
+		s.ended--
+		return
+	}
+	s.requests = max(s.requests-1, 0)
+}
+
+// noteEnded counts the end of a request of this daemon.
+func (s *capacityShare) noteEnded(now time.Time) {
+	if now.Sub(s.endedAt) >= viewInterval {
+		s.ended, s.endedAt = 0, now
+	}
+	s.ended++
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,7 +53,7 @@
 // better of two random ones if an instance has ended under the request; the one with the
 // lowest prefill cost if the prompt has shared parts; otherwise the least loaded one.
 func (q *request) chooseInstance() (picked place.Candidate, instance inventory.Instance, ok bool) {
-	candidates := q.candidates()
+	candidates := q.withCapacity(q.candidates())
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
@@ -122,6 +122,7 @@
 		prefill: picked.Prefill, queuedPrefill: picked.Waiting, isWaiting: true, warming: picked.Warming,
 	}
 	q.Table.Begin(instance, a.prefill)
+	q.releaseGrant()
 	if !picked.Canary {
 		// Prompts sent to canary instances are not recorded as cached there. The few canary
 		// instances process nearly all prompts before the other instances of their version get
@@ -308,6 +309,7 @@
 	a.cancel()
 	a.removeWaiting()
 	a.Table.End(a.instance, outcome)
+	a.noteEnded(outcome)
 	a.observeLatency(outcome)
 	if o, ok := a.finalObservation(outcome); ok {
 		a.Versions.Observe(a.service.Name, o)
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -53,9 +53,10 @@
 
 // sampleStart returns the position from which instances are sampled. Prompts with the same
 // shared parts start at the same position at all daemons, so that they find the instances that
-// have these parts cached; other requests start at a random one.
+// have these parts cached; other requests, and those that had to wait because the instances found
+// there had no free capacity, start at a random one.
 func (q *request) sampleStart() uint64 {
-	if key := q.placementKey(); key != "" {
+	if key := q.placementKey(); key != "" && !q.hasWaited {
 		return xxhash.Sum64String(key)
 	}
 	return rand.Uint64()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 
@@ -67,6 +68,12 @@
 	BodyBytes *limit.ByteBudget
 	// Overload decides which parts of the handling of overload apply to a service.
 	Overload *overload.Policy
+	// Meter counts demand, and Account knows that of all daemons; nil means that no organisation is
+	// limited.
+	Meter   Meter
+	Account Account
+	// Clock is the clock of the queues; nil means the real one.
+	Clock clockwork.Clock
 }
 
 // Handler is the http.Handler for plain HTTP callers.
@@ -75,12 +82,19 @@
 	latencies   *cascade.LatencyEstimator
 	confidences *cascade.ConfidenceMeans
 	prefillRate *cascade.PrefillRate
+	// answers estimates how long whole answers take, for admission control.
+	answers   *cascade.LatencyEstimator
+	admission *admission
 }
 
 // New returns a handler.
 func New(d Deps) *Handler {
+	if d.Clock == nil {
+		d.Clock = clockwork.NewRealClock()
+	}
 	return &Handler{
 		Deps: d, latencies: cascade.NewLatencyEstimator(), confidences: cascade.NewConfidenceMeans(), prefillRate: &cascade.PrefillRate{},
+		answers: cascade.NewLatencyEstimator(), admission: newAdmission(d.Clock),
 	}
 }
 
@@ -128,6 +142,7 @@
 	// escalationRefused is set if the answer was kept only because no retry was left to run the
 	// largest model.
 	escalationRefused bool
+	admissionState
 }
 
 // ServeHTTP implements http.Handler.
@@ -347,47 +362,3 @@
 		slog.Debug("request.error_not_sent", "request", q.headers.ID, "error", err)
 	}
 }
-
-// recordDone writes the log line of a finished request and updates the metrics.
-func (q *request) recordDone(f *fault.Error) {
-	took := time.Since(q.startedAt)
-	kind := ""
-	if f != nil {
-		kind = string(f.Kind)
-	}
-	q.Metrics.count(q.route, kind, took, q.firstByte)
-	attrs := []slog.Attr{
-		slog.String("request", q.headers.ID),
-		slog.Int("status", q.status),
-		slog.Int64("ms", took.Milliseconds()),
-		slog.Int64("first_ms", q.firstByte.Milliseconds()),
-		slog.String("ran", string(q.ran)),
-		slog.Int("sends", q.sends),
-		slog.Int("runs", q.runs),
-	}
-	if q.catalog != nil {
-		attrs = append(attrs, slog.Int64("config", q.catalog.Version), slog.Int64("list", q.Table.Revision()),
-			slog.Int64("list_age_ms", q.Table.Age().Milliseconds()))
-	}
-	if q.route != nil {
-		attrs = append(attrs, slog.String("route", q.route.Name))
-	}
-	if f != nil && q.body != nil {
-		attrs = append(attrs, slog.String("digest", q.digest.String()))
-	}
-	if q.lastInstance.ID != "" {
-		attrs = append(attrs, slog.String("instance", q.lastInstance.ID), slog.String("version", q.lastInstance.Version), slog.String("model", q.model))
-	}
-	if q.expectedFirstEvent > 0 {
-		attrs = append(attrs, slog.Int64("expected_ms", q.expectedFirstEvent.Milliseconds()), slog.Int64("head_ms", q.firstEvent.Milliseconds()))
-	}
-	if q.escalationRefused {
-		attrs = append(attrs, slog.String("no_escalation", "no_retry"))
-	}
-	level := slog.LevelInfo
-	if f != nil {
-		level = slog.LevelWarn
-		attrs = append(attrs, slog.String("kind", kind), slog.String("no_retry", q.noRetryReason), slog.String("why", f.Message))
-	}
-	slog.LogAttrs(context.Background(), level, "request.done", attrs...)
-}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -53,13 +53,21 @@
 	// NoEscalation counts the answers of a small model that were kept only because no retry was
 	// left to run the largest model.
 	NoEscalation atomic.Int64
+	// Waiting is the number of requests that wait for capacity.
+	Waiting atomic.Int64
 
 	mu     sync.Mutex
 	routes map[string]*routeMetrics
+	// waits are the times that requests have waited for capacity, and refused is the number of
+	// refusals by organisation and reason.
+	waits   histogram
+	refused map[string]map[string]int64
 }
 
 // NewMetrics returns empty counters.
-func NewMetrics() *Metrics { return &Metrics{routes: map[string]*routeMetrics{}} }
+func NewMetrics() *Metrics {
+	return &Metrics{routes: map[string]*routeMetrics{}, refused: map[string]map[string]int64{}}
+}
 
 // maxRoutes bounds the routes counted by name. All further ones are counted together.
 const maxRoutes = 200
@@ -99,5 +107,6 @@
 		Open     int64                    `json:"open"`
 		BoundsMS []int64                  `json:"bounds_ms"`
 		Routes   map[string]*routeMetrics `json:"routes"`
-	}{m.Open.Load(), bucketBoundsMS[:], m.routes})
+		Queue    admissionMetrics         `json:"admission"`
+	}{m.Open.Load(), bucketBoundsMS[:], m.routes, m.admission()})
 }
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -26,16 +26,23 @@
 
 // takeTurn chooses an instance and waits for this daemon's turn there. The turn is immediate
 // unless all instances warm up or have limits. If it would come too late, the request is
-// refused at once, with the time until the turn as the retry time.
+// refused at once, with the time until the turn as the retry time. With admission control, it
+// first waits until an instance has free capacity.
 func (q *request) takeTurn(ctx context.Context) (picked place.Candidate, instance inventory.Instance, err error) {
-	for range maxTurns {
+	for choice := range maxTurns {
 		var turn inventory.Turn
-		if picked, instance, turn, err = q.reserveTurn(); err != nil {
+		if choice == 0 && q.isQueued() {
+			picked, instance, turn, err = q.reserveFree(ctx)
+		} else {
+			picked, instance, turn, err = q.reserveTurn()
+		}
+		if err != nil {
 			return picked, instance, err
 		}
 		if turn.Wait == 0 || awaitTurn(ctx, turn) {
 			return picked, instance, nil
 		}
+		q.releaseGrant()
 		if ctx.Err() != nil {
 			return picked, instance, ctx.Err()
 		}
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -10,13 +9,29 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// Class is the precedence of a request over those of other classes, whatever their priority.
+type Class int
+
+const (
+	// Continued requests have already run at an instance: resumed streams and second runs.
+	Continued Class = iota - 1
+	// Normal is the class of new requests.
+	Normal
+	// BeyondShare requests exceed the share of their organisation while capacity is short.
+	BeyondShare
+)
+
 // Work describes a request that waits for an upstream.
 type Work struct {
+	Class Class
 	// Priority is higher for more urgent requests.
 	Priority int
+	// Returning requests were refused before and have come back as they were told. They go before
+	// others of their organisation.
+	Returning bool
 	// Organisation is the unit of fairness among requests of the same priority.
 	Organisation string
-	// Cost is the expected number of tokens.
+	// Cost is the expected work, in a unit that is the same for all requests of a queue.
 	Cost float64
 	// Deadline is when the answer must be complete.
 	Deadline time.Time
@@ -24,8 +39,19 @@
 	ServiceTime time.Duration
 }
 
+// Reasons of a RefusedError.
+const (
+	// ReasonDeadline: the expected wait leaves no time for the answer.
+	ReasonDeadline = "deadline"
+	// ReasonOvertaken: the same became clear after the request had been queued.
+	ReasonOvertaken = "overtaken"
+	// ReasonQueueFull: the queue has reached its bound and the request is last in it.
+	ReasonQueueFull = "queue_full"
+)
+
 // RefusedError reports that a request cannot be served before its deadline.
 type RefusedError struct {
+	Reason string
 	// RetryAfter is the time after which capacity is expected.
 	RetryAfter time.Duration
 }
@@ -35,69 +61,66 @@
 	return "no capacity before the deadline; room is expected in " + e.RetryAfter.String()
 }
 
-// ticket is a waiting request.
-type ticket struct {
+// Ticket is a request that was submitted to a queue.
+type Ticket struct {
 	work Work
-	// virtualFinish is the finish time of the request in virtual time, as in weighted fair
+	// start and virtualFinish are the times of the request in virtual time, as in weighted fair
 	// queueing.
-	virtualFinish float64
-	try           func() bool
-	done          chan error
-	// since is when the ticket was queued.
-	since time.Time
-}
-
-// Queue orders the requests that wait for the upstreams of one version: by priority, then
-// fairly between organisations.
+	start, virtualFinish float64
+	try                  func() bool
+	done                 chan error
+}
+
+// Done returns a channel that receives nil once the request is granted, or a *RefusedError.
+func (t *Ticket) Done() <-chan error { return t.done }
+
+// QueueOptions adapts a queue to its user. The zero value is valid.
+type QueueOptions struct {
+	// ExpectedRate returns the rate at which capacity is expected to become available, in units
+	// of Work.Cost a second, before the queue has observed one. Without it, the queue estimates
+	// waits from the intervals between grants.
+	ExpectedRate func() float64
+	// Tries is the number of requests that are tried before the queue waits for more capacity,
+	// at least one. More than one is needed if requests differ in the upstreams that they may
+	// use.
+	Tries int
+	// MaxWaiting bounds the waiting requests; 0 means no bound.
+	MaxWaiting int
+}
+
+// Queue orders the requests that wait for the upstreams of one version: by class and priority,
+// then fairly between organisations, then by deadline.
 //
 // Lock order: mu is taken before the locks that try takes.
 type Queue struct {
-	clock clockwork.Clock
+	clock   clockwork.Clock
+	options QueueOptions
 
 	mu          sync.Mutex
-	waiting     []*ticket
+	waiting     []*Ticket
 	virtualTime float64
 	lastFinish  map[string]float64
 	// grantInterval is the smoothed time between two grants while requests are queued.
 	grantInterval time.Duration
 	lastGrant     time.Time
+	drain         drainRate
 }
 
 // NewQueue returns an empty queue.
-func NewQueue(clock clockwork.Clock) *Queue {
-	return &Queue{clock: clock, lastFinish: map[string]float64{}}
-}
+func NewQueue(clock clockwork.Clock) *Queue { return NewQueueWith(clock, QueueOptions{}) }
 
-// intervalWeight is the weight of a new sample in grantInterval.
-const intervalWeight = 0.1
+// NewQueueWith returns an empty queue with options.
+func NewQueueWith(clock clockwork.Clock, o QueueOptions) *Queue {
+	o.Tries = max(o.Tries, 1)
+	return &Queue{clock: clock, options: o, lastFinish: map[string]float64{}}
+}
 
 // Wait queues a request and returns nil once try has succeeded for it; try is called when the
 // request is first in the queue. Wait returns a *RefusedError as soon as the queue is too long
 // for the deadline, often at once, so that the caller does not wait for an answer that cannot
 // be in time. It also returns one when ctx ends first.
 func (q *Queue) Wait(ctx context.Context, work Work, try func() bool) error {
-	q.mu.Lock()
-	if len(q.waiting) == 0 && try() {
-		q.recordGrant()
-		q.mu.Unlock()
-		return nil
-	}
-	t := q.newTicket(work, try)
-	at := q.insert(t)
-	if wait := q.expectedWait(at); !q.meetsDeadline(t, wait) {
-		q.remove(t)
-		if len(q.waiting) == 0 {
-			q.reset()
-		}
-		q.mu.Unlock()
-		return &RefusedError{RetryAfter: q.retryAfter(wait)}
-	}
-	q.refuseLate()
-	q.mu.Unlock()
-	return q.await(ctx, t)
-}
-
-func (q *Queue) await(ctx context.Context, t *ticket) error {
+	t := q.Submit(work, try)
 	select {
 	case err := <-t.done:
 		return err
@@ -106,30 +129,44 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.remove(t) {
-		return &RefusedError{RetryAfter: q.retryAfter(q.expectedWait(len(q.waiting)))}
+		return q.refusal(ReasonDeadline, q.expectedWait(len(q.waiting)))
 	}
 	return <-t.done
 }
 
-func (q *Queue) newTicket(work Work, try func() bool) *ticket {
-	start := max(q.virtualTime, q.lastFinish[work.Organisation])
-	t := &ticket{work: work, try: try, done: make(chan error, 1), virtualFinish: start + work.Cost, since: q.clock.Now()}
-	q.lastFinish[work.Organisation] = t.virtualFinish
+// Submit queues a request without waiting for the outcome. The ticket's channel may have it
+// already.
+func (q *Queue) Submit(work Work, try func() bool) *Ticket {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t := &Ticket{work: work, try: try, done: make(chan error, 1)}
+	if len(q.waiting) == 0 && try() {
+		q.recordGrant(t)
+		t.done <- nil
+		return t
+	}
+	q.drain.advance(q.clock.Now(), len(q.waiting) > 0)
+	at := q.insert(t)
+	// In a queue with several tries, a new request may be able to use upstreams that the waiting
+	// ones cannot.
+	if at == 0 && len(q.waiting) > 1 && try() {
+		q.grant(0)
+		t.done <- nil
+		return t
+	}
+	if wait := q.expectedWait(at); !q.meetsDeadline(t, wait) {
+		q.remove(t)
+		q.resetIfEmpty()
+		t.done <- q.refusal(ReasonDeadline, wait)
+		return t
+	}
+	q.refuseLate()
+	q.refuseExcess()
 	return t
 }
 
-func (q *Queue) insert(t *ticket) int {
-	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *ticket) int {
-		if c := cmp.Or(cmp.Compare(b.work.Priority, a.work.Priority), cmp.Compare(a.virtualFinish, b.virtualFinish)); c != 0 {
-			return c
-		}
-		return -1
-	})
-	q.waiting = slices.Insert(q.waiting, at, t)
-	return at
-}
-
-func (q *Queue) remove(t *ticket) bool {
+// remove removes a ticket and reports whether it was waiting.
+func (q *Queue) remove(t *Ticket) bool {
 	at := slices.Index(q.waiting, t)
 	if at < 0 {
 		return false
@@ -138,80 +175,59 @@
 	return true
 }
 
-// expectedWait returns how long the ticket at a position is likely to wait.
-func (q *Queue) expectedWait(at int) time.Duration { return time.Duration(at+1) * q.grantInterval }
-
-func (q *Queue) meetsDeadline(t *ticket, wait time.Duration) bool {
-	return q.clock.Now().Add(wait + t.work.ServiceTime).Before(t.work.Deadline)
-}
-
-// retryAfter returns the time after which a refused caller should retry: the expected wait, so
-// that callers return as the queue empties, but not less than 100 ms.
-func (q *Queue) retryAfter(wait time.Duration) time.Duration {
-	const least = 100 * time.Millisecond
-	return max(wait, least)
-}
-
 // refuseLate refuses the tickets that can no longer meet their deadline because more urgent
 // requests were queued before them or because capacity has become available more slowly.
 func (q *Queue) refuseLate() {
-	kept := q.waiting[:0]
+	kept, ahead := q.waiting[:0], 0.0
 	for _, t := range q.waiting {
-		wait := q.expectedWait(len(kept))
+		wait := q.waitBehind(len(kept), ahead, t.work.Cost)
 		if q.meetsDeadline(t, wait) {
 			kept = append(kept, t)
+			ahead += t.work.Cost
 			continue
 		}
-		t.done <- &RefusedError{RetryAfter: q.retryAfter(wait)}
+		t.done <- q.refusal(ReasonOvertaken, wait)
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
 }
 
+// refuseExcess refuses the last tickets beyond the bound of the queue.
+func (q *Queue) refuseExcess() {
+	for q.options.MaxWaiting > 0 && len(q.waiting) > q.options.MaxWaiting {
+		last := len(q.waiting) - 1
+		t := q.waiting[last]
+		q.waiting = slices.Delete(q.waiting, last, last+1)
+		t.done <- q.refusal(ReasonQueueFull, q.expectedWait(last-1))
+	}
+}
+
 // GrantWaiting grants as many waiting requests as there is capacity for. It must be called
 // whenever capacity may have become available.
 func (q *Queue) GrantWaiting() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for len(q.waiting) > 0 {
-		t := q.waiting[0]
+	q.drain.advance(q.clock.Now(), len(q.waiting) > 0)
+	for at, failed := 0, 0; at < len(q.waiting) && failed < q.options.Tries; {
+		t := q.waiting[at]
 		if !t.try() {
-			break
+			at++
+			failed++
+			continue
 		}
-		q.waiting = slices.Delete(q.waiting, 0, 1)
-		q.virtualTime = max(q.virtualTime, t.virtualFinish-t.work.Cost)
-		q.recordGrant()
+		q.grant(at)
 		t.done <- nil
 	}
 	q.refuseLate()
-	if len(q.waiting) == 0 {
-		q.reset()
-	}
-}
-
-// recordGrant updates grantInterval. Only grants made while others wait count: the time
-// between grants without a queue does not show how fast capacity becomes available.
-func (q *Queue) recordGrant() {
-	now := q.clock.Now()
-	if len(q.waiting) > 0 && !q.lastGrant.IsZero() {
-		sample := now.Sub(q.lastGrant)
-		if q.grantInterval == 0 {
-			q.grantInterval = sample
-		}
-		q.grantInterval += time.Duration(intervalWeight * float64(sample-q.grantInterval))
-	}
-	q.lastGrant = now
+	q.resetIfEmpty()
 }
 
-// reset clears the state once the queue is empty. The fair order covers only organisations with
-// waiting requests. The grant interval does not apply to the next queue: a long one from an
-// outage would make the queue refuse every request with a short deadline, and without queued
-// requests it would never be corrected.
-func (q *Queue) reset() {
-	clear(q.lastFinish)
-	q.virtualTime = 0
-	q.grantInterval = 0
-	q.lastGrant = time.Time{}
+// grant removes the ticket at a position, whose try has succeeded.
+func (q *Queue) grant(at int) {
+	t := q.waiting[at]
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	q.virtualTime = max(q.virtualTime, t.start)
+	q.recordGrant(t)
 }
 
 // Len returns the number of waiting requests.
