forward: a daemon uses only its part of the free capacity while it is short

Change: free capacity beyond that of the daemon's own ended requests is used in the course of the time between two reports, at instances drawn at random by their room.

--- a/internal/forward/admission_capacity.go
+++ b/internal/forward/admission_capacity.go
@@ -81,70 +81,142 @@
 	slots float64
 }
 
+// freeInstance is a candidate with free capacity and the number of requests that it may be sent.
+type freeInstance struct {
+	place.Candidate
+	room float64
+}
+
 // freeInstances returns the candidates with free capacity, and the capacity of all. granted is
 // the number of requests by instance that this daemon is about to send. A candidate
 // that is due for a probe counts as free, since the probe decides whether its limit applies.
-func (r capacityRule) freeInstances(all []place.Candidate, granted map[string]int) ([]place.Candidate, freeCapacity) {
+func (r capacityRule) freeInstances(all []place.Candidate, granted map[string]int) ([]freeInstance, freeCapacity) {
 	var sum freeCapacity
-	free := make([]place.Candidate, 0, len(all))
+	free := make([]freeInstance, 0, len(all))
 	for _, c := range all {
 		room := r.room(c, granted[c.ID])
 		sum.total += r.capacity(max(c.Slots, 1))
 		sum.slots += float64(max(c.Slots, 1))
 		sum.room += max(room, 0)
 		if room >= 1 || room > 0 && c.Open == 0 || c.ProbeDue {
-			free = append(free, c)
+			free = append(free, freeInstance{Candidate: c, room: room})
 		}
 	}
 	return free, sum
 }
 
+// choices is the number of instances among which a request is placed while capacity is short.
+const choices = 3
+
+// spread returns a few of the free instances: those drawn at random by their room, and the one
+// that has most of the prompt cached.
+//
+// All daemons see the same instances as free. If each placed its requests at the best one, its
+// queue would grow to many times its room before the next report. With few random choices, an
+// instance is sent at most that many times its room.
+func spread(free []freeInstance, random func() float64) []place.Candidate {
+	if len(free) <= choices {
+		return candidatesOf(free)
+	}
+	out := make([]place.Candidate, 0, choices+1)
+	cached, most := 0, 0
+	for i, f := range free {
+		if f.Prefill < free[cached].Prefill {
+			cached = i
+		}
+		if f.Prefill > free[most].Prefill {
+			most = i
+		}
+		if f.ProbeDue {
+			return []place.Candidate{f.Candidate}
+		}
+	}
+	if free[cached].Prefill < free[most].Prefill {
+		out = append(out, free[cached].Candidate)
+		free[cached].room = 0
+	}
+	for range choices {
+		sum := 0.0
+		for _, f := range free {
+			sum += max(f.room, 0)
+		}
+		point := random() * sum
+		for i, f := range free {
+			if point -= max(f.room, 0); point < 0 {
+				out = append(out, f.Candidate)
+				free[i].room = 0
+				break
+			}
+		}
+	}
+	return out
+}
+
+func candidatesOf(free []freeInstance) []place.Candidate {
+	out := make([]place.Candidate, 0, len(free))
+	for _, f := range free {
+		out = append(out, f.Candidate)
+	}
+	return out
+}
+
 // capacityShare limits the requests that this daemon sends to free capacity that all daemons
-// see. Its part of it becomes available in the course of viewInterval, at least one request.
+// see. Its part of it becomes available in the course of viewInterval.
 type capacityShare struct {
 	// requests is the number that may be sent as of at.
 	requests float64
 	at       time.Time
-	// ended is the number of requests of this daemon that have ended since endedAt. Their capacity
-	// is known to this daemon alone until the next report.
-	ended   int
+	// ended is the number of requests of this daemon by instance that have ended since endedAt and
+	// were not replaced. Their capacity is known to this daemon alone until the next report.
+	ended   map[string]int
 	endedAt time.Time
 }
 
-// allows reports whether a request may be sent. fraction is this daemon's part of the free
+// isAmple reports whether so much capacity is free that a daemon may use as much as it needs.
+func (f freeCapacity) isAmple() bool { return f.room >= ampleFraction*f.total }
+
+// choose returns the free instances that this daemon may use. fraction is its part of the free
 // capacity.
-func (s *capacityShare) allows(f freeCapacity, fraction float64, now time.Time) bool {
-	if f.room >= ampleFraction*f.total {
-		return true
+func (s *capacityShare) choose(free []freeInstance, f freeCapacity, fraction float64, random func() float64, now time.Time) []place.Candidate {
+	if f.isAmple() {
+		return candidatesOf(free)
 	}
-	most := max(f.room*fraction, 1)
-	if s.at.IsZero() {
-		s.requests = most
-	} else if elapsed := now.Sub(s.at); elapsed > 0 {
-		s.requests += most * float64(elapsed) / float64(viewInterval)
+	part := f.room * fraction
+	switch elapsed := now.Sub(s.at); {
+	case s.at.IsZero():
+		s.requests = max(part, 1)
+	case elapsed > 0:
+		s.requests += part * float64(elapsed) / float64(viewInterval)
 	}
 	s.at = now
-	s.requests = min(s.requests, most)
-	return s.requests >= 1 || s.hasEnded(now)
-}
-
-func (s *capacityShare) hasEnded(now time.Time) bool {
-	return s.ended > 0 && now.Sub(s.endedAt) < viewInterval
+	s.requests = min(s.requests, max(part, 1))
+	if s.requests >= 1 {
+		return spread(free, random)
+	}
+	var own []place.Candidate
+	if now.Sub(s.endedAt) < viewInterval {
+		for _, c := range free {
+			if s.ended[c.ID] > 0 {
+				own = append(own, c.Candidate)
+			}
+		}
+	}
+	return own
 }
 
-// take counts a request that is sent.
-func (s *capacityShare) take(now time.Time) {
-	if s.hasEnded(now) {
-		s.ended--
+// take counts a request that is sent to an instance.
+func (s *capacityShare) take(instance string, now time.Time) {
+	if s.ended[instance] > 0 && now.Sub(s.endedAt) < viewInterval {
+		s.ended[instance]--
 		return
 	}
 	s.requests = max(s.requests-1, 0)
 }
 
 // noteEnded counts the end of a request of this daemon.
-func (s *capacityShare) noteEnded(now time.Time) {
+func (s *capacityShare) noteEnded(instance string, now time.Time) {
 	if now.Sub(s.endedAt) >= viewInterval {
-		s.ended, s.endedAt = 0, now
+		s.ended, s.endedAt = map[string]int{}, now
 	}
-	s.ended++
+	s.ended[instance]++
 }
--- a/internal/forward/admission_service.go
+++ b/internal/forward/admission_service.go
@@ -71,10 +71,10 @@
 
 // noteEnded records the end of an attempt. occupancy is the time that it took a slot; 0 if it is
 // not known.
-func (s *serviceLoad) noteEnded(occupancy time.Duration, now time.Time) {
+func (s *serviceLoad) noteEnded(instance string, occupancy time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.noteEnded(now)
+	s.share.noteEnded(instance, now)
 	if occupancy <= 0 {
 		return
 	}
@@ -94,16 +94,16 @@
 }
 
 // noteGranted records that a request is sent.
-func (s *serviceLoad) noteGranted(now time.Time) {
+func (s *serviceLoad) noteGranted(instance string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share.take(now)
+	s.share.take(instance, now)
 	s.grantedAt = now
 }
 
 // free returns the candidates to which this daemon may send a request now. If requests wait and
 // none has been granted for too long, these are all candidates.
-func (s *serviceLoad) free(all []place.Candidate, r capacityRule, granted map[string]int, fleet fleetView, now time.Time) []place.Candidate {
+func (s *serviceLoad) free(all []place.Candidate, r capacityRule, granted map[string]int, fleet fleetView, random func() float64, now time.Time) []place.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.occupancy = s.occupancy
@@ -111,8 +111,8 @@
 	sum.room *= fleet.scale
 	sum.total *= fleet.scale
 	s.rate = sum.slots * fleet.scale * fleet.fraction
-	if len(free) > 0 && s.share.allows(sum, fleet.fraction, now) {
-		return free
+	if chosen := s.share.choose(free, sum, fleet.fraction, random, now); len(chosen) > 0 {
+		return chosen
 	}
 	stall := min(max(time.Duration(stallFraction*float64(r.objective)), minStall), maxStall)
 	if s.waiting.Load() > 0 && now.Sub(s.grantedAt) >= stall {
--- a/internal/forward/admission_wait.go
+++ b/internal/forward/admission_wait.go
@@ -82,7 +82,7 @@
 	if r.err == nil {
 		q.granted = r.instance.ID
 		q.admission.noteGranted(q.granted)
-		load.noteGranted(time.Now())
+		load.noteGranted(q.granted, time.Now())
 	}
 	return r, true
 }
@@ -95,7 +95,7 @@
 	}
 	now := time.Now()
 	rule := capacityRule{objective: q.objective, engine: q.service.Engine, prefillRate: rateWork / q.prefillRate.Estimate(rateWork, now).Seconds()}
-	free := q.load.free(all, rule, q.admission.grantedCounts(), q.fleetView(len(all)), now)
+	free := q.load.free(all, rule, q.admission.grantedCounts(), q.fleetView(len(all)), rand.Float64, now)
 	if len(free) == 0 {
 		q.blocked = true
 		if instance, ok := q.Table.Get(all[0].ID); ok {
@@ -250,7 +250,7 @@
 		a.answers.Observe(cascade.Key{Route: a.route.Name, Model: a.modelName()}, head, rest, a.expectedTokens(), now)
 		a.meter().Finished(a.service.Name, a.work)
 	}
-	a.admission.service(a.service.Name).noteEnded(occupancy, now)
+	a.admission.service(a.service.Name).noteEnded(a.instance.ID, occupancy, now)
 	a.admission.check(a.service.Name)
 }
 
