forward, limit: tests of the admission queue, and no credit for refused attempts

Cause: the end of an attempt that its instance had refused counted as capacity that became free. Change: only attempts with an answer do.

--- a/internal/forward/admission_wait.go
+++ b/internal/forward/admission_wait.go
@@ -250,7 +250,11 @@
 		a.answers.Observe(cascade.Key{Route: a.route.Name, Model: a.modelName()}, head, rest, a.expectedTokens(), now)
 		a.meter().Finished(a.service.Name, a.work)
 	}
-	a.admission.service(a.service.Name).noteEnded(a.instance.ID, occupancy, now)
+	// An instance that refused the request, or could not be reached, has no more capacity than
+	// before.
+	if !a.headAt.IsZero() {
+		a.admission.service(a.service.Name).noteEnded(a.instance.ID, occupancy, now)
+	}
 	a.admission.check(a.service.Name)
 }
 
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -227,3 +227,55 @@
 	var refused *RefusedError
 	require.True(t, errors.As(<-batch, &refused))
 }
+
+// Guards against an order in which requests beyond a share, or with less urgent deadlines, go
+// first, in which a single request with an early deadline lets its organisation exceed its part,
+// and in which a request that no upstream can take blocks the others.
+func TestQueueOrderOfClassesAndDeadlines(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	q := NewQueueWith(clock, QueueOptions{ExpectedRate: func() float64 { return 1e9 }, Tries: 2, FairSlack: 2, MaxWaiting: 9})
+	var order []string
+	open := false
+	submit := func(name, org string, class Class, seconds int) *Ticket {
+		w := Work{Class: class, Organisation: org, Cost: 1, Deadline: clock.Now().Add(time.Duration(seconds) * time.Second)}
+		return q.Submit(w, func() bool {
+			if open && name != "stuck" {
+				order = append(order, name)
+			}
+			return open && name != "stuck"
+		})
+	}
+	submit("beyond", "c", BeyondShare, 1)
+	submit("late", "a", Normal, 9)
+	for range 4 {
+		submit("greedy", "b", Normal, 2)
+	}
+	submit("early", "a", Normal, 3)
+	submit("stuck", "d", Continued, 1)
+	submit("second run", "a", Continued, 30)
+	last := submit("excess", "e", BeyondShare, 5)
+	var refused *RefusedError
+	require.True(t, errors.As(<-last.Done(), &refused))
+	require.Equal(t, ReasonQueueFull, refused.Reason)
+	open = true
+	q.GrantWaiting()
+	require.Equal(t, []string{"second run", "greedy", "greedy", "early", "late", "greedy", "greedy", "beyond"}, order)
+	require.Equal(t, 1, q.Len())
+}
+
+// Guards against a queue that is not served and goes on accepting requests by the rate that was
+// expected, and against callers that are refused after it has recovered.
+func TestExpectedWaitFollowsObservedRate(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	q := NewQueueWith(clock, QueueOptions{ExpectedRate: func() float64 { return 10 }})
+	no := func() bool { return false }
+	for range 20 {
+		q.Submit(Work{Cost: 1, Deadline: clock.Now().Add(time.Hour)}, no)
+	}
+	require.InDelta(t, 2, q.expectedWait(20).Seconds(), 0.1)
+	for range 40 {
+		clock.Advance(100 * time.Millisecond)
+		q.GrantWaiting()
+	}
+	require.Greater(t, q.expectedWait(20), 5*time.Second)
+}
