forward, limit: a check of a queue stops at the first request without an instance; fewer copies

Cause: each check tried four requests although the first one without an instance shows that there is none, and candidates were copied twice for a request that finds free capacity. Change: only requests that have tried instances let the check go on; candidates are passed on by index.

--- a/internal/forward/admission_capacity.go
+++ b/internal/forward/admission_capacity.go
@@ -67,7 +67,7 @@
 
 // room returns how many more requests the instance may be sent; at most 0 if none. granted is
 // the number of requests that this daemon is about to send there.
-func (r capacityRule) room(c place.Candidate, granted int) float64 {
+func (r capacityRule) room(c *place.Candidate, granted int) float64 {
 	delay := c.Waiting / r.prefillRate
 	if delay > r.maxDelay().Seconds() && delay < implausibleDelay.Seconds() {
 		return 0
@@ -92,10 +92,11 @@
 	total, room float64
 }
 
-// freeInstance is a candidate with free capacity and the number of requests that it may be sent.
+// freeInstance is a candidate with free capacity, by its index, and the number of requests that it
+// may be sent.
 type freeInstance struct {
-	place.Candidate
-	room float64
+	index int
+	room  float64
 }
 
 // freeInstances returns the candidates with free capacity, and the capacity of all. granted is
@@ -104,12 +105,18 @@
 func (r capacityRule) freeInstances(all []place.Candidate, granted map[string]int) ([]freeInstance, freeCapacity) {
 	var sum freeCapacity
 	free := make([]freeInstance, 0, len(all))
-	for _, c := range all {
+	capacity, slots := 0.0, -1
+	for i := range all {
+		c := &all[i]
+		if c.Slots != slots {
+			slots = c.Slots
+			capacity = r.capacity(max(slots, 1))
+		}
 		room := r.room(c, granted[c.ID])
-		sum.total += r.capacity(max(c.Slots, 1))
+		sum.total += capacity
 		sum.room += max(room, 0)
 		if room >= 1 || room > 0 && c.Open == 0 || c.ProbeDue {
-			free = append(free, freeInstance{Candidate: c, room: room})
+			free = append(free, freeInstance{index: i, room: room})
 		}
 	}
 	return free, sum
@@ -124,25 +131,26 @@
 // All daemons see the same instances as free. If each placed its requests at the best one, its
 // queue would grow to many times its room before the next report. With few random choices, an
 // instance is sent at most that many times its room.
-func spread(free []freeInstance, random func() float64) []place.Candidate {
+func spread(all []place.Candidate, free []freeInstance, random func() float64) []place.Candidate {
 	if len(free) <= choices {
-		return candidatesOf(free)
+		return candidatesOf(all, free)
 	}
-	out := make([]place.Candidate, 0, choices+1)
 	cached, most := 0, 0
 	for i, f := range free {
-		if f.Prefill < free[cached].Prefill {
+		c := &all[f.index]
+		if c.ProbeDue {
+			return []place.Candidate{*c}
+		}
+		if c.Prefill < all[free[cached].index].Prefill {
 			cached = i
 		}
-		if f.Prefill > free[most].Prefill {
+		if c.Prefill > all[free[most].index].Prefill {
 			most = i
 		}
-		if f.ProbeDue {
-			return []place.Candidate{f.Candidate}
-		}
 	}
-	if free[cached].Prefill < free[most].Prefill {
-		out = append(out, free[cached].Candidate)
+	out := make([]place.Candidate, 0, choices+1)
+	if c := all[free[cached].index]; c.Prefill < all[free[most].index].Prefill {
+		out = append(out, c)
 		free[cached].room = 0
 	}
 	for range choices {
@@ -153,7 +161,7 @@
 		point := random() * sum
 		for i, f := range free {
 			if point -= max(f.room, 0); point < 0 {
-				out = append(out, f.Candidate)
+				out = append(out, all[f.index])
 				free[i].room = 0
 				break
 			}
@@ -162,10 +170,14 @@
 	return out
 }
 
-func candidatesOf(free []freeInstance) []place.Candidate {
+// candidatesOf returns the candidates with free capacity.
+func candidatesOf(all []place.Candidate, free []freeInstance) []place.Candidate {
+	if len(free) == len(all) {
+		return all
+	}
 	out := make([]place.Candidate, 0, len(free))
 	for _, f := range free {
-		out = append(out, f.Candidate)
+		out = append(out, all[f.index])
 	}
 	return out
 }
@@ -187,9 +199,9 @@
 
 // choose returns the free instances that this daemon may use. fraction is its part of the free
 // capacity.
-func (s *capacityShare) choose(free []freeInstance, f freeCapacity, fraction float64, random func() float64, now time.Time) []place.Candidate {
+func (s *capacityShare) choose(all []place.Candidate, free []freeInstance, f freeCapacity, fraction float64, random func() float64, now time.Time) []place.Candidate {
 	if f.isAmple() {
-		return candidatesOf(free)
+		return candidatesOf(all, free)
 	}
 	part := f.room * fraction
 	switch elapsed := now.Sub(s.at); {
@@ -201,13 +213,13 @@
 	s.at = now
 	s.requests = min(s.requests, max(part, 1))
 	if s.requests >= 1 {
-		return spread(free, random)
+		return spread(all, free, random)
 	}
 	var own []place.Candidate
 	if now.Sub(s.endedAt) < viewInterval {
-		for _, c := range free {
-			if s.ended[c.ID] > 0 {
-				own = append(own, c.Candidate)
+		for _, f := range free {
+			if c := all[f.index]; s.ended[c.ID] > 0 {
+				own = append(own, c)
 			}
 		}
 	}
--- a/internal/forward/admission_service.go
+++ b/internal/forward/admission_service.go
@@ -115,7 +115,7 @@
 	sum.room *= fleet.scale
 	sum.total *= fleet.scale
 	s.rate = sum.total * fleet.fraction
-	if chosen := s.share.choose(free, sum, fleet.fraction, random, now); len(chosen) > 0 {
+	if chosen := s.share.choose(all, free, sum, fleet.fraction, random, now); len(chosen) > 0 {
 		return chosen
 	}
 	stall := min(max(time.Duration(stallFraction*float64(r.objective)), minStall), maxStall)
--- a/internal/forward/admission_wait.go
+++ b/internal/forward/admission_wait.go
@@ -143,7 +143,7 @@
 // queueWork returns the request as the queue orders it.
 func (q *request) queueWork() limit.Work {
 	w := limit.Work{
-		Priority: -q.priority(), Organisation: q.organisationName(), Cost: q.work, Deadline: q.deadline, Returning: q.returning,
+		Priority: -q.priority(), Organisation: q.organisationName(), Cost: q.work, Deadline: q.deadline, Returning: q.returning, Selective: len(q.tried) > 0,
 		ServiceTime: boundedServiceTime(time.Duration(q.work*float64(time.Second)), q.deadline.Sub(q.startedAt)),
 	}
 	switch {
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -29,6 +29,9 @@
 	// Returning requests were refused before and have come back as they were told. They go before
 	// others of their organisation.
 	Returning bool
+	// Selective requests may not use all upstreams that others may, so that others can be granted
+	// where they cannot.
+	Selective bool
 	// Organisation is the unit of fairness among requests of the same priority.
 	Organisation string
 	// Cost is the expected work, in a unit that is the same for all requests of a queue.
@@ -81,8 +84,7 @@
 	// waits from the intervals between grants.
 	ExpectedRate func() float64
 	// Tries is the number of requests that are tried before the queue waits for more capacity,
-	// at least one. More than one is needed if requests differ in the upstreams that they may
-	// use.
+	// at least one. It waits at once if the one that cannot be granted is not selective.
 	Tries int
 	// FairSlack is by how many requests an organisation may exceed its fair part before others go
 	// first; until then, deadlines decide. Without it, the second request of an organisation waits
@@ -217,6 +219,9 @@
 	for at, failed := 0, 0; at < len(q.waiting) && failed < q.options.Tries; {
 		t := q.waiting[at]
 		if !t.try() {
+			if !t.work.Selective {
+				break
+			}
 			at++
 			failed++
 			continue
