--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,7 +61,7 @@
 // expected time if the speed of instances counts; the one with the lowest prefill cost if the
 // prompt has shared parts; otherwise the least loaded one.
 func (q *request) chooseInstance() (picked place.Candidate, instance inventory.Instance, ok bool) {
-	candidates := q.preferProven(place.WithConnection(q.candidates()))
+	candidates := q.preferProven(q.withCapacity(place.WithConnection(q.candidates())))
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
@@ -152,6 +152,7 @@
 	q.Table.Begin(instance, a.prefill)
 	q.countUnproven(picked)
 	a.holdMemory()
+	q.releaseGrant()
 	if !picked.Canary {
 		// Prompts sent to canary instances are not recorded as cached there. The few canary
 		// instances process nearly all prompts before the other instances of their version get
@@ -341,6 +342,7 @@
 	a.removeWaiting()
 	a.Table.End(a.instance, outcome)
 	a.releaseMemory()
+	a.noteEnded(outcome)
 	a.observeLatency(outcome)
 	a.noteSpeed(outcome)
 	if o, ok := a.finalObservation(outcome); ok {
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -196,6 +196,6 @@
 		head, rest = a.headAt.Sub(a.sentAt), now.Sub(a.headAt)
 	}
 	key, tokens := a.estimateKey(a.model), a.expectedTokens()
-	a.spreads.Observe(key, head+rest, a.latencies.Mean(key, tokens))
+	a.spreads.Observe(key, head+rest, a.latencies.Mean(key, tokens, now))
 	a.latencies.Observe(key, head, rest, tokens, now)
 }
--- a/internal/forward/models.go
+++ b/internal/forward/models.go
@@ -67,7 +67,7 @@
 		Objective: q.route.Objective, Timeout: timeout,
 	}
 	if q.Overload != nil && q.Overload.ModelPrice(q.service.Name) {
-		e.InTime, e.HasInTime = q.spreads.Chance(key, q.latencies.Mean(key, q.expectedTokens()), timeout-e.Elapsed), true
+		e.InTime, e.HasInTime = q.spreads.Chance(key, q.latencies.Mean(key, q.expectedTokens(), now), timeout-e.Elapsed), true
 	}
 	return ok && e.Worthwhile()
 }
