--- a/internal/forward/admission_capacity.go
+++ b/internal/forward/admission_capacity.go
@@ -48,6 +48,10 @@
 	// engine is set for services whose requests last for seconds, so that the open requests
 	// that daemons exchange are accurate.
 	engine bool
+	// keepsPrompts is set if prompts have engines that their hash prefers. As long as any engine has
+	// free capacity they go there. Prompts that are spread over the free engines keep all of these
+	// processing prompts, which doubles the time of the answers that they generate.
+	keepsPrompts bool
 }
 
 // maxDelay returns by how much work that is queued at an instance may delay a first event.
--- a/internal/forward/admission_service.go
+++ b/internal/forward/admission_service.go
@@ -115,6 +115,9 @@
 	sum.room *= fleet.scale
 	sum.total *= fleet.scale
 	s.rate = sum.total * fleet.fraction
+	if r.keepsPrompts && len(free) > 0 {
+		return all
+	}
 	if chosen := s.share.choose(all, free, sum, fleet.fraction, random, now); len(chosen) > 0 {
 		return chosen
 	}
--- a/internal/forward/admission_wait.go
+++ b/internal/forward/admission_wait.go
@@ -94,7 +94,7 @@
 		return all
 	}
 	now := time.Now()
-	rule := capacityRule{objective: q.objective, engine: q.service.Engine, prefillRate: rateWork / q.prefillRate.Estimate(rateWork, now).Seconds()}
+	rule := capacityRule{objective: q.objective, engine: q.service.Engine, keepsPrompts: q.service.Engine && q.placementKey() != "", prefillRate: rateWork / q.prefillRate.Estimate(rateWork, now).Seconds()}
 	free := q.load.free(all, rule, q.admission.grantedCounts(), q.fleetView(len(all)), rand.Float64, now)
 	if len(free) == 0 {
 		q.blocked = true
