inventory, forward: instances that answer with errors are not proven

Cause: a server whose health check passes may answer nearly all its requests with an error status for some seconds. Each daemon ejects it only after several failures of its own, and with 70 daemons hundreds of orders fail until then.

Change: daemons sum up, over all of them and in the existing rounds, how much more likely the answers of an instance are if half of them were errors than at the usual share of errors of their routes. An instance with a high sum is not proven until the sum is 0 again, unless most instances of the service look faulty. The usual share is that at the other instances of the service. New gob field Errors in DaemonWork, FleetWork and DomainWork, new counter error_answers.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -275,6 +275,9 @@
 	// number of attempts that must not run twice and went to an instance that is not proven.
 	LostAnswers  int64 `json:"lost_answers"`
 	UnprovenRuns int64 `json:"unproven_runs"`
+	// ErrorAnswers is the number of answers with an error status of the instance itself, where these
+	// count as evidence.
+	ErrorAnswers int64 `json:"error_answers"`
 	// HeldBytes is the number of bytes held for callers and instances, StalledCallers the number of
 	// callers dropped because they did not take their answer, and AbortedCallers the number of those
 	// dropped to free memory.
@@ -303,7 +306,7 @@
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
 			Capacity:    n.capacityVars(),
-			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(),
+			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(), ErrorAnswers: n.metrics.ErrorAnswers.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
 			Survey: n.survey.vars(), Directory: n.directory.vars(),
 		}
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -49,6 +49,7 @@
 	// to other failure domains yet.
 	pendingForGroup, pendingForDomains []inventory.CachedPrefix
 	losses                             *inventory.LossSum
+	errors                             *inventory.ErrorSum
 	speeds                             speedTotals
 }
 
@@ -58,7 +59,7 @@
 }
 
 func newWorkTotals() *workTotals {
-	return &workTotals{group: inventory.NewWorkSum(), domains: map[string]domainWork{}, losses: inventory.NewLossSum()}
+	return &workTotals{group: inventory.NewWorkSum(), domains: map[string]domainWork{}, losses: inventory.NewLossSum(), errors: inventory.NewErrorSum()}
 }
 
 // add records the work of a daemon of the group.
@@ -68,6 +69,7 @@
 	defer w.mu.Unlock()
 	w.group.Add(own.Incarnation, peer.UnpackWork(own.Amounts), now)
 	w.losses.Add(own.Incarnation, peer.UnpackLosses(own.Losses), now)
+	w.errors.Add(own.Incarnation, peer.UnpackErrors(own.Errors), now)
 	prefixes := peer.UnpackPrefixes(own.Readings)
 	w.pendingForGroup = newest(append(w.pendingForGroup, prefixes...), maxPendingPrefixes)
 	w.pendingForDomains = newest(append(w.pendingForDomains, prefixes...), maxPendingPrefixes)
@@ -80,6 +82,7 @@
 	defer w.mu.Unlock()
 	w.domains[d.Domain] = domainWork{work: peer.UnpackWork(d.Amounts), at: now}
 	w.losses.AddDomain(d.Domain, peer.UnpackLosses(d.Losses), now)
+	w.errors.AddDomain(d.Domain, peer.UnpackErrors(d.Errors), now)
 	w.pendingForGroup = newest(append(w.pendingForGroup, peer.UnpackPrefixes(d.Readings)...), maxPendingPrefixes)
 }
 
@@ -159,7 +162,7 @@
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
-	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses(), Speeds: n.fleetSpeeds()}
+	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses(), Errors: n.fleetErrors(), Speeds: n.fleetSpeeds()}
 	others := n.otherDaemons(n.workGroup())
 	n.fillFleetUsage(&update, len(others))
 	n.extendFleetWork(&update)
@@ -184,6 +187,7 @@
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
 		Usage:  n.groupUsage(),
 		Losses: n.workTotals.groupLosses(n.clock.Now()),
+		Errors: n.workTotals.groupErrors(),
 		Speeds: n.workTotals.speeds.forDomains(n.clock.Now()),
 	}
 	n.extendDomainWork(&mine)
@@ -203,6 +207,7 @@
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
 		Losses: peer.PackLosses(n.table.OwnLosses(maxSentLosses)),
+		Errors: peer.PackErrors(n.table.OwnErrors(maxSentErrors)),
 		Speeds: n.ownSpeeds(),
 	}
 	n.extendDaemonWork(&own)
@@ -215,6 +220,7 @@
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
 	n.setFleetUsage(w)
 	n.mergeLosses(peer.UnpackLosses(w.Losses))
+	n.mergeErrors(peer.UnpackErrorStates(w.Errors))
 	n.onFleetSpeeds(w.Speeds)
 	n.noteFleetWork(w)
 	own := n.ownWork()
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -135,8 +135,9 @@
 	return o, true
 }
 
-// noteHead records that the head of the answer has arrived.
+// noteHead records that the head of the answer has arrived, and its status.
 func (a *attempt) noteHead() {
+	a.noteStatus()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.headAt = time.Now()
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -56,6 +56,9 @@
 	// LostAnswers counts the answers that instances lost or corrupted, and UnprovenRuns the attempts
 	// that must not run twice and went to an instance that is not proven.
 	LostAnswers, UnprovenRuns atomic.Int64
+	// ErrorAnswers counts the answers with an error status of the instance itself, where these count
+	// as evidence.
+	ErrorAnswers atomic.Int64
 	// StalledCallers counts the callers that were dropped because they did not take their answer,
 	// and AbortedCallers those that were dropped to free memory.
 	StalledCallers, AbortedCallers atomic.Int64
--- a/internal/forward/proven.go
+++ b/internal/forward/proven.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
@@ -49,6 +50,19 @@
 	}
 }
 
+// noteStatus records whether the instance has answered with an error status of its own. It is called
+// at the head of an answer, since good streams last longer than errors and would be counted later.
+func (a *attempt) noteStatus() {
+	if !a.watchesLosses() {
+		return
+	}
+	isError := a.exchange.Status() >= http.StatusInternalServerError
+	if isError {
+		a.Metrics.ErrorAnswers.Add(1)
+	}
+	a.Table.NoteStatus(a.instance, a.route.Name, isError)
+}
+
 // noteLoss records a lost or corrupted answer.
 //
 // When a connection breaks, the instance may have crashed, which is not a loss: the instance is
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -235,6 +235,8 @@
 	delete(t.busy, e)
 	delete(t.sampled, e)
 	delete(t.unproven, e)
+	delete(t.watched, e)
+	delete(t.summed, e)
 	delete(t.unsent, e)
 }
 
--- a/internal/inventory/proven_load_test.go
+++ b/internal/inventory/proven_load_test.go
@@ -69,6 +69,8 @@
 	// arrivals is a source of its own, so that runs with the same seed get the same requests.
 	random, arrivals *rand.Rand
 
+	// errors is set if a server answers errors instead of losing answers, see errorSim.
+	errors  *errorSim
 	clock   *clockwork.FakeClock
 	now     time.Duration
 	proven  bool
@@ -99,7 +101,8 @@
 		}
 		all = append(all, place.Candidate{
 			ID: v.Instance.ID, Local: true, Slots: v.Instance.Slots, Load: v.Load, Open: v.Open,
-			Proof: place.Proof{Unproven: !v.Proven, LostAt: v.LostAt},
+			Ejected: s.errors != nil && v.Ejected,
+			Proof:   place.Proof{Unproven: !v.Proven, LostAt: v.LostAt},
 		})
 	}
 	if s.proven && (c.order || repeated) {
@@ -140,7 +143,10 @@
 func (s *lossSim) end(c lossCall) {
 	table := s.tables[c.daemon]
 	s.open[c.instance.ID]--
-	if s.isFaulty(c.instance.ID) && s.random.Float64() < lossRate {
+	if s.errors != nil && s.endWithError(c) {
+		return
+	}
+	if s.errors == nil && s.isFaulty(c.instance.ID) && s.random.Float64() < lossRate {
 		table.End(c.instance, inventory.OutcomeFailed)
 		table.NoteAnswer(c.instance, false)
 		if c.order {
@@ -173,10 +179,19 @@
 		table.SetFleetWork(total)
 		table.MergeLosses(peer.UnpackLosses(fleet))
 	}
+	if s.errors != nil {
+		s.exchangeErrors()
+	}
 }
 
 // simulateLosses runs the load, with or without proven instances.
 func simulateLosses(seed uint64, proven bool) lossResult {
+	s := newLossSim(seed, proven)
+	s.run(lossSeconds * time.Second)
+	return s.lossResult
+}
+
+func newLossSim(seed uint64, proven bool) *lossSim {
 	s := &lossSim{
 		random: rand.New(rand.NewPCG(seed, 2)), arrivals: rand.New(rand.NewPCG(seed, 3)), clock: clockwork.NewFakeClock(), proven: proven, open: map[string]int{}, freeAt: map[string][]time.Duration{},
 	}
@@ -191,9 +206,13 @@
 		table.Replace(list, time.Time{})
 		s.tables = append(s.tables, table)
 	}
+	return s
+}
+
+func (s *lossSim) run(length time.Duration) {
 	losses, work := inventory.NewLossSum(), inventory.NewWorkSum()
 	arrival, round := time.Duration(0), lossInterval
-	for s.now < lossSeconds*time.Second {
+	for s.now < length {
 		switch {
 		case len(s.running) > 0 && s.running[0].at <= min(arrival, round):
 			c := heap.Pop(&s.running).(lossCall)
@@ -213,7 +232,6 @@
 			arrival += time.Duration(s.arrivals.ExpFloat64() / (lossOrders + lossReads) * float64(time.Second))
 		}
 	}
-	return s.lossResult
 }
 
 // Guards against orders that are lost at servers that are known to lose answers, and against
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -45,6 +45,8 @@
 	health   health
 	budget   budget
 	proof    proof
+	// errors is nil until the instance has answered a request for which errors count.
+	errors *errorRecord
 
 	// inFlight is the number of this daemon's open requests there. waiting is the work of
 	// those that have no first event yet.
@@ -97,11 +99,12 @@
 	Speed speed.Factor
 	// OwnTokens is the memory that this daemon's open requests take there.
 	OwnTokens float64
-	// Proven is set unless the instance has recently lost an answer or started. ProvenSince is
+	// Proven is set unless the instance has recently lost an answer or started, or answers with
+	// errors. ProvenSince is
 	// since when Proven has its value; zero if that is not known.
 	Proven      bool
 	ProvenSince time.Time
-	// LostAt is when the instance last lost an answer; zero if that is not known.
+	// LostAt is when the instance last lost an answer or was found faulty; zero if that is not known.
 	LostAt time.Time
 	// MeanTokens is the mean memory of the requests that this daemon has sent there; 0 if there
 	// are none.
@@ -131,6 +134,12 @@
 	busy map[*entry]struct{}
 	// unproven contains the entries with a recent loss of an answer or a recent start.
 	unproven map[*entry]struct{}
+	// watched contains the entries on whose errors this daemon reports evidence, and summed those
+	// whose sum over all daemons is above 0. errorShares counts errors by route, and excused
+	// contains the services most of whose instances look faulty.
+	watched, summed map[*entry]struct{}
+	errorShares     map[serviceRoute]*errorShare
+	excused         map[string]bool
 	// fleet is the work of all daemons, received at fleetAt. fleetOwn is this daemon's part of
 	// it.
 	fleet, fleetOwn Work
@@ -169,7 +178,7 @@
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
-		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, unproven: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
+		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, unproven: map[*entry]struct{}{}, watched: map[*entry]struct{}{}, summed: map[*entry]struct{}{}, errorShares: map[serviceRoute]*errorShare{}, excused: map[string]bool{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
 		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, unsent: map[*entry]struct{}{}, otherSpeeds: map[InstanceHash]speed.Others{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
@@ -187,6 +196,7 @@
 func (t *Table) view(e *entry, now time.Time) View {
 	turn := t.turn(e, now)
 	limit, limited := t.limitOf(e)
+	proven, provenSince, lostAt := t.proofOf(e, now)
 	// A report of the instance has the requests of callers that have gone, too.
 	orphaned, _ := t.orphansOf(e, now)
 	return View{
@@ -203,7 +213,7 @@
 		NoTurn:   turn.NotOwner,
 		ProbeDue: t.isProbeDue(e, now),
 		Speed:    t.factor(e, now),
-		Proven:   e.proof.isProven(now), ProvenSince: e.proof.since(now), LostAt: e.proof.lostAt,
+		Proven:   proven, ProvenSince: provenSince, LostAt: lostAt,
 
 		OwnTokens:   e.tokens,
 		MeanTokens:  e.meanTokens,
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -22,6 +22,8 @@
 	WantUsage bool
 	// Losses is what all daemons know of instances that have lost answers, encoded by PackLosses.
 	Losses []byte
+	// Errors is the evidence of all daemons on the errors of instances, encoded by PackErrorStates.
+	Errors []byte
 	// Speeds is the samples of the speed of instances, encoded by PackSpeeds; empty in most
 	// messages.
 	Speeds []byte
@@ -40,6 +42,8 @@
 	// Usage is the usage of services by this daemon, if it was asked for.
 	Usage  []byte
 	Losses []byte
+	// Errors is the sender's evidence on the errors of instances, encoded by PackErrors.
+	Errors []byte
 	Speeds []byte
 	// Survey is what engines said that this daemon has asked, encoded by PackSurvey.
 	Survey []byte
@@ -56,6 +60,8 @@
 	// Usage is the usage of services by these daemons; empty in most rounds.
 	Usage  []byte
 	Losses []byte
+	// Errors is the sender's evidence on the errors of instances, encoded by PackErrors.
+	Errors []byte
 	Speeds []byte
 	// Survey and Late are as in FleetWork, Late for the daemons of the failure domain.
 	Survey []byte
--- a/internal/place/proven.go
+++ b/internal/place/proven.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// Proof says how far an instance can be trusted not to lose the answer to a request.
+// Proof says how far an instance can be trusted to answer a request.
 type Proof struct {
-	// Unproven instances have recently lost an answer, at LostAt, or have just started.
+	// Unproven instances have recently lost an answer or were found faulty, at LostAt, or have just
+	// started.
 	Unproven bool
 	LostAt   time.Time
 }
@@ -25,8 +26,8 @@
 //
 //  1. Requests that may be repeated. They are placed by load alone, so they go to the unproven
 //     instances, which have less of it, and leave the slots of the proven ones.
-//  2. The request itself: it goes to the unproven instance with a free slot whose last loss is the
-//     least recent; one that has only just started comes before those.
+//  2. The request itself: it goes to the unproven instance with a free slot whose last loss or
+//     fault is the least recent; one that has only just started comes before those.
 //  3. The proven instances: without any free slot, the request is placed among all.
 //
 // Without a proven instance, or without an unproven one, all are returned.
--- a/test/routes/proven_test.go
+++ b/test/routes/proven_test.go
@@ -116,3 +116,38 @@
 		s.requireProven(second, id, true)
 	}
 }
+
+// Guards against unsafe requests that fail at a server that answers all requests with an error, at a
+// daemon that knows of it only from another, and against refusals that count as errors.
+func TestUnsafeRequestsAvoidServersThatAnswerErrors(t *testing.T) {
+	s := newTestbed(t)
+	var faulty atomic.Bool
+	faulty.Store(true)
+	for n, behaviour := range []platformtest.Behaviour{platformtest.Fail, platformtest.Refuse, platformtest.Answer, platformtest.Answer} {
+		s.startServer(platformtest.ServerOptions{
+			ID: fmt.Sprint("cat-", n), Service: plainService, Delay: 5 * time.Millisecond,
+			Behave: func(platformtest.ReceivedRequest) platformtest.Behaviour {
+				if faulty.Load() {
+					return behaviour
+				}
+				return platformtest.Answer
+			},
+		})
+	}
+	for range 2 {
+		d := s.startDaemon(func(r *settings.Routes) { r.Overload.ProvenInstances = overload.On })
+		s.waitForLog(d, "daemon.offered")
+	}
+	first, second := s.daemons[0], s.daemons[1]
+	s.waitForDirectory(first, 2)
+	stop := runWorkers(4, func(int) { s.send(s.newCall(pathSafe), first) })
+	s.requireProven(second, "cat-0", false)
+	for range 20 {
+		require.Equal(t, http.StatusOK, s.send(s.newCall(pathUnsafe), second).Status)
+	}
+	s.requireProven(second, "cat-1", true)
+	faulty.Store(false)
+	s.requireProven(first, "cat-0", true)
+	s.requireProven(second, "cat-0", true)
+	stop()
+}
