--- a/internal/inventory/proven_errors.go
+++ b/internal/inventory/proven_errors.go
@@ -80,10 +80,12 @@
 	// routes counts the answers to this daemon by route.
 	routes []routeShare
 	// evidence is the sum of this daemon's evidence since the instance was watched, identified by
-	// series, and reports is how often it was reported.
+	// series, and reports is how often it was reported. newErrors counts the errors since the last
+	// report.
 	evidence     float64
 	series       uint16
 	reports      int
+	newErrors    int
 	watchedUntil time.Time
 	// sum and faulty are what all daemons together know, received at mergedAt. since is when
 	// faulty changed, and worseAt when the sum last did not fall while it was set.
@@ -128,8 +130,9 @@
 // start of a series. It is a running total, so that the next report makes up for a lost one.
 type ErrorReport struct {
 	Instance InstanceHash
-	// Series identifies the total, with 15 bits. First is set in the first reports of a series: a receiver that
-	// does not know the series counts from 0 if it is set, and otherwise from this report.
+	// Series identifies the total, with 15 bits. First is set in the first reports of a series: a
+	// receiver that does not know the series counts from 0 if it is set, and otherwise from this
+	// report.
 	Series uint16
 	First  bool
 	// Evidence is the total in units of evidenceUnit; differences wrap around.
@@ -158,6 +161,7 @@
 		}
 		if isError {
 			t.watchErrors(e, now)
+			r.newErrors++
 		}
 		if _, watched := t.watched[e]; watched {
 			r.evidence += evidence
@@ -189,7 +193,7 @@
 func (t *Table) watchErrors(e *entry, now time.Time) {
 	r := t.errorRecord(e)
 	if _, watched := t.watched[e]; !watched {
-		r.evidence, r.series, r.reports = 0, newSeries(now), 0
+		r.evidence, r.series, r.reports, r.newErrors = 0, newSeries(now), 0, 0
 		t.watched[e] = struct{}{}
 	}
 	r.watchedUntil = now.Add(errorWatchTime)
@@ -221,8 +225,8 @@
 	return proven, since, lostAt
 }
 
-// OwnErrors returns this daemon's evidence on at most n instances, those with the highest sums
-// first.
+// OwnErrors returns this daemon's evidence on at most n instances: those with new errors, which
+// nobody else may know of, in up to half of the places, and those with the highest sums.
 func (t *Table) OwnErrors(n int) []ErrorReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -236,6 +240,13 @@
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.errors.newErrors, a.errors.newErrors), cmp.Compare(a.hash, b.hash))
+	})
+	failing := 0
+	for failing < min(n/2, len(all)) && all[failing].errors.newErrors > 0 {
+		failing++
+	}
+	slices.SortFunc(all[failing:], func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(b.errors.sum, a.errors.sum), b.errors.watchedUntil.Compare(a.errors.watchedUntil), cmp.Compare(a.hash, b.hash))
 	})
 	out := make([]ErrorReport, 0, min(n, len(all)))
@@ -243,6 +254,7 @@
 		r := e.errors
 		out = append(out, ErrorReport{Instance: e.hash, Series: r.series, First: r.reports < firstReports, Evidence: wrapEvidence(r.evidence)})
 		r.reports++
+		r.newErrors = 0
 	}
 	return out
 }
--- a/internal/inventory/proven_errors_sum.go
+++ b/internal/inventory/proven_errors_sum.go
@@ -49,6 +49,8 @@
 type errorState struct {
 	sum    int
 	faulty bool
+	// rank is the sum with the evidence of the last round, without its upper limit.
+	rank int
 	// worseAt is when the sum last rose.
 	worseAt time.Time
 }
@@ -108,8 +110,9 @@
 }
 
 // Fleet does a round: it applies the evidence since the last one and returns the state of at most
-// n instances, faulty ones and those with the highest sums first. known is what this daemon
-// received last, from which it starts if it was not the reader.
+// n instances, those with the most evidence against them. Others are forgotten: daemons do not
+// report the good answers of instances that they are not told of, so their sums would only grow.
+// known is what this daemon received last, from which it starts if it was not the reader.
 func (s *ErrorSum) Fleet(known []ErrorState, now time.Time, n int) []ErrorState {
 	if !s.isRunning(now) {
 		clear(s.states)
@@ -120,6 +123,9 @@
 		}
 	}
 	s.roundAt = now
+	for _, state := range s.states {
+		state.rank = state.sum
+	}
 	for instance, change := range s.pending {
 		s.apply(instance, change, now)
 	}
@@ -135,14 +141,11 @@
 	maps.DeleteFunc(s.group, func(_ InstanceHash, g *groupErrors) bool { return now.Sub(g.at) > baselineTTL })
 	maps.DeleteFunc(s.baselines, func(_ errorSource, b errorBaseline) bool { return now.Sub(b.at) > baselineTTL })
 	slices.SortFunc(out, func(a, b ErrorState) int {
-		if a.Faulty != b.Faulty {
-			if a.Faulty {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.Sum, a.Sum), cmp.Compare(a.Instance, b.Instance))
+		return cmp.Or(cmp.Compare(s.states[b.Instance].rank, s.states[a.Instance].rank), cmp.Compare(a.Instance, b.Instance))
 	})
+	for _, state := range out[min(n, len(out)):] {
+		delete(s.states, state.Instance)
+	}
 	return out[:min(n, len(out))]
 }
 
@@ -159,7 +162,8 @@
 	if change > 0 {
 		state.worseAt = now
 	}
-	state.sum = min(max(state.sum+change, 0), limit)
+	state.rank = state.sum + change
+	state.sum = min(max(state.rank, 0), limit)
 	state.faulty = state.sum >= limit || state.faulty && state.sum > 0
 }
 
--- a/internal/inventory/proven_errors_test.go
+++ b/internal/inventory/proven_errors_test.go
@@ -1,6 +1,8 @@
 package inventory
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,3 +72,39 @@
 	clock.Advance(errorSumTTL)
 	require.True(t, table.Usable("plain")[0].Proven)
 }
+
+// Guards against a faulty instance that nobody learns of, because instances with usual errors take
+// all places of the messages.
+func TestNewErrorsAreReportedFirst(t *testing.T) {
+	const places = 4
+	clock := clockwork.NewFakeClock()
+	table, sum := NewTable(clock), NewErrorSum()
+	list := Snapshot{Revision: 1}
+	for i := range 20 {
+		list.Instances = append(list.Instances, Instance{ID: fmt.Sprint(i), Service: "plain", Version: "v1"})
+	}
+	table.Replace(list, time.Time{})
+	round := func() {
+		clock.Advance(100 * time.Millisecond)
+		sum.Add("a", table.OwnErrors(places), clock.Now())
+		states := sum.Fleet(table.ErrorStates(), clock.Now(), places)
+		require.LessOrEqual(t, len(states), places)
+		table.MergeErrors(states)
+	}
+	round()
+	for range 2000 {
+		table.NoteStatus(list.Instances[1], "orders", false)
+	}
+	for _, i := range list.Instances[1:] {
+		table.NoteStatus(i, "orders", true)
+		table.NoteStatus(i, "orders", true)
+		round()
+	}
+	for range 5 {
+		table.NoteStatus(list.Instances[0], "orders", true)
+	}
+	round()
+	views := slices.DeleteFunc(table.Usable("plain"), func(v View) bool { return v.Proven })
+	require.Len(t, views, 1)
+	require.Equal(t, "0", views[0].Instance.ID)
+}
