--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
+	"github.com/hornbeamsill/hornbeamsill/internal/capacity"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
@@ -45,7 +46,8 @@
 	// forgetAfter is how long daemons that have left are remembered, so that late updates
 	// about them do not count as new.
 	forgetAfter = 60 * time.Second
-	// bodyMemoryDivisor is the divisor of the memory that gives the budget for request bodies.
+	// bodyMemoryDivisor is the divisor of the memory that gives the budget for request bodies, and
+	// where overload.Policy.SlowCallers applies for all bytes held for callers and instances.
 	bodyMemoryDivisor = 8
 )
 
@@ -63,9 +65,11 @@
 	pool     *upconn.Pool
 	retries  *limit.FleetRetryBudget
 	metrics  *forward.Metrics
-	handler  *forward.Handler
-	peers    *peer.Client
-	duties   *rolloutDuties
+	// held is the budget of the bytes held for callers and instances.
+	held    *limit.HeldBytes
+	handler *forward.Handler
+	peers   *peer.Client
+	duties  *rolloutDuties
 
 	// current is the configuration in force, and manifest its encoded form.
 	configMu sync.Mutex
@@ -103,6 +107,13 @@
 	quarantine *quarantineManager
 	// overload decides which parts of the handling of overload apply.
 	overload *overload.Policy
+	// meter counts the work of this daemon, and account holds that of all daemons, which usage
+	// exchanges.
+	meter   *capacity.Meter
+	account *capacity.Account
+	usage   *usageExchange
+	// terms puts the terms of organisations in force.
+	terms *termsManager
 	// evacuations are the operator's orders to evacuate failure domains.
 	evacuations *evacuation.Registry
 	// freshness tracks how new this daemon's operator rows are, and operatorPoll is the long
@@ -121,8 +132,13 @@
 	staleWindow staleWindow
 	// storeHealth tracks when the store last answered and last failed.
 	storeHealth storeHealth
-	// startup is the state of a daemon that has just started.
+	// startup is the state of a daemon that has just started. survey is what it learns from engines,
+	// which engines asks.
 	startup *startup
+	survey  *survey
+	engines *platform.Engines
+	// directory is the state of the directory's answers by weight.
+	directory directory
 	// listTransfer is the list that is being fetched from peers.
 	listTransfer listTransfer
 	// relayQueue contains the updates to relay to the group, and readerCache the readers of
@@ -147,13 +163,13 @@
 		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
 		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
 		evacuations: evacuation.NewRegistry(clock),
-		startup:     newStartup(clock), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
+		startup:     newStartup(clock), survey: &survey{book: newSurveyBook()}, engines: platform.NewEngines(), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
 		lastPeerSearch: clock.Now(), startedAt: clock.Now(), workTotals: newWorkTotals(), peers: peer.NewClient(nil), heartbeatNow: make(chan struct{}, 1), ready: make(chan struct{}), missedHeartbeats: map[string]int{},
 	}
 	incarnation := ident.NewIncarnation()
 	n.registry = member.NewRegistry(member.Daemon{
 		Incarnation: incarnation, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Site: s.Site,
-		LinkMbps: s.LinkMbps,
+		LinkMbps: s.LinkMbps, CPUShare: s.CPUShare, MemoryMB: s.MemoryMB, Started: clock.Now().UnixMilli(),
 	}, clock, member.Options{
 		RingTargets: ringTargets, RandomTargets: randomTargets, MaxUpdates: maxUpdatesPerHeartbeat, RetransmitFactor: retransmitFactor, ForgetAfter: forgetAfter,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -163,12 +179,18 @@
 		n.startup.skipContact()
 	}
 	n.overload = overload.NewPolicy(s.Overload, platform.IsContended(s.Contracts), n.table)
+	n.meter = capacity.NewMeter(clock, n.overload.CountsUsage)
+	n.account = capacity.NewAccount(clock, n.meter, n.overload.FairShares)
+	n.terms = newTermsManager(n)
+	n.usage = newUsageExchange()
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
 	n.quarantine = newQuarantineManager(n)
+	n.held = limit.NewHeldBytes(s.MemoryMB << 20 / bodyMemoryDivisor)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Versions: n.rollouts,
 		Quarantine: n.quarantine, NotifyPeers: n.requestHeartbeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
-		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor),
+		Meter: n.meter, Account: n.account,
+		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor), Held: n.held,
 	})
 	n.duties = newRolloutDuties(n)
 	store.OnRestore(n.onStoreRestored)
@@ -267,6 +289,9 @@
 // directoryAddresses returns the addresses for callers of the live daemons, those in the
 // caller's failure domain first: an answer cannot list all daemons of a large fleet.
 func (n *Node) directoryAddresses(_, failureDomain string) []string {
+	if n.overload.DirectoryWeights() {
+		return n.weightedAddresses(failureDomain)
+	}
 	var near, far []string
 	for _, d := range n.registry.Live() {
 		switch {
@@ -284,8 +309,9 @@
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop,
+		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.surveyLoop, n.latenessLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
+		n.terms.readLoop, n.terms.relayLoop,
 	} {
 		loops.Go(func() { loop(ctx) })
 	}
@@ -315,6 +341,8 @@
 		n.rollouts.ExpireSessions()
 		n.registry.RemoveExpired()
 		n.quarantine.list.Expire()
+		n.survey.book.expire(n.clock.Now())
+		n.terms.refresh()
 		n.pool.Sweep(n.table.HasAddress)
 		n.peers.CloseIdle(peerIdleTimeout)
 		n.logMembership()
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -48,6 +48,9 @@
 	// pendingForGroup and pendingForDomains are prefixes that were not sent to the group and
 	// to other failure domains yet.
 	pendingForGroup, pendingForDomains []inventory.CachedPrefix
+	losses                             *inventory.LossSum
+	errors                             *inventory.ErrorSum
+	speeds                             speedTotals
 }
 
 type domainWork struct {
@@ -56,14 +59,17 @@
 }
 
 func newWorkTotals() *workTotals {
-	return &workTotals{group: inventory.NewWorkSum(), domains: map[string]domainWork{}}
+	return &workTotals{group: inventory.NewWorkSum(), domains: map[string]domainWork{}, losses: inventory.NewLossSum(), errors: inventory.NewErrorSum()}
 }
 
 // add records the work of a daemon of the group.
 func (w *workTotals) add(own peer.DaemonWork, now time.Time) {
+	w.speeds.add(own.Speeds, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.group.Add(own.Incarnation, peer.UnpackWork(own.Amounts), now)
+	w.losses.Add(own.Incarnation, peer.UnpackLosses(own.Losses), now)
+	w.errors.Add(own.Incarnation, peer.UnpackErrors(own.Errors), now)
 	prefixes := peer.UnpackPrefixes(own.Readings)
 	w.pendingForGroup = newest(append(w.pendingForGroup, prefixes...), maxPendingPrefixes)
 	w.pendingForDomains = newest(append(w.pendingForDomains, prefixes...), maxPendingPrefixes)
@@ -71,9 +77,12 @@
 
 // addDomain records the work of another failure domain.
 func (w *workTotals) addDomain(d peer.DomainWork, now time.Time) {
+	w.speeds.addDomain(d.Domain, d.Speeds, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.domains[d.Domain] = domainWork{work: peer.UnpackWork(d.Amounts), at: now}
+	w.losses.AddDomain(d.Domain, peer.UnpackLosses(d.Losses), now)
+	w.errors.AddDomain(d.Domain, peer.UnpackErrors(d.Errors), now)
 	w.pendingForGroup = newest(append(w.pendingForGroup, peer.UnpackPrefixes(d.Readings)...), maxPendingPrefixes)
 }
 
@@ -146,19 +155,26 @@
 // group, and collects the work of each daemon from the replies. It returns the
 // number of instances sent.
 func (n *Node) sendFleetWork(ctx context.Context, maxPrefixes int) int {
-	n.workTotals.add(n.ownWork(), n.clock.Now())
+	own := n.ownWork()
+	n.workTotals.add(own, n.clock.Now())
+	n.noteDaemonWork(own)
 	work, prefixes := n.workTotals.fleetWork(n.clock.Now(), maxPrefixes)
 	n.table.SetFleetWork(work)
 	n.prefixes.Merge(prefixes)
 	work = work.Busiest(maxSentAmounts)
-	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes)}
-	n.callEach(ctx, peerCallTimeout, n.otherDaemons(n.workGroup()), func(call context.Context, address string) {
+	update := peer.FleetWork{Amounts: peer.PackWork(work), Readings: peer.PackPrefixes(prefixes), Losses: n.fleetLosses(), Errors: n.fleetErrors(), Speeds: n.fleetSpeeds()}
+	others := n.otherDaemons(n.workGroup())
+	n.fillFleetUsage(&update, len(others))
+	n.extendFleetWork(&update)
+	n.callEach(ctx, peerCallTimeout, others, func(call context.Context, address string) {
 		own, err := n.peers.SendFleetWork(call, address, update)
 		if err != nil {
 			slog.Debug("work.not_sent", "peer", address, "error", err)
 			return
 		}
 		n.workTotals.add(own, n.clock.Now())
+		n.addUsage(own)
+		n.noteDaemonWork(own)
 	})
 	return len(work)
 }
@@ -169,7 +185,12 @@
 	work, prefixes := n.workTotals.groupWork(n.clock.Now(), maxPrefixes)
 	mine := peer.DomainWork{
 		Domain: n.settings.FailureDomain, Amounts: peer.PackWork(work.Busiest(maxSentAmounts)), Readings: peer.PackPrefixes(prefixes),
+		Usage:  n.groupUsage(),
+		Losses: n.workTotals.groupLosses(n.clock.Now()),
+		Errors: n.workTotals.groupErrors(),
+		Speeds: n.workTotals.speeds.forDomains(n.clock.Now()),
 	}
+	n.extendDomainWork(&mine)
 	var readers []member.Daemon
 	for _, domain := range n.otherDomains() {
 		readers = append(readers, n.readers(1, domain)...)
@@ -182,18 +203,34 @@
 }
 
 func (n *Node) ownWork() peer.DaemonWork {
-	return peer.DaemonWork{
+	own := peer.DaemonWork{
 		Incarnation: n.registry.Self().Incarnation,
 		Amounts:     peer.PackWork(n.table.OwnWork()), Readings: peer.PackPrefixes(n.prefixes.TakePending()),
+		Losses: peer.PackLosses(n.table.OwnLosses(maxSentLosses)),
+		Errors: peer.PackErrors(n.table.OwnErrors(maxSentErrors)),
+		Speeds: n.ownSpeeds(),
 	}
+	n.extendDaemonWork(&own)
+	return own
 }
 
 // OnFleetWork implements peer.RoutesHandler.
 func (n *Node) OnFleetWork(w peer.FleetWork) peer.DaemonWork {
 	n.table.SetFleetWork(peer.UnpackWork(w.Amounts))
 	n.prefixes.Merge(peer.UnpackPrefixes(w.Readings))
-	return n.ownWork()
+	n.setFleetUsage(w)
+	n.mergeLosses(peer.UnpackLosses(w.Losses))
+	n.mergeErrors(peer.UnpackErrorStates(w.Errors))
+	n.onFleetSpeeds(w.Speeds)
+	n.noteFleetWork(w)
+	own := n.ownWork()
+	own.Usage = n.ownUsage(w.WantUsage)
+	return own
 }
 
 // OnDomainWork implements peer.RoutesHandler.
-func (n *Node) OnDomainWork(w peer.DomainWork) { n.workTotals.addDomain(w, n.clock.Now()) }
+func (n *Node) OnDomainWork(w peer.DomainWork) {
+	n.workTotals.addDomain(w, n.clock.Now())
+	n.addDomainUsage(w)
+	n.noteDomainWork(w)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,11 +37,18 @@
 	// warming is set if the instance was warming up when it was chosen, so that it accepted only
 	// part of its normal load.
 	warming bool
+	// byTime is set if the instance was chosen by expected time. crowding is how many times as
+	// long its answer takes because requests wait for slots there.
+	byTime   bool
+	crowding float64
+	// tokens is the memory counted for the attempt at the instance.
+	tokens float64
 	progress
-	// dropped is set if the answer was deliberately not read to its end.
-	dropped bool
-	ended   bool
-	span    oteltrace.Span
+	// dropped is set if the answer was deliberately not read to its end, and callerFailed if it was
+	// not because the caller's connection failed.
+	dropped, callerFailed bool
+	ended                 bool
+	span                  oteltrace.Span
 }
 
 // refusedError means that the instance refused the request and did not run it.
@@ -50,16 +57,29 @@
 func (e *refusedError) Error() string { return "refused by " + e.instance }
 
 // chooseInstance picks the instance for the next attempt: one that is due for a probe; the
-// better of two random ones if an instance has ended under the request; the one with the
-// lowest prefill cost if the prompt has shared parts; otherwise the least loaded one.
+// better of two random ones if an instance has ended under the request; the one with the lowest
+// prefill cost if the prompt has shared parts; the one with the least expected time if the speed of
+// instances counts; otherwise the least loaded one.
+//
+// Prompts with shared parts stay with the engines that their hash prefers. If they were spread over
+// the engines with the least expected time, all engines would process prompts all the time, and
+// between two tokens of each running answer a part of one: answers took twice as long.
 func (q *request) chooseInstance() (picked place.Candidate, instance inventory.Instance, ok bool) {
-	candidates := q.candidates()
+	candidates := q.preferProven(q.withCapacity(place.WithConnection(q.candidates())))
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
 	} else if q.instanceEnded {
+		if q.placesByTime() {
+			candidates = place.WithMemory(candidates, q.placementRequest())
+		}
 		picked, ok = place.TwoChoices(candidates, random)
-	} else if key := q.placementKey(); key != "" {
+	} else if key := q.placementKey(); q.placesByTime() && key == "" {
+		picked, ok = place.Soonest(candidates, q.placementRequest(), random)
+	} else if key != "" {
+		if q.placesByTime() {
+			candidates = place.WithMemory(candidates, q.placementRequest())
+		}
 		if n := len(q.route.Models); n > 1 && q.model != q.route.Models[n-1] {
 			candidates = place.Local(candidates)
 		}
@@ -74,16 +94,6 @@
 	return picked, instance, ok
 }
 
-// maxConnections returns how many connections this daemon may open to one instance; 0 means no
-// limit.
-func (q *request) maxConnections() int {
-	if q.service.MaxConnections <= 0 {
-		return 0
-	}
-	const minimum = 2
-	return max(q.service.MaxConnections/max(q.DaemonCount(), 1), minimum)
-}
-
 // startAttempt sends the request to an instance and reads the head of the answer. The head
 // must arrive within headTimeout, or within expectedTimeoutFactor times the expected time if
 // that is longer; a headTimeout of 0 means no limit. If the error is nil, the caller must end
@@ -120,8 +130,12 @@
 	a := &attempt{
 		span: span, request: q, instance: instance, cancel: cancel, sentAt: time.Now(),
 		prefill: picked.Prefill, queuedPrefill: picked.Waiting, isWaiting: true, warming: picked.Warming,
+		byTime: q.placesByTime(), crowding: crowding(picked),
 	}
 	q.Table.Begin(instance, a.prefill)
+	q.countUnproven(picked)
+	a.holdMemory()
+	q.releaseGrant()
 	if !picked.Canary {
 		// Prompts sent to canary instances are not recorded as cached there. The few canary
 		// instances process nearly all prompts before the other instances of their version get
@@ -287,6 +301,7 @@
 		if isConnectionBroken(err) {
 			a.quarantineDecided = a.Quarantine.ConnectionBroken(a.instance, a.suspect())
 		}
+		a.noteLoss(err)
 		slog.Info("attempt.failed", "request", a.request.headers.ID, "instance", a.instance.ID, "version", a.instance.Version,
 			"digest", a.digest, "model", a.model, "list", a.Table.Revision(), "after_ms", time.Since(a.sentAt).Milliseconds(), "error", err)
 	}
@@ -300,6 +315,7 @@
 		return
 	}
 	a.ended = true
+	a.noteWhole(outcome)
 	a.stopOverdueChecks()
 	a.span.End()
 	if a.exchange != nil {
@@ -308,7 +324,10 @@
 	a.cancel()
 	a.removeWaiting()
 	a.Table.End(a.instance, outcome)
+	a.releaseMemory()
+	a.noteEnded(outcome)
 	a.observeLatency(outcome)
+	a.noteSpeed(outcome)
 	if o, ok := a.finalObservation(outcome); ok {
 		a.Versions.Observe(a.service.Name, o)
 	}
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -38,7 +38,10 @@
 // allowedCandidates returns the candidates of the first group of versions in rule that has
 // any, out of the versions that allowed accepts.
 func (q *request) allowedCandidates(rule shift.Rule, allowed func(version string, unannounced bool) bool) []place.Candidate {
-	sampler := candidateSampler{request: q, work: q.promptWork(), start: q.sampleStart()}
+	sampler := candidateSampler{request: q, work: q.promptWork(), start: q.sampleStart(), othersTokens: q.othersTokens()}
+	if q.placesByTime() {
+		sampler.byTime, sampler.connections = true, q.maxConnections()
+	}
 	for _, group := range rule.Groups() {
 		sampler.canary = group.InstanceFraction > 0
 		sampler.accept = func(version string, unannounced bool) bool {
@@ -53,9 +56,10 @@
 
 // sampleStart returns the position from which instances are sampled. Prompts with the same
 // shared parts start at the same position at all daemons, so that they find the instances that
-// have these parts cached; other requests start at a random one.
+// have these parts cached; other requests, and those that had to wait because the instances found
+// there had no free capacity, start at a random one.
 func (q *request) sampleStart() uint64 {
-	if key := q.placementKey(); key != "" {
+	if key := q.placementKey(); key != "" && !q.hasWaited {
 		return xxhash.Sum64String(key)
 	}
 	return rand.Uint64()
@@ -78,6 +82,14 @@
 	start  uint64
 	accept func(version string, unannounced bool) bool
 	canary bool
+	// othersTokens is the mean memory that a request takes at an engine; 0 if memory does not
+	// count.
+	othersTokens float64
+	// byTime is set if the request is placed by the expected time at each instance. connections is
+	// then the number of requests that this daemon may have open at an instance, each of which needs a
+	// connection; 0 means no limit.
+	byTime      bool
+	connections int
 }
 
 // readyCandidates returns the untried instances of the group that may get the request, out of a
@@ -127,9 +139,28 @@
 }
 
 func (s *candidateSampler) candidate(v inventory.View) place.Candidate {
+	factor := 0.0
+	if s.byTime {
+		factor = v.Speed.Now
+	}
 	return place.Candidate{
 		ID: v.Instance.ID, Local: v.Instance.FailureDomain == s.FailureDomain, Slots: v.Instance.Slots,
 		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Prefill: s.uncachedPrefill(s.work, v.Instance), Ejected: v.Ejected,
-		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary,
+		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary, Factor: factor,
+		Proof:  place.Proof{Unproven: !v.Proven, LostAt: v.LostAt},
+		Tokens: s.tokensAt(v), NoConnection: s.connections > 0 && v.InFlight >= s.connections,
+	}
+}
+
+// tokensAt returns the memory that the requests at an engine take; 0 if memory does not count. The
+// mean of the requests there is used, because fast engines get longer prompts than others.
+func (s *candidateSampler) tokensAt(v inventory.View) float64 {
+	if s.othersTokens == 0 {
+		return 0
+	}
+	mean := v.MeanTokens
+	if mean == 0 {
+		mean = s.othersTokens
 	}
+	return v.OwnTokens + place.OthersTokens(v.Open-v.InFlight, mean)
 }
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -135,8 +135,9 @@
 	return o, true
 }
 
-// noteHead records that the head of the answer has arrived.
+// noteHead records that the head of the answer has arrived, and its status.
 func (a *attempt) noteHead() {
+	a.noteStatus()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.headAt = time.Now()
@@ -195,5 +196,7 @@
 	if !a.headAt.IsZero() {
 		head, rest = a.headAt.Sub(a.sentAt), now.Sub(a.headAt)
 	}
-	a.latencies.Observe(a.estimateKey(a.model), head, rest, a.expectedTokens(), now)
+	key, tokens := a.estimateKey(a.model), a.expectedTokens()
+	a.spreads.Observe(key, head+rest, a.latencies.Mean(key, tokens, now))
+	a.latencies.Observe(key, head, rest, tokens, now)
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -53,13 +53,30 @@
 	// NoEscalation counts the answers of a small model that were kept only because no retry was
 	// left to run the largest model.
 	NoEscalation atomic.Int64
+	// LostAnswers counts the answers that instances lost or corrupted, and UnprovenRuns the attempts
+	// that must not run twice and went to an instance that is not proven.
+	LostAnswers, UnprovenRuns atomic.Int64
+	// ErrorAnswers counts the answers with an error status of the instance itself, where these count
+	// as evidence.
+	ErrorAnswers atomic.Int64
+	// StalledCallers counts the callers that were dropped because they did not take their answer,
+	// and AbortedCallers those that were dropped to free memory.
+	StalledCallers, AbortedCallers atomic.Int64
+	// Waiting is the number of requests that wait for capacity.
+	Waiting atomic.Int64
 
 	mu     sync.Mutex
 	routes map[string]*routeMetrics
+	// waits are the times that requests have waited for capacity, and refused is the number of
+	// refusals by organisation and reason.
+	waits   histogram
+	refused map[string]map[string]int64
 }
 
 // NewMetrics returns empty counters.
-func NewMetrics() *Metrics { return &Metrics{routes: map[string]*routeMetrics{}} }
+func NewMetrics() *Metrics {
+	return &Metrics{routes: map[string]*routeMetrics{}, refused: map[string]map[string]int64{}}
+}
 
 // maxRoutes bounds the routes counted by name. All further ones are counted together.
 const maxRoutes = 200
@@ -99,5 +116,6 @@
 		Open     int64                    `json:"open"`
 		BoundsMS []int64                  `json:"bounds_ms"`
 		Routes   map[string]*routeMetrics `json:"routes"`
-	}{m.Open.Load(), bucketBoundsMS[:], m.routes})
+		Queue    admissionMetrics         `json:"admission"`
+	}{m.Open.Load(), bucketBoundsMS[:], m.routes, m.admission()})
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -51,6 +51,9 @@
 		switch {
 		case err == nil:
 			return nil
+		case q.held != nil && fault.Is(err, fault.Cancelled):
+			// A dropped caller must not cost another attempt.
+			return err
 		case errors.As(err, &lowConfidence):
 			q.model = q.route.Models[len(q.route.Models)-1]
 			delete(q.tried, q.lastInstance.ID)
@@ -77,6 +80,9 @@
 		a.end(inventory.OutcomeSuccess)
 		return nil, err
 	}
+	if q.held != nil {
+		return nil, q.relayEvents(a)
+	}
 	stall := time.AfterFunc(q.stallTimeout(), a.cancel)
 	defer stall.Stop()
 	events := newEventReader(a.exchange)
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/pacing"
+	"github.com/hornbeamsill/hornbeamsill/internal/speed"
 )
 
 const (
@@ -43,6 +44,9 @@
 	removeAt time.Time
 	health   health
 	budget   budget
+	proof    proof
+	// errors is nil until the instance has answered a request for which errors count.
+	errors *errorRecord
 
 	// inFlight is the number of this daemon's open requests there. waiting is the work of
 	// those that have no first event yet.
@@ -52,6 +56,12 @@
 	// at reportedAt.
 	othersLoad float64
 	reportedAt time.Time
+	// tokens is the memory that this daemon's open requests take there.
+	tokens float64
+	// meanTokens is the mean memory of the requests that it has sent there; 0 if there are none.
+	meanTokens float64
+	// speed has this daemon's samples of the instance's speed; nil if there are none.
+	speed *speed.Estimator
 }
 
 // View is the state of an instance that placement uses.
@@ -85,6 +95,20 @@
 	NoTurn bool
 	// ProbeDue is set if a request is needed to find out whether Limit still applies.
 	ProbeDue bool
+	// Speed is how many times as long as usual the instance takes.
+	Speed speed.Factor
+	// OwnTokens is the memory that this daemon's open requests take there.
+	OwnTokens float64
+	// Proven is set unless the instance has recently lost an answer or started, or answers with
+	// errors. ProvenSince is
+	// since when Proven has its value; zero if that is not known.
+	Proven      bool
+	ProvenSince time.Time
+	// LostAt is when the instance last lost an answer or was found faulty; zero if that is not known.
+	LostAt time.Time
+	// MeanTokens is the mean memory of the requests that this daemon has sent there; 0 if there
+	// are none.
+	MeanTokens float64
 }
 
 // Table is the table of upstream instances.
@@ -108,10 +132,20 @@
 	missing map[*entry]struct{}
 	// busy contains the entries with open requests of this daemon.
 	busy map[*entry]struct{}
+	// unproven contains the entries with a recent loss of an answer or a recent start.
+	unproven map[*entry]struct{}
+	// watched contains the entries on whose errors this daemon reports evidence, and summed those
+	// whose sum over all daemons is above 0. errorShares counts errors by route, and excused
+	// contains the services most of whose instances look faulty.
+	watched, summed map[*entry]struct{}
+	errorShares     map[serviceRoute]*errorShare
+	excused         map[string]bool
 	// fleet is the work of all daemons, received at fleetAt. fleetOwn is this daemon's part of
 	// it.
 	fleet, fleetOwn Work
 	fleetAt         time.Time
+	// orphans has the requests of callers that have gone, by instance.
+	orphans map[InstanceHash]orphans
 	// firstListed is when each version of a service was first listed. It is zero for versions
 	// that were listed when this daemon started, or that were the first of their service.
 	firstListed map[string]map[string]time.Time
@@ -127,6 +161,13 @@
 	limits map[Incarnation]limitRecord
 	// shared contains the services of which an instance has reported its slowdown.
 	shared map[string]bool
+	// usual holds what is usual over all instances. sampled contains the entries with own samples
+	// of their speed, and unsent those with samples that no other daemon has. otherSpeeds is the
+	// samples of the other daemons.
+	usual       speed.Means
+	sampled     map[*entry]struct{}
+	unsent      map[*entry]struct{}
+	otherSpeeds map[InstanceHash]speed.Others
 	// warmUps contains the warm-up settings by service. shareOf computes this daemon's share
 	// of a budget.
 	warmUps map[string]catalog.WarmUp
@@ -137,8 +178,8 @@
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
-		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
-		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
+		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, unproven: map[*entry]struct{}{}, watched: map[*entry]struct{}{}, summed: map[*entry]struct{}{}, errorShares: map[serviceRoute]*errorShare{}, excused: map[string]bool{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
+		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, unsent: map[*entry]struct{}{}, otherSpeeds: map[InstanceHash]speed.Others{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
 	}
 }
 
@@ -155,9 +196,12 @@
 func (t *Table) view(e *entry, now time.Time) View {
 	turn := t.turn(e, now)
 	limit, limited := t.limitOf(e)
+	proven, provenSince, lostAt := t.proofOf(e, now)
+	// A report of the instance has the requests of callers that have gone, too.
+	orphaned, _ := t.orphansOf(e, now)
 	return View{
 		Instance: e.instance,
-		Load:     float64(e.inFlight) + decayed(e.othersLoad, now.Sub(e.reportedAt), reportHalfLife),
+		Load:     float64(e.inFlight) + max(decayed(e.othersLoad, now.Sub(e.reportedAt), reportHalfLife), orphaned),
 		Open:     t.fleetOpen(e, now),
 		InFlight: e.inFlight,
 		Waiting:  t.fleetWaiting(e, now),
@@ -168,7 +212,11 @@
 		Wait:     turn.Wait,
 		NoTurn:   turn.NotOwner,
 		ProbeDue: t.isProbeDue(e, now),
+		Speed:    t.factor(e, now),
+		Proven:   proven, ProvenSince: provenSince, LostAt: lostAt,
 
+		OwnTokens:   e.tokens,
+		MeanTokens:  e.meanTokens,
 		Unannounced: t.isUnannounced(e.instance.Service, e.instance.Version, now),
 	}
 }
@@ -234,6 +282,9 @@
 	t.withEntry(i, func(e *entry) {
 		e.othersLoad = max(float64(l.Running+l.Waiting-e.inFlight), 0)
 		e.reportedAt = t.clock.Now()
+		if l.Slowdown > 0 {
+			t.estimator(e).Report(l.Slowdown, e.reportedAt)
+		}
 		if service := e.instance.Service; l.Slowdown > 0 && !t.shared[service] {
 			t.shared[service], first = true, true
 		}
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -16,6 +16,21 @@
 	// Readings are prompt prefixes that daemons recently sent to instances, encoded by
 	// PackPrefixes.
 	Readings []byte
+	// Usage is the usage of services by all daemons, encoded by PackUsage; empty in most rounds.
+	// WantUsage asks the receiver for its own.
+	Usage     []byte
+	WantUsage bool
+	// Losses is what all daemons know of instances that have lost answers, encoded by PackLosses.
+	Losses []byte
+	// Errors is the evidence of all daemons on the errors of instances, encoded by PackErrorStates.
+	Errors []byte
+	// Speeds is the samples of the speed of instances, encoded by PackSpeeds; empty in most
+	// messages.
+	Speeds []byte
+	// Survey is what engines said when they were asked, encoded by PackSurvey.
+	Survey []byte
+	// Late says which daemons are slow, encoded by PackLate; empty if this message does not.
+	Late []byte
 }
 
 // DaemonWork is the reply to FleetWork: the outstanding work of one daemon, and the prompt
@@ -24,6 +39,16 @@
 	Incarnation string
 	Amounts     []byte
 	Readings    []byte
+	// Usage is the usage of services by this daemon, if it was asked for.
+	Usage  []byte
+	Losses []byte
+	// Errors is the sender's evidence on the errors of instances, encoded by PackErrors.
+	Errors []byte
+	Speeds []byte
+	// Survey is what engines said that this daemon has asked, encoded by PackSurvey.
+	Survey []byte
+	// Late is how slow this daemon is; 0 is normal.
+	Late uint8
 }
 
 // DomainWork is the outstanding work of all daemons of a failure domain, and prompt prefixes
@@ -32,6 +57,15 @@
 	Domain   string
 	Amounts  []byte
 	Readings []byte
+	// Usage is the usage of services by these daemons; empty in most rounds.
+	Usage  []byte
+	Losses []byte
+	// Errors is the sender's evidence on the errors of instances, encoded by PackErrors.
+	Errors []byte
+	Speeds []byte
+	// Survey and Late are as in FleetWork, Late for the daemons of the failure domain.
+	Survey []byte
+	Late   []byte
 }
 
 // Work and prefixes have a compact encoding, because they make up most of the traffic between
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -44,6 +44,13 @@
 	// Canary instances run a new version and serve part of the sessions before the other
 	// instances of that version get any.
 	Canary bool
+	// Factor is how many times as long as usual the instance takes; 0 means as long as usual.
+	Factor float64
+	// Tokens is the memory that the requests at an engine take.
+	Tokens float64
+	// NoConnection is set if this daemon has no connection left for the instance.
+	NoConnection bool
+	Proof
 }
 
 const (
@@ -94,6 +101,19 @@
 	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return tried[c.ID] })
 }
 
+// WithConnection removes instances to which this daemon has no connection left, if there are
+// others. Fast instances get most requests, and one without a connection would cost an attempt.
+func WithConnection(all []Candidate) []Candidate {
+	full := func(c Candidate) bool { return c.NoConnection }
+	if !slices.ContainsFunc(all, full) {
+		return all
+	}
+	if left := slices.DeleteFunc(slices.Clone(all), full); len(left) > 0 {
+		return left
+	}
+	return all
+}
+
 // Ready removes instances that may not receive requests yet if there are others. If all have
 // to be waited for, it returns only the one with the shortest wait, preferably one at which
 // this daemon has a turn.
@@ -185,7 +205,7 @@
 // cost returns the expected time until the first event at the instance, as work. key identifies
 // the prompt.
 func (c Candidate) cost(key string) float64 {
-	cost := c.Waiting + c.Prefill
+	cost := c.PrefillTime()
 	if over := float64(c.Open+1) - fullFraction*float64(c.Slots); over > 0 {
 		cost += fullBatchWork * over / float64(max(c.Slots, 1))
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -140,3 +141,55 @@
 	_, ok := TwoChoices(nil, random)
 	require.False(t, ok)
 }
+
+// Guards against a choice that costs more than a pass over the candidates.
+func BenchmarkChoice(b *testing.B) {
+	all := candidates(192)
+	for i := range all {
+		all[i].Waiting, all[i].Prefill, all[i].Factor, all[i].Local = float64(i%7)*1000, 9000, 0.5+float64(i%5)/4, i%4 == 0
+	}
+	r, random := Request{Engine: true, Key: "subject", PerWork: 1e-4, Unseen: 100e6, Objective: 2e9}, random()
+	b.Run("lowest cost", func(b *testing.B) {
+		for b.Loop() {
+			LowestCost(all, r.Key, random)
+		}
+	})
+	b.Run("soonest engine", func(b *testing.B) {
+		for b.Loop() {
+			Soonest(all, r, random)
+		}
+	})
+	b.Run("least loaded", func(b *testing.B) {
+		for b.Loop() {
+			LeastLoaded(all, random)
+		}
+	})
+	b.Run("soonest plain", func(b *testing.B) {
+		for b.Loop() {
+			Soonest(all, Request{Objective: 15e7}, random)
+		}
+	})
+}
+
+// Guards against an engine that runs out of memory while another has some, also if it has cached
+// the prompt, and against a request without an engine if none has memory.
+func TestSoonestKeepsToMemory(t *testing.T) {
+	all := []Candidate{
+		{ID: "cached", Local: true, Slots: 64, Prefill: 100, Tokens: 560_000},
+		{ID: "far", Slots: 64, Prefill: 9000, Waiting: 30_000, Tokens: 100_000},
+		{ID: "local", Local: true, Slots: 64, Prefill: 9000, Waiting: 500_000, Open: 64, Tokens: 590_000},
+	}
+	r := Request{Engine: true, Key: "key", PerWork: 1e-4, Tokens: 9000, Capacity: 564_296, Objective: 2 * time.Second}
+	picked, ok := Soonest(all, r, random())
+	require.True(t, ok)
+	require.Equal(t, "far", picked.ID)
+	require.Len(t, WithMemory(all, r), 1)
+	picked, ok = Soonest(append(all[:1:1], all[2]), r, random())
+	require.True(t, ok)
+	require.Equal(t, "cached", picked.ID)
+	r.Capacity = 0
+	picked, _ = Soonest(all, r, random())
+	require.Equal(t, "cached", picked.ID)
+	_, ok = Soonest(nil, r, random())
+	require.False(t, ok)
+}
