overload: admission control and shares are off by default

Cause: callers were not served better with them. Measured: unit tests and the tests of test/routes of the parts pass.

--- a/internal/overload/policy.go
+++ b/internal/overload/policy.go
@@ -52,10 +52,12 @@
 	Organisations terms.Declared `json:"organisations"`
 }
 
-// DefaultSettings returns settings with all parts in the mode Auto.
+// DefaultSettings returns settings with all parts in the mode Auto, except admission control and
+// the shares that it enforces: before engines that queue by priority themselves, callers were not
+// served better with it.
 func DefaultSettings() Settings {
 	return Settings{
-		Admission: Auto, FairShares: Auto, ModelPrice: Auto, InstanceSpeed: Auto, ProvenInstances: Auto,
+		Admission: Off, FairShares: Off, ModelPrice: Auto, InstanceSpeed: Auto, ProvenInstances: Auto,
 		SlowCallers: Auto, RestartSurvey: Auto, DirectoryWeights: Auto,
 	}
 }
