--- a/internal/cascade/escalation.go
+++ b/internal/cascade/escalation.go
@@ -48,12 +48,15 @@
 // worth more. The longer prompts wait, the more a run costs other requests. An answer whose
 // first event is not expected in time would delay answers that can still be in time.
 func (e Escalation) Worthwhile() bool {
-	if e.HasInTime {
-		return e.Elapsed+e.FirstEvent < e.Objective && e.InTime-float64(e.Confidence)/100 > runCost+waitCostPerSecond*e.Wait.Seconds()
-	}
-	if e.Elapsed+e.FirstEvent >= e.Objective || float64(e.Elapsed+e.Total) >= deadlineFraction*float64(e.Timeout) {
+	inTime := 1.0
+	switch {
+	case e.Elapsed+e.FirstEvent >= e.Objective:
+		return false
+	case e.HasInTime:
+		inTime = e.InTime
+	case float64(e.Elapsed+e.Total) >= deadlineFraction*float64(e.Timeout):
 		return false
 	}
-	better := 1 - float64(e.Confidence)/100
+	better := inTime - float64(e.Confidence)/100
 	return better > runCost+waitCostPerSecond*e.Wait.Seconds()
 }
