--- a/internal/inventory/speed.go
+++ b/internal/inventory/speed.go
@@ -144,8 +144,8 @@
 }
 
 // meanTokensWeight is the weight of a request in the mean of an instance. A daemon sends an engine
-// one request in some seconds; with a weight of 1/16, three times as many requests were refused for
-// want of memory in a trial, because the mean followed too late.
+// one request in some seconds; with a smaller weight the mean follows too late, and more requests
+// are refused for want of memory.
 const meanTokensWeight = 1.0 / 4
 
 // HoldTokens counts memory that a request of this daemon takes at an instance, until ReleaseTokens
--- a/internal/place/soonest.go
+++ b/internal/place/soonest.go
@@ -50,8 +50,8 @@
 	// than the estimates err. At 0.5, noisy neighbours cost as many callers as placement by load.
 	busyCost = 2.0
 	// negligible is the fraction of the objective below which the time of an answer at a plain
-	// server does not matter to its caller. Without it, a server that took 2 ms for its first
-	// requests instead of 1 ms got a tenth of the requests of another.
+	// server does not matter to its caller. Without it, a difference of a
+	// millisecond between idle servers keeps one of them without requests.
 	negligible = 0.05
 	// jitter is the random part of the expected time at a plain server.
 	jitter = 0.2
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -10,8 +10,7 @@
 
 const (
 	// sampleHalfLife is the age at which a sample has half its weight. With a quarter of it, the
-	// scatter of single times made 10.8 instead of 7.8% of prompts late in a trial with engines
-	// that get two or three requests a second.
+	// scatter of single times decides at engines that get two or three requests a second.
 	sampleHalfLife = 10 * time.Second
 	// reportHalfLife is the half-life of the difference between the last reported slowdown and
 	// the mean, which changes many times a second.
