--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -100,8 +100,7 @@
 	// OwnTokens is the memory that this daemon's open requests take there.
 	OwnTokens float64
 	// Proven is set unless the instance has recently lost an answer or started, or answers with
-	// errors. ProvenSince is
-	// since when Proven has its value; zero if that is not known.
+	// errors. ProvenSince is since when Proven has its value; zero if that is not known.
 	Proven      bool
 	ProvenSince time.Time
 	// LostAt is when the instance last lost an answer or was found faulty; zero if that is not known.
