--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
@@ -44,6 +45,9 @@
 type soakCase struct {
 	seed  uint64
 	kinds int
+	// overload switches on all parts of the handling of overload, which these daemons leave off
+	// otherwise.
+	overload bool
 }
 
 // soakCases are the seeds of former failures, each with its cause.
@@ -67,7 +71,8 @@
 func TestSoak(t *testing.T) {
 	cases := append([]soakCase{}, soakCases...)
 	for i := range envInt("SOAK_SEEDS", 2) {
-		cases = append(cases, soakCase{seed: uint64(envInt("SOAK_FIRST", 1) + i), kinds: soakFaultKinds})
+		seed := uint64(envInt("SOAK_FIRST", 1) + i)
+		cases = append(cases, soakCase{seed: seed, kinds: soakFaultKinds, overload: seed%2 == 0})
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprint("seed-", c.seed), func(t *testing.T) { newSoak(t, c).run() })
@@ -219,6 +224,13 @@
 		r.Platform = proxy.Address()
 		r.Seeds = append([]string{}, seeds...)
 		r.StopS = 4
+		if s.overload {
+			on := overload.On
+			r.Overload = overload.Settings{
+				Admission: on, FairShares: on, ModelPrice: on, InstanceSpeed: on, ProvenInstances: on, SlowCallers: on,
+				RestartSurvey: on, DirectoryWeights: on,
+			}
+		}
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
