inventory: a survey asks no engine of an evacuated domain, and none that warms up

Cause: the survey after a restart asked all engines that are not leaving. An evacuated failure domain must get nothing new, and a cold instance has a bounded number of requests.

--- a/internal/inventory/survey.go
+++ b/internal/inventory/survey.go
@@ -102,13 +102,15 @@
 	return max(running-(known-fromWaiting), 0), waiting - fromWaiting
 }
 
-// Engines returns the instances of a service that may get requests.
+// Engines returns the instances of a service that may be asked for their state. Evacuated failure
+// domains get nothing new, and an instance that warms up has nothing to tell.
 func (t *Table) Engines(service string) []Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.clock.Now()
 	var out []Instance
 	for _, e := range t.entries {
-		if e.serves(service) {
+		if t.mayServe(e, service) && !t.isWarming(e, now) {
 			out = append(out, e.instance)
 		}
 	}
--- a/internal/inventory/survey_test.go
+++ b/internal/inventory/survey_test.go
@@ -6,6 +6,9 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/pacing"
 )
 
 // Guards against prompts that are processed again after a restart although an engine said that it
@@ -62,3 +65,18 @@
 	require.Equal(t, 1, view().Open)
 	require.InDelta(t, 500, view().Waiting, 1)
 }
+
+// Guards against a survey that sends calls to an evacuated failure domain or to an instance that
+// warms up.
+func TestEnginesThatMayBeAsked(t *testing.T) {
+	table := NewTable(clockwork.NewFakeClock())
+	warming := Instance{ID: "warming", Service: "s", FailureDomain: "b"}
+	table.Replace(Snapshot{Revision: 1, Instances: []Instance{{ID: "i", Service: "s", FailureDomain: "a"}, warming, {ID: "other", Service: "s", FailureDomain: "b"}}}, time.Time{})
+	table.SetWarmUps(map[string]catalog.WarmUp{"s": {Time: time.Second, Rate: 5}}, func(string, float64) pacing.Share { return pacing.Share{} })
+	require.Len(t, table.Engines("s"), 3)
+	table.NoteWarming(warming, time.Second)
+	table.SetEvacuated("a", true)
+	engines := table.Engines("s")
+	require.Len(t, engines, 1)
+	require.Equal(t, "other", engines[0].ID)
+}
