--- a/internal/overload/policy.go
+++ b/internal/overload/policy.go
@@ -52,13 +52,14 @@
 	Organisations terms.Declared `json:"organisations"`
 }
 
-// DefaultSettings returns settings with all parts in the mode Auto, except admission control and
-// the shares that it enforces: before engines that queue by priority themselves, callers were not
-// served better with it.
+// DefaultSettings returns settings with all parts in the mode Auto, except two. Before engines that
+// queue by priority themselves, callers were not served better with admission control and the shares
+// that it enforces. With a directory by weights, the few large daemons get most callers while a fleet
+// restarts, and are overloaded.
 func DefaultSettings() Settings {
 	return Settings{
 		Admission: Off, FairShares: Off, ModelPrice: Auto, InstanceSpeed: Auto, ProvenInstances: Auto,
-		SlowCallers: Auto, RestartSurvey: Auto, DirectoryWeights: Auto,
+		SlowCallers: Auto, RestartSurvey: Auto, DirectoryWeights: Off,
 	}
 }
 
