cascade, place, overload: a method that nothing calls, and work that requests need not do

Cause: Generation was left over from a trial of placement. The step of a factor was computed by two logarithms for each candidate also where the speed of instances does not count, and is 1 there. Two comments said that models are chosen by a price. Measured: tests of cascade, place, overload and forward pass; behaviour is the same.

--- a/internal/cascade/latency.go
+++ b/internal/cascade/latency.go
@@ -79,16 +79,6 @@
 	t.table[key] = e
 }
 
-// Generation returns the mean time from the first event of an answer to its end, or 0 if there
-// are no observations.
-func (t *LatencyEstimator) Generation(key Key, tokens int, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.table[key]
-	decay := math.Exp2(-float64(now.Sub(e.at)) / float64(estimateHalfLife))
-	return time.Duration(e.perToken * float64(tokens) * decay * float64(time.Second))
-}
-
 // Estimate returns how long an answer of the given length is likely to take, or 0 if there are
 // no observations.
 func (t *LatencyEstimator) Estimate(key Key, tokens int, now time.Time) time.Duration {
--- a/internal/overload/policy.go
+++ b/internal/overload/policy.go
@@ -35,7 +35,7 @@
 	Admission Mode `json:"admission"`
 	// FairShares divides a service that is short of room between organisations.
 	FairShares Mode `json:"fair_shares"`
-	// ModelPrice chooses models by the current cost of engine time.
+	// ModelPrice runs the largest model by the chance that its answer ends in time.
 	ModelPrice Mode `json:"model_price"`
 	// InstanceSpeed places requests by the expected time at each instance.
 	InstanceSpeed Mode `json:"instance_speed"`
@@ -137,7 +137,7 @@
 	return p.FairSharesAnywhere() || p.applies(p.settings.Admission, p.calledAnywhere)
 }
 
-// ModelPrice reports whether models are chosen by the current cost of engine time.
+// ModelPrice reports whether the largest model runs by the chance that its answer ends in time.
 func (p *Policy) ModelPrice(service string) bool {
 	return p.applies(p.settings.ModelPrice, p.called(service))
 }
--- a/internal/place/soonest.go
+++ b/internal/place/soonest.go
@@ -50,8 +50,8 @@
 	// than the estimates err. At 0.5, noisy neighbours cost as many callers as placement by load.
 	busyCost = 2.0
 	// negligible is the fraction of the objective below which the time of an answer at a plain
-	// server does not matter to its caller. Without it, a difference of a
-	// millisecond between idle servers keeps one of them without requests.
+	// server does not matter to its caller. Without it, a difference of a millisecond
+	// between idle servers keeps one of them without requests.
 	negligible = 0.05
 	// jitter is the random part of the expected time at a plain server.
 	jitter = 0.2
@@ -75,6 +75,9 @@
 // differences within the accuracy of the estimate counted, all would send long prompts to the same
 // one of several equal instances.
 func (c *Candidate) steppedFactor() float64 {
+	if c.Factor <= 0 {
+		return 1
+	}
 	return math.Exp2(math.Round(factorSteps*math.Log2(c.factor())) / factorSteps)
 }
 
