test: daemons that are cut off from all instances, a test that fails

The dialer of connections to instances is a part of the app now, so that the test can replace it in a real process; nothing else changes.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -19,9 +19,9 @@
 	probeIdle     = 400 * time.Millisecond
 	probeInterval = 300 * time.Millisecond
 	probeCount    = 3
-	// unackedTimeout closes a connection on which sent data has not been acknowledged for this
+	// UnackedTimeout closes a connection on which sent data has not been acknowledged for this
 	// time. Probes do not cover this case: they are sent on idle connections only.
-	unackedTimeout = 1200 * time.Millisecond
+	UnackedTimeout = 1200 * time.Millisecond
 )
 
 // Dialer returns a dialer whose connections are established within timeout and closed soon
@@ -40,7 +40,7 @@
 func setUnackedTimeout(_, _ string, c syscall.RawConn) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout.Milliseconds()))
 	})
 	return errors.Join(err, sockErr)
 }
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -4,6 +4,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
@@ -17,5 +18,5 @@
 	if change != nil {
 		change(&r)
 	}
-	return NewNode(r, clock, platform.NewStore(r.Platform), platform.HeaderCodec{})
+	return NewNode(r, clock, platform.NewStore(r.Platform), platform.HeaderCodec{}, upconn.NewDialer())
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -21,6 +21,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/internal/telemetry"
+	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
 
@@ -32,6 +33,7 @@
 		func(f settings.RoutesFile) settings.Routes { return f.Routes },
 		func(r settings.Routes) *platform.Store { return platform.NewStore(r.Platform) },
 		func() platform.HeaderCodec { return platform.HeaderCodec{} },
+		upconn.NewDialer,
 		NewNode,
 		NewProcess,
 	),
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -157,11 +157,12 @@
 	missedHeartbeats map[string]int
 }
 
-// NewNode builds a daemon. It does nothing until Run is called.
-func NewNode(s settings.Routes, clock clockwork.Clock, store *platform.Store, codec platform.HeaderCodec) *Node {
+// NewNode builds a daemon that connects to upstream instances with dialer. It does nothing until Run
+// is called.
+func NewNode(s settings.Routes, clock clockwork.Clock, store *platform.Store, codec platform.HeaderCodec, dialer upconn.Dialer) *Node {
 	n := &Node{
 		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
-		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), pool: upconn.NewPool(), metrics: forward.NewMetrics(),
+		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), pool: upconn.NewPool(dialer), metrics: forward.NewMetrics(),
 		evacuations: evacuation.NewRegistry(clock),
 		startup:     newStartup(clock), survey: &survey{book: newSurveyBook()}, engines: platform.NewEngines(), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
 		lastPeerSearch: clock.Now(), startedAt: clock.Now(), workTotals: newWorkTotals(), peers: peer.NewClient(nil), heartbeatNow: make(chan struct{}, 1), ready: make(chan struct{}), missedHeartbeats: map[string]int{},
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -22,10 +22,10 @@
 
 // Run runs a daemon with the settings in f, read from path, until SIGTERM or SIGINT and then
 // performs a planned stop. SIGHUP or a change of the file reloads the settings that can change
-// at run time.
-func Run(path string, f settings.RoutesFile) error {
+// at run time. Options can replace parts of Module.
+func Run(path string, f settings.RoutesFile, options ...fx.Option) error {
 	var node *Node
-	app := fx.New(fx.Supply(f), Module, fx.Populate(&node), fx.NopLogger, fx.StopTimeout(settings.Seconds(f.Routes.StopS)))
+	app := fx.New(fx.Supply(f), Module, fx.Options(options...), fx.Populate(&node), fx.NopLogger, fx.StopTimeout(settings.Seconds(f.Routes.StopS)))
 	if err := app.Err(); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/upconn/exchange_test.go
+++ b/internal/upconn/exchange_test.go
@@ -19,7 +19,7 @@
 	var arrived atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
 	defer server.Close()
-	pool := NewPool()
+	pool := NewPool(NewDialer())
 	withdrawn := true
 	send := func() error {
 		r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IsWithdrawn: func() bool { return withdrawn }}
@@ -57,6 +57,6 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}()
 	r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
-	_, err = NewPool().Do(t.Context(), listener.Addr().String(), 0, r, func(_ int, h http.Header) bool { return h.Get("X-For") == "me" })
+	_, err = NewPool(NewDialer()).Do(t.Context(), listener.Addr().String(), 0, r, func(_ int, h http.Header) bool { return h.Get("X-For") == "me" })
 	require.ErrorIs(t, err, errOtherAnswer)
 }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// dialTimeout is many times the longest delay between failure domains (a few ms) and leaves
+	// DialTimeout bounds the time to establish a connection. It is many times the longest delay between failure domains (a few ms) and leaves
 	// time for another instance within an objective of 300 ms.
-	dialTimeout = 250 * time.Millisecond
+	DialTimeout = 250 * time.Millisecond
 	// maxIdleTime is how long an unused connection is kept if the server does not state a shorter
 	// time.
 	maxIdleTime = 4 * time.Second
@@ -54,18 +54,24 @@
 // Lock order: no other lock is taken while mu is held. Sweep calls keep while mu is held,
 // so keep must not call methods of Pool.
 type Pool struct {
-	dialer *net.Dialer
+	dialer Dialer
 	dials  atomic.Int64
 
 	mu    sync.Mutex
 	hosts map[string]*host
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{hosts: map[string]*host{}, dialer: dial.Dialer(dialTimeout)}
+// Dialer opens connections. *net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// NewDialer returns the dialer for connections to upstream instances.
+func NewDialer() Dialer { return dial.Dialer(DialTimeout) }
+
+// NewPool returns an empty pool that opens connections with dialer.
+func NewPool(dialer Dialer) *Pool { return &Pool{hosts: map[string]*host{}, dialer: dialer} }
+
 // Dials returns the number of connections opened so far.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -25,7 +25,7 @@
 func Build(dir string) (Binaries, error) {
 	_, file, _, _ := runtime.Caller(0)
 	root := filepath.Join(filepath.Dir(file), "..", "..")
-	cmd := exec.Command("go", "build", "-o", dir, "./cmd/hornbeamsilld", "./cmd/hornbeamsill-standin", "./cmd/hornbeamsill")
+	cmd := exec.Command("go", "build", "-o", dir, "./cmd/hornbeamsilld", "./cmd/hornbeamsill-standin", "./cmd/hornbeamsill", "./test/faultdaemon")
 	cmd.Dir = root
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return Binaries{}, trace.Errorf("build: %v\n%s", err, out)
@@ -91,7 +91,20 @@
 // listens. started is its "daemon.started" log line, in which LogField finds the
 // addresses.
 func (b Binaries) StartRoutesDaemon(name, settings string) (p *Process, started string, err error) {
-	p, err = start(name, b.Path("hornbeamsilld"), []string{"--config-file", settings}, func(line string) bool {
+	return startRoutesDaemon(name, b.Path("hornbeamsilld"), "--config-file", settings)
+}
+
+// StartFaultDaemon starts a daemon like StartRoutesDaemon whose connections to upstream instances
+// are subject to the fault in the file FaultFile(settings).
+func (b Binaries) StartFaultDaemon(name, settings string) (p *Process, started string, err error) {
+	return startRoutesDaemon(name, b.Path("faultdaemon"), settings)
+}
+
+// FaultFile returns the path of the control file of a daemon that StartFaultDaemon starts.
+func FaultFile(settings string) string { return settings + ".fault" }
+
+func startRoutesDaemon(name, program string, args ...string) (p *Process, started string, err error) {
+	p, err = start(name, program, args, func(line string) bool {
 		if strings.Contains(line, "msg=daemon.started") {
 			started = line
 		}
--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -66,6 +66,8 @@
 type daemon struct {
 	*cluster.Process
 	callerAddress, readyAddress, directoryAddress, metricsAddress, peerAddress string
+	// faultFile is the control file of a daemon that can be cut off from instances.
+	faultFile string
 }
 
 // testbed is a store, servers and daemons.
@@ -129,6 +131,13 @@
 // startDaemon starts a daemon whose seeds are the daemons started before. change, if not nil,
 // changes its settings.
 func (s *testbed) startDaemon(change func(*settings.Routes)) *daemon {
+	s.t.Helper()
+	return s.startProcess(change, binaries.StartRoutesDaemon)
+}
+
+// startProcess starts a daemon with the given function, which gets its name and the path of its
+// settings.
+func (s *testbed) startProcess(change func(*settings.Routes), start func(name, settings string) (*cluster.Process, string, error)) *daemon {
 	s.t.Helper()
 	name := fmt.Sprintf("entry-%d", len(s.daemons)+1)
 	r := settings.Routes{
@@ -149,12 +158,13 @@
 	require.NoError(s.t, err)
 	path := filepath.Join(s.t.TempDir(), name+".jsonc")
 	require.NoError(s.t, os.WriteFile(path, text, 0o600))
-	p, line, err := binaries.StartRoutesDaemon(name, path)
+	p, line, err := start(name, path)
 	require.NoError(s.t, err)
 	s.t.Cleanup(p.Kill)
 	d := &daemon{
 		Process: p, callerAddress: cluster.LogField(line, "callers"), readyAddress: cluster.LogField(line, "ready"),
 		directoryAddress: cluster.LogField(line, "directory"), metricsAddress: cluster.LogField(line, "metrics"), peerAddress: cluster.LogField(line, "peers"),
+		faultFile: cluster.FaultFile(path),
 	}
 	s.daemons = append(s.daemons, d)
 	return d
@@ -164,13 +174,19 @@
 func (s *testbed) startReadyDaemon() *daemon {
 	s.t.Helper()
 	d := s.startDaemon(nil)
+	s.waitReady(d)
+	return d
+}
+
+// waitReady waits until a daemon is ready.
+func (s *testbed) waitReady(d *daemon) {
+	s.t.Helper()
 	s.eventually(func() error {
 		if !platformtest.Ready(context.Background(), s.client, d.readyAddress) {
 			return trace.Errorf("%s is not ready\n%s", d.Name, d.Log())
 		}
 		return nil
 	})
-	return d
 }
 
 func (s *testbed) eventually(f func() error) {
