--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -119,12 +119,12 @@
 // that was leaving is planned and not reported.
 func (c *crashReporter) probe(i inventory.Instance) {
 	at := c.clock.Now()
-	ended := c.pool.ProcessEnded(context.Background(), i.Address)
+	ended := c.paths.instanceEnded(context.Background(), i)
 	if !ended {
 		// The requests do not wait for the second probe.
 		c.resumeWaiting(c.brokenSuspects(i))
 		c.clock.Sleep(secondProbeDelay)
-		ended = c.pool.ProcessEnded(context.Background(), i.Address)
+		ended = c.paths.instanceEnded(context.Background(), i)
 	}
 	suspects := c.takeBroken(i)
 	if !ended || c.table.IsLeaving(i.Incarnation()) {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -84,7 +84,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB<<20)))
 	debug.SetGCPercent(gcPercent)
 	var err error
-	if p.peers, err = peer.ListenRoutes(s.PeerListen, p.node); err != nil {
+	if p.peers, err = peer.ListenRoutes(s.PeerListen, p.node, p.node.gateway); err != nil {
 		return trace.Wrap(err)
 	}
 	p.node.registry.SetSelf(func(d *member.Daemon) { d.PeerAddress = p.peers.Address() })
@@ -200,6 +200,7 @@
 	if err != nil {
 		p.callers.Close()
 	}
+	cut += p.awaitCarried(ctx)
 	p.node.leave(member.Left)
 	p.stopLoops()
 	p.loops.Wait()
@@ -213,6 +214,22 @@
 	return nil
 }
 
+// carriedPoll is the interval at which a stopping daemon looks whether it still carries requests.
+const carriedPoll = 50 * time.Millisecond
+
+// awaitCarried waits until this daemon carries no requests of other daemons, and returns the number
+// of those that are left when ctx ends.
+func (p *Process) awaitCarried(ctx context.Context) int64 {
+	for p.node.gateway.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			return int64(p.node.gateway.Running())
+		case <-p.clock.After(carriedPoll):
+		}
+	}
+	return 0
+}
+
 // refuseStreamsAfter is how long after the start of a planned stop new streams are refused. By
 // then callers that use the directory have switched, and a later stream might not finish in
 // the stop time.
@@ -290,6 +307,8 @@
 	Quarantine quarantineVars `json:"quarantine"`
 	// Survey has the counters of what this daemon learned from engines when it started.
 	Survey surveyVars `json:"survey"`
+	// Paths has the counters of the paths to upstream instances.
+	Paths pathVars `json:"paths"`
 	// Directory has the counters of the directory's answers by weight.
 	Directory directoryVars `json:"directory"`
 	// Terms has the counters of the terms of organisations.
@@ -312,7 +331,7 @@
 			Capacity:    n.capacityVars(),
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(), ErrorAnswers: n.metrics.ErrorAnswers.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
-			Survey: n.survey.vars(), Directory: n.directory.vars(),
+			Survey: n.survey.vars(), Paths: n.paths.vars(), Directory: n.directory.vars(),
 			Terms: n.terms.vars(),
 		}
 	})
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -70,6 +70,10 @@
 	handler *forward.Handler
 	peers   *peer.Client
 	duties  *rolloutDuties
+	// paths knows from which services this daemon is cut off, and gateway carries the tunnels of other
+	// daemons that are.
+	paths   *pathManager
+	gateway *peer.Gateway
 
 	// current is the configuration in force, and manifest its encoded form.
 	configMu sync.Mutex
@@ -162,7 +166,7 @@
 func NewNode(s settings.Routes, clock clockwork.Clock, store *platform.Store, codec platform.HeaderCodec, dialer upconn.Dialer) *Node {
 	n := &Node{
 		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
-		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), pool: upconn.NewPool(dialer), metrics: forward.NewMetrics(),
+		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), metrics: forward.NewMetrics(),
 		evacuations: evacuation.NewRegistry(clock),
 		startup:     newStartup(clock), survey: &survey{book: newSurveyBook()}, engines: platform.NewEngines(), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
 		lastPeerSearch: clock.Now(), startedAt: clock.Now(), workTotals: newWorkTotals(), peers: peer.NewClient(nil), heartbeatNow: make(chan struct{}, 1), ready: make(chan struct{}), missedHeartbeats: map[string]int{},
@@ -185,10 +189,13 @@
 	n.terms = newTermsManager(n)
 	n.usage = newUsageExchange()
 	n.retries = limit.NewFleetRetryBudget(retryPolicy(s), clock, n.senderCount)
+	n.paths = newPathManager(n)
+	n.pool = upconn.NewPool(dialer, n.paths)
+	n.gateway = peer.NewGateway(tunnelLimit(s), n)
 	n.quarantine = newQuarantineManager(n)
 	n.held = limit.NewHeldBytes(s.MemoryMB << 20 / bodyMemoryDivisor)
 	n.handler = forward.New(forward.Deps{
-		Codec: codec, Catalog: n.servableConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Versions: n.rollouts,
+		Codec: codec, Catalog: n.servableConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Paths: n.paths, Versions: n.rollouts,
 		Quarantine: n.quarantine, NotifyPeers: n.requestHeartbeat, RefusesStreams: n.refusesStreams, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
 		Meter: n.meter, Account: n.account,
 		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor), Held: n.held,
@@ -310,7 +317,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.surveyLoop, n.latenessLoop,
+		n.watchOperator, n.watchInstances, n.heartbeatLoop, n.duties.run, n.cleanupLoop, n.announce, n.workLoop, n.relayLoop, n.paths.loop, n.surveyLoop, n.latenessLoop,
 		n.quarantine.reportLoop, n.quarantine.judgeLoop, n.quarantine.saveLoop, n.quarantine.loadLoop,
 		n.terms.readLoop, n.terms.relayLoop,
 	} {
--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -134,7 +134,7 @@
 		if len(update.Changes) > 0 {
 			storeLost <- r.storeHealth.isLost()
 		}
-	}})
+	}}, nil)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	other.registry.SetSelf(func(d *member.Daemon) { d.PeerAddress = server.Address() })
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,7 +48,10 @@
 	// not because the caller's connection failed.
 	dropped, callerFailed bool
 	ended                 bool
-	span                  oteltrace.Span
+	// tunneled is set if the attempt goes through another daemon, and broken if it ended because the
+	// direct connection broke.
+	tunneled, broken bool
+	span             oteltrace.Span
 }
 
 // refusedError means that the instance refused the request and did not run it.
@@ -162,8 +165,7 @@
 
 func (a *attempt) send(ctx context.Context) error {
 	q := a.request
-	remaining := time.Until(q.deadline)
-	headers := AttemptHeaders{Instance: a.instance.ID, Model: q.modelName(), LastEventID: q.lastEventID, Timeout: remaining}
+	headers := AttemptHeaders{Instance: a.instance.ID, Model: q.modelName(), LastEventID: q.lastEventID}
 	if q.organisation != nil {
 		headers.Organisation = q.organisation.Name
 	}
@@ -171,12 +173,16 @@
 		headers.Priority, headers.HasPriority = q.priority(), true
 	}
 	upstreamRequest := &upconn.Request{
-		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: q.Codec.UpstreamHeaders(q.r.Header, headers), Body: q.body,
+		ID: q.headers.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		Header: func() http.Header {
+			headers.Timeout = time.Until(q.deadline)
+			return q.Codec.UpstreamHeaders(q.r.Header, headers)
+		},
+		Body:        q.body,
 		HasBody:     len(q.body) > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
 		IsWithdrawn: a.isWithdrawn,
 	}
-	exchange, err := q.Pool.Do(ctx, a.instance.Address, q.maxConnections(), upstreamRequest, a.acceptAnswer)
+	exchange, err := a.exchangeHeads(ctx, upstreamRequest)
 	if err != nil {
 		if !upconn.NotSent(err) {
 			q.sends++
@@ -216,6 +222,29 @@
 	return nil
 }
 
+// exchangeHeads sends the request and reads the head of the answer.
+func (a *attempt) exchangeHeads(ctx context.Context, r *upconn.Request) (*upconn.Exchange, error) {
+	service := a.service.Name
+	_, a.tunneled = a.Paths.Tunneled(service)
+	if !a.tunneled {
+		a.Paths.Sent(service)
+	}
+	to := upconn.Target{Address: a.instance.Address, Service: service, Instance: a.instance.ID}
+	exchange, err := a.Pool.Do(ctx, to, a.maxConnections(), r, a.acceptAnswer)
+	if !a.tunneled {
+		a.Paths.Answered(service, err == nil)
+	}
+	var byTunnel *upconn.TunneledError
+	switch {
+	case err == nil:
+		a.gateway = exchange.Gateway()
+		a.tunneled = a.gateway != ""
+	case errors.As(err, &byTunnel):
+		a.tunneled = true
+	}
+	return exchange, err
+}
+
 // isWithdrawn reports whether the instance may no longer get requests.
 func (a *attempt) isWithdrawn() bool {
 	if a.Table.MaySend(a.instance) {
@@ -290,13 +319,15 @@
 		outcome = inventory.OutcomeNone
 	case a.r.Context().Err() != nil, errors.Is(err, context.DeadlineExceeded):
 		outcome = inventory.OutcomeNone
-	case errors.Is(err, upconn.ErrNoConnection), errors.Is(err, upconn.ErrWithdrawn):
+	case errors.Is(err, upconn.ErrNoConnection), errors.Is(err, upconn.ErrWithdrawn), errors.Is(err, upconn.ErrNoGateway), errors.Is(err, upconn.ErrGatewaysBusy):
 		outcome = inventory.OutcomeNone
 	case upconn.NotSent(err):
 		outcome = inventory.OutcomeUnreachable
 	case errors.Is(err, errHeadTimeout):
 		outcome = inventory.OutcomeTimeout
 	}
+	outcome = a.pathOutcome(outcome, err)
+	a.broken = outcome == inventory.OutcomeFailed && isConnectionBroken(err)
 	if a.r.Context().Err() == nil {
 		if isConnectionBroken(err) {
 			a.quarantineDecided = a.Quarantine.ConnectionBroken(a.instance, a.suspect())
@@ -328,7 +359,9 @@
 	a.noteEnded(outcome)
 	a.observeLatency(outcome)
 	a.noteSpeed(outcome)
-	if o, ok := a.finalObservation(outcome); ok {
+	if a.broken {
+		a.observeLater()
+	} else if o, ok := a.finalObservation(outcome); ok {
 		a.Versions.Observe(a.service.Name, o)
 	}
 }
@@ -348,6 +381,12 @@
 // reasonNotToRetry returns why no other attempt may follow, or "" if one may.
 func (q *request) reasonNotToRetry(ctx context.Context, err error) string {
 	notSent := upconn.NotSent(err)
+	if notSent && gatewayFault(err) != nil {
+		return "no_gateway"
+	}
+	if notSent {
+		q.awaitPath(ctx)
+	}
 	var refused *refusedError
 	mayHaveRun := !errors.As(err, &refused) && !notSent
 	switch {
--- a/internal/forward/done.go
+++ b/internal/forward/done.go
@@ -38,6 +38,9 @@
 	if q.lastInstance.ID != "" {
 		attrs = append(attrs, slog.String("instance", q.lastInstance.ID), slog.String("version", q.lastInstance.Version), slog.String("model", q.model))
 	}
+	if q.gateway != "" {
+		attrs = append(attrs, slog.String("gateway", q.gateway))
+	}
 	if q.expectedFirstEvent > 0 {
 		attrs = append(attrs, slog.Int64("expected_ms", q.expectedFirstEvent.Milliseconds()), slog.Int64("head_ms", q.firstEvent.Milliseconds()))
 	}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -83,7 +83,8 @@
 	o, ok := a.overdueObservation(time.Now())
 	a.checkTimer.Reset(overdueCheckInterval)
 	a.mu.Unlock()
-	if ok {
+	// A request that waits because of the path to its instance is no evidence against the version.
+	if ok && !a.tunneled && a.Paths.HeardSince(a.service.Name, a.sentAt) {
 		a.Versions.Observe(a.service.Name, o)
 	}
 }
@@ -146,6 +147,9 @@
 // noteEvent counts an event of the answer, and reports the pace once there are
 // earlyPaceEvents.
 func (a *attempt) noteEvent() {
+	if !a.tunneled {
+		a.Paths.Heard(a.service.Name)
+	}
 	a.mu.Lock()
 	a.eventCount++
 	a.lastEventAt = time.Now()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -56,9 +56,11 @@
 	// NotifyPeers is called when an answer contained a change that other daemons need to know.
 	NotifyPeers func()
 	Pool        *upconn.Pool
-	Versions    Versions
-	Retries     *limit.FleetRetryBudget
-	Quarantine  Quarantine
+	// Paths is nil if instances are only reached by direct connections.
+	Paths      Paths
+	Versions   Versions
+	Retries    *limit.FleetRetryBudget
+	Quarantine Quarantine
 	// FailureDomain is the failure domain of this daemon.
 	FailureDomain string
 	// DaemonCount returns the number of daemons that share the capacity of the instances.
@@ -95,6 +97,9 @@
 	if d.Clock == nil {
 		d.Clock = clockwork.NewRealClock()
 	}
+	if d.Paths == nil {
+		d.Paths = directPaths{}
+	}
 	return &Handler{
 		Deps: d, latencies: cascade.NewLatencyEstimator(), spreads: cascade.NewSpreads(), confidences: cascade.NewConfidenceMeans(), prefillRate: &cascade.PrefillRate{},
 		answers: cascade.NewLatencyEstimator(), admission: newAdmission(d.Clock),
@@ -134,6 +139,8 @@
 	// to that attempt's first event, and firstEvent the actual time; 0 means unknown.
 	lastInstance                   inventory.Instance
 	expectedFirstEvent, firstEvent time.Duration
+	// gateway is the daemon through which the last attempt was sent; empty if it was sent directly.
+	gateway string
 	// status is the HTTP status sent to the caller; 0 if the connection was cut.
 	status int
 	// headSent is set once the head of an answer has been sent to the caller. firstByte is the
@@ -323,6 +330,8 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		f = fault.New(fault.Cancelled, "the caller has left")
 	case errors.As(err, &f):
+	case q.ran == fault.RanNo && gatewayFault(err) != nil:
+		f = gatewayFault(err)
 	case errors.Is(err, context.DeadlineExceeded) && q.ran == fault.RanNo:
 		f = fault.New(fault.NoCapacity, "no instance took the request in time").WithRetryAfter(defaultRetryAfter)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -23,7 +23,7 @@
 func newStreamAttempt(v Versions) *attempt {
 	return &attempt{
 		request: &request{
-			Handler: &Handler{Deps: Deps{Versions: v}}, route: &catalog.Route{Name: "r"}, service: &catalog.Service{Name: "s"},
+			Handler: &Handler{Deps: Deps{Versions: v, Paths: directPaths{}}}, route: &catalog.Route{Name: "r"}, service: &catalog.Service{Name: "s"},
 		},
 		instance: inventory.Instance{Version: "v2"}, progress: progress{headAt: time.Now().Add(-time.Second)},
 	}
--- /dev/null
+++ b/internal/forward/paths.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/fault"
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
+)
+
+// Paths knows from which services this daemon is cut off, so that their instances are reached through
+// other daemons, and is told of signs of life on direct connections.
+type Paths interface {
+	Tunneled(service string) (since time.Time, ok bool)
+	// AwaitCheck waits for the end of a check whether this daemon is cut off, if there is one.
+	AwaitCheck(ctx context.Context, service string)
+	// Sent and Answered are called for each request over a direct connection; heard is set if an
+	// answer began. Heard is called when more of an answer has arrived.
+	Sent(service string)
+	Answered(service string, heard bool)
+	Heard(service string)
+	// HeardSince reports whether a service has given a sign of life after a time.
+	HeardSince(service string, after time.Time) bool
+}
+
+// directPaths is a Paths for daemons that only have direct connections.
+type directPaths struct{}
+
+func (directPaths) Tunneled(string) (since time.Time, ok bool) { return time.Time{}, false }
+func (directPaths) AwaitCheck(context.Context, string)         {}
+func (directPaths) Sent(string)                                {}
+func (directPaths) Answered(string, bool)                      {}
+func (directPaths) Heard(string)                               {}
+func (directPaths) HeardSince(string, time.Time) bool          { return true }
+
+const (
+	// pathCheckTimeout bounds the wait for a check of the path to a service.
+	pathCheckTimeout = 900 * time.Millisecond
+	// triesBeforeCheck is the number of instances to which a request could not be sent before it waits
+	// for such a check. A single one has probably ended.
+	triesBeforeCheck = 2
+)
+
+// awaitPath waits until it is known whether this daemon is cut off from the service, if a request
+// could not be sent to several instances. All instances may then be tried again through other
+// daemons.
+func (q *request) awaitPath(ctx context.Context) {
+	if _, tunneled := q.Paths.Tunneled(q.service.Name); tunneled || len(q.tried) < min(triesBeforeCheck, q.Table.Count(q.service.Name, anyVersion)) {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx, pathCheckTimeout)
+	defer cancel()
+	q.Paths.AwaitCheck(wait, q.service.Name)
+	if _, tunneled := q.Paths.Tunneled(q.service.Name); tunneled {
+		clear(q.tried)
+	}
+}
+
+func anyVersion(string, bool) bool { return true }
+
+// gatewayFault returns the error for a request that could not be sent because no other daemon passes
+// it on, or nil.
+func gatewayFault(err error) *fault.Error {
+	switch {
+	case errors.Is(err, upconn.ErrGatewaysBusy):
+		return fault.New(fault.NoCapacity, "%v", upconn.ErrGatewaysBusy).WithRetryAfter(gatewayRetryAfter)
+	case errors.Is(err, upconn.ErrNoGateway):
+		return fault.New(fault.NoUpstream, "%v", upconn.ErrNoGateway).WithRetryAfter(gatewayRetryAfter)
+	}
+	return nil
+}
+
+// gatewayRetryAfter is the retry time sent to callers if no other daemon passes a request on. Within
+// that time the directory leads callers to other daemons.
+const gatewayRetryAfter = 1 * time.Second
+
+// pathOutcome returns the outcome of an attempt as far as it is that of the instance: a failure that
+// may be one of the path to it says nothing about the instance.
+func (a *attempt) pathOutcome(outcome inventory.Outcome, err error) inventory.Outcome {
+	var status *serverError
+	if outcome == inventory.OutcomeNone || errors.As(err, &status) || errors.Is(err, errUnverifiable) {
+		return outcome
+	}
+	if a.tunneled || outcome == inventory.OutcomeTimeout && !a.Paths.HeardSince(a.service.Name, a.sentAt) {
+		return inventory.OutcomeNone
+	}
+	return outcome
+}
+
+// observe reports an observation of the version. One of a connection that broke waits until it is
+// known whether that was the fault of this daemon's own links.
+func (a *attempt) observeLater() {
+	o, ok := a.finalObservation(inventory.OutcomeFailed)
+	if !ok {
+		return
+	}
+	time.AfterFunc(crashCheckDelay, func() {
+		if _, tunneled := a.Paths.Tunneled(a.service.Name); !tunneled {
+			a.Versions.Observe(a.service.Name, o)
+		}
+	})
+}
--- a/internal/forward/proven.go
+++ b/internal/forward/proven.go
@@ -66,11 +66,11 @@
 // noteLoss records a lost or corrupted answer.
 //
 // When a connection breaks, the instance may have crashed, which is not a loss: the instance is
-// gone, and its next incarnation has to prove itself anyway. Whether it has crashed is known only
-// after some 50 ms or more. Until then the break counts as a loss, since requests sent to a crashed
+// gone, and its next incarnation has to prove itself anyway. Or this daemon may have lost its own
+// links. Which of these it was is known only after some 50 ms or more. Until then the break counts as a loss, since requests sent to a crashed
 // instance fail just as well.
 func (a *attempt) noteLoss(err error) {
-	if a.callerFailed || !isLoss(err) || !a.watchesLosses() {
+	if a.callerFailed || a.tunneled && isConnectionBroken(err) || !isLoss(err) || !a.watchesLosses() {
 		return
 	}
 	a.Metrics.LostAnswers.Add(1)
@@ -78,10 +78,10 @@
 		slog.Info("instance.unproven", "instance", a.instance.ID, "version", a.instance.Version, "source", "answer", "request", a.request.headers.ID)
 	}
 	if isConnectionBroken(err) {
-		table, quarantine, instance := a.Table, a.Quarantine, a.instance
 		time.AfterFunc(crashCheckDelay, func() {
-			if quarantine.InstanceEnded(instance) {
-				table.NoteCrash(instance)
+			_, cutOff := a.Paths.Tunneled(a.service.Name)
+			if cutOff || a.Quarantine.InstanceEnded(a.instance) {
+				a.Table.NoteCrash(a.instance)
 			}
 		})
 	}
--- a/internal/inventory/evacuated.go
+++ b/internal/inventory/evacuated.go
@@ -36,6 +36,14 @@
 	return ok && t.maySend(e, i, t.clock.Now())
 }
 
+// MayServe reports whether an instance is known, belongs to a service, and may get its requests.
+func (t *Table) MayServe(id, service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[id]
+	return ok && t.mayServe(e, service)
+}
+
 // maySend is MaySend for the entry with the instance's ID. The lock is held.
 func (t *Table) maySend(e *entry, i Instance, now time.Time) bool {
 	return e.instance.Born == i.Born && t.mayServe(e, i.Service) && !e.budget.isBackingOff(now)
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -318,6 +318,18 @@
 	})
 }
 
+// ForgiveFailures ends the ejections of the instances of a service: their failures were those of this
+// daemon's own links.
+func (t *Table) ForgiveFailures(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.instance.Service == service {
+			e.health = health{}
+		}
+	}
+}
+
 // withEntry calls f with the entry of an instance if the entry is of the same incarnation.
 // Results of requests to an earlier incarnation say nothing about the current one.
 func (t *Table) withEntry(i Instance, f func(*entry)) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -49,7 +49,9 @@
 	// Started is when it started, in Unix milliseconds of its own clock; 0 if unknown.
 	Started int64
 	State   State
-	// Version is incremented when the incarnation refutes a suspicion.
+	// CutOff are the services whose instances it does not reach, though others do.
+	CutOff []string
+	// Version is incremented when the incarnation refutes a suspicion or changes its entry.
 	Version uint64
 	// Successor is the incarnation that answers for the idempotency keys of one that has left.
 	Successor string
--- /dev/null
+++ b/internal/peer/gateway.go
@@ -0,0 +1,255 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// openTimeout bounds the wait for a TunnelRequest on a new connection.
+	openTimeout = 1 * time.Second
+	// tunnelWriteTimeout bounds each write to the user of a tunnel. It is longer than a slow caller may
+	// keep an answer waiting, and ends tunnels of daemons that are gone.
+	tunnelWriteTimeout = 30 * time.Second
+	// closeTimeout bounds the wait for the user of a tunnel to close it after the instance has ended
+	// the connection. Closing it earlier would discard the end of the answer.
+	closeTimeout = 5 * time.Second
+)
+
+// GatewayHandler decides which tunnels a gateway opens.
+type GatewayHandler interface {
+	// ConnectTunnel connects to the instance of a tunnel, or returns the reason not to.
+	ConnectTunnel(r TunnelRequest) (net.Conn, TunnelError)
+	// MayPass returns the reason not to pass on another request of an open tunnel, or "".
+	MayPass(r TunnelRequest) TunnelError
+}
+
+// Gateway carries the tunnels of other daemons.
+type Gateway struct {
+	handler GatewayHandler
+	// limit is the number of tunnels that may be open at once.
+	limit int64
+	open  atomic.Int64
+	// running is the number of tunnels with a request that has no whole answer.
+	running atomic.Int64
+
+	// Opened counts the tunnels that were opened, Passed the requests that were passed on, and Refused
+	// the tunnels and requests that were refused.
+	Opened, Passed, Refused atomic.Int64
+}
+
+// NewGateway returns a gateway for at most limit tunnels.
+func NewGateway(limit int, handler GatewayHandler) *Gateway {
+	return &Gateway{handler: handler, limit: int64(limit)}
+}
+
+// Open returns the number of open tunnels.
+func (g *Gateway) Open() int { return int(g.open.Load()) }
+
+// Running returns the number of requests in progress.
+func (g *Gateway) Running() int { return int(g.running.Load()) }
+
+// Limit returns the number of tunnels that may be open at once.
+func (g *Gateway) Limit() int { return int(g.limit) }
+
+// serve serves a connection on which tunnelPreface has been read.
+func (g *Gateway) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReaderSize(conn, maxFrame)
+	_ = conn.SetReadDeadline(time.Now().Add(openTimeout))
+	var r TunnelRequest
+	if err := gob.NewDecoder(reader).Decode(&r); err != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	defer g.open.Add(-1)
+	var instance net.Conn
+	refused := TunnelBusy
+	if g.open.Add(1) <= g.limit {
+		instance, refused = g.handler.ConnectTunnel(r)
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(CallTimeout))
+	buffer := bufio.NewWriter(conn)
+	// Errors of a bufio.Writer are returned by Flush.
+	_ = gob.NewEncoder(buffer).Encode(TunnelReply{Error: refused})
+	err := buffer.Flush()
+	if refused != "" {
+		g.Refused.Add(1)
+		slog.Info("tunnel.refused", "service", r.Service, "instance", r.Instance, "from", conn.RemoteAddr().String(), "reason", string(refused))
+		return
+	}
+	defer instance.Close()
+	if err != nil {
+		return
+	}
+	g.Opened.Add(1)
+	c := &carried{Gateway: g, request: r, user: conn, instance: instance, frames: frameReader{reader: reader}, writer: frameWriter{conn: conn}}
+	c.run()
+}
+
+// carried is a tunnel at its gateway.
+type carried struct {
+	*Gateway
+	request        TunnelRequest
+	user, instance net.Conn
+	frames         frameReader
+	writer         frameWriter
+	// running is set while a request has no whole answer; only passOn uses it.
+	running bool
+}
+
+func (c *carried) setRunning(running bool) {
+	if running == c.running {
+		return
+	}
+	c.running = running
+	if running {
+		c.Gateway.running.Add(1)
+	} else {
+		c.Gateway.running.Add(-1)
+	}
+}
+
+// run passes bytes on until one side ends. If the user closes the tunnel, the connection to the
+// instance is closed at once, which ends the work there.
+func (c *carried) run() {
+	var back sync.WaitGroup
+	back.Go(c.passBack)
+	c.passOn()
+	c.instance.Close()
+	back.Wait()
+}
+
+// passOn passes requests on until the user closes the tunnel or a request is refused.
+func (c *carried) passOn() {
+	buffer := make([]byte, maxFrame)
+	defer c.setRunning(false)
+	for {
+		kind, payload, err := c.frames.next()
+		if err != nil {
+			return
+		}
+		switch kind {
+		case frameBegin:
+			if refused := c.handler.MayPass(c.request); refused != "" {
+				c.refuse(payload, refused)
+				return
+			}
+			c.setRunning(true)
+			c.Passed.Add(1)
+			slog.Info("request.carried", "request", payload, "instance", c.request.Instance, "from", c.user.RemoteAddr().String())
+		case frameData:
+			if !c.passFrame(buffer) {
+				return
+			}
+		case frameDone:
+			c.setRunning(false)
+		default:
+			return
+		}
+	}
+}
+
+// passFrame passes the data frame being read on. An instance that takes no more bytes may still
+// answer, so only the user ends the tunnel then.
+func (c *carried) passFrame(buffer []byte) bool {
+	for c.frames.left > 0 {
+		n, err := c.frames.readData(buffer)
+		if err != nil {
+			return false
+		}
+		_, _ = c.instance.Write(buffer[:n])
+	}
+	return true
+}
+
+// refuse tells the user that no byte of a request is passed on, and waits until it has closed the
+// tunnel.
+func (c *carried) refuse(id string, reason TunnelError) {
+	c.Refused.Add(1)
+	slog.Info("request.not_carried", "request", id, "instance", c.request.Instance, "from", c.user.RemoteAddr().String(), "reason", string(reason))
+	if c.writeBack(frameRefused, []byte(reason)) == nil {
+		c.awaitClose()
+	}
+}
+
+// awaitClose waits until the user has closed the tunnel.
+func (c *carried) awaitClose() {
+	_ = c.user.SetReadDeadline(time.Now().Add(closeTimeout))
+	_, _ = io.Copy(io.Discard, c.frames.reader)
+}
+
+func (c *carried) writeBack(kind frameKind, payload []byte) error {
+	_ = c.user.SetWriteDeadline(time.Now().Add(tunnelWriteTimeout))
+	return c.writer.write(kind, payload)
+}
+
+// passBack passes answers back until the connection to the instance ends.
+func (c *carried) passBack() {
+	buffer := make([]byte, maxFrame)
+	for {
+		n, err := c.instance.Read(buffer)
+		if n > 0 && c.writeBack(frameData, buffer[:n]) != nil {
+			c.user.Close()
+			return
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		kind := frameReset
+		if err == io.EOF {
+			kind = frameEnd
+		}
+		_ = c.writeBack(kind, nil)
+		// passOn reads until the user has closed the tunnel, but not for long.
+		_ = c.user.SetReadDeadline(time.Now().Add(closeTimeout))
+		return
+	}
+}
+
+// serveConn serves net/rpc calls or a tunnel on a connection.
+func (s *Server) serveConn(conn net.Conn) {
+	if s.gateway == nil {
+		s.serveCalls(conn)
+		return
+	}
+	var first [1]byte
+	if _, err := io.ReadFull(conn, first[:]); err != nil {
+		conn.Close()
+		return
+	}
+	if first[0] == tunnelPreface {
+		s.gateway.serve(conn)
+		return
+	}
+	s.serveCalls(&prefixedConn{Conn: conn, prefix: first[:]})
+}
+
+// prefixedConn is a connection of which some bytes have been read already.
+type prefixedConn struct {
+	net.Conn
+	prefix []byte
+}
+
+// Read implements net.Conn.
+func (c *prefixedConn) Read(p []byte) (int, error) {
+	if len(c.prefix) == 0 {
+		return c.Conn.Read(p)
+	}
+	n := copy(p, c.prefix)
+	c.prefix = c.prefix[n:]
+	return n, nil
+}
+
+var _ syscall.Conn = (*Tunnel)(nil)
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -163,6 +163,7 @@
 	OnQuarantineEvidence(r QuarantineEvidenceRequest) QuarantineEvidence
 	OnQuarantineUpdate(u QuarantineUpdate)
 	OnTermsUpdate(u TermsUpdate)
+	OnReach(r ReachRequest) ReachReply
 }
 
 // routesService exposes a RoutesHandler with the method signatures that net/rpc requires.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,6 +28,8 @@
 	listener net.Listener
 	rpc      *rpc.Server
 	traffic  *Traffic
+	// gateway carries tunnels; nil if there are none.
+	gateway *Gateway
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -36,16 +38,16 @@
 
 // Listen serves the Peer service on address. Without tlsConfig connections are plain TCP.
 func Listen(address string, tlsConfig *tls.Config, handler Handler) (*Server, error) {
-	return listen(address, tlsConfig, serviceName, &service{handler: handler})
+	return listen(address, tlsConfig, serviceName, &service{handler: handler}, nil)
 }
 
-// ListenRoutes serves the Routes service on address, for daemons that serve plain HTTP
+// ListenRoutes serves the Routes service and tunnels on address, for daemons that serve plain HTTP
 // callers.
-func ListenRoutes(address string, handler RoutesHandler) (*Server, error) {
-	return listen(address, nil, routesName, &routesService{handler: handler})
+func ListenRoutes(address string, handler RoutesHandler, gateway *Gateway) (*Server, error) {
+	return listen(address, nil, routesName, &routesService{handler: handler}, gateway)
 }
 
-func listen(address string, tlsConfig *tls.Config, name string, receiver any) (*Server, error) {
+func listen(address string, tlsConfig *tls.Config, name string, receiver any, gateway *Gateway) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -53,12 +55,12 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	return serve(listener, name, receiver)
+	return serve(listener, name, receiver, gateway)
 }
 
-// serve serves a net/rpc service on the connections of a listener.
-func serve(listener net.Listener, name string, receiver any) (*Server, error) {
-	s := &Server{listener: listener, rpc: rpc.NewServer(), traffic: NewTraffic(), conns: map[net.Conn]bool{}}
+// serve serves a net/rpc service on the connections of a listener, and tunnels if gateway is not nil.
+func serve(listener net.Listener, name string, receiver any, gateway *Gateway) (*Server, error) {
+	s := &Server{listener: listener, gateway: gateway, rpc: rpc.NewServer(), traffic: NewTraffic(), conns: map[net.Conn]bool{}}
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -99,12 +101,16 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeCodec(&serverCodec{frameConn: newFrameConn(conn, s.traffic)})
+	s.serveConn(conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
 }
 
+func (s *Server) serveCalls(conn net.Conn) {
+	s.rpc.ServeCodec(&serverCodec{frameConn: newFrameConn(conn, s.traffic)})
+}
+
 // Close closes the listener and all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,131 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+const name = "engines"
+
+// newCutOff returns a tracker that knows that the daemon is cut off.
+func newCutOff(t *testing.T) (*Tracker, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	cutOff(t, tracker)
+	return tracker, clock
+}
+
+func cutOff(t *testing.T, tracker *Tracker) {
+	tracker.Failed(name, "a")
+	tracker.Failed(name, "b")
+	require.True(t, tracker.BeginCheck(name))
+	cut, _ := tracker.EndCheck(name, 1)
+	require.True(t, cut)
+}
+
+// Guards against taking servers that are down for a daemon that is cut off.
+func TestServersThatNobodyReachesAreNoCut(t *testing.T) {
+	tracker := NewTracker(clockwork.NewFakeClock())
+	tracker.Failed(name, "a")
+	tracker.Failed(name, "b")
+	require.Equal(t, []string{name}, tracker.Due())
+	require.True(t, tracker.BeginCheck(name))
+	cut, _ := tracker.EndCheck(name, 0)
+	require.False(t, cut)
+	require.Empty(t, tracker.CutOffServices())
+}
+
+// Guards against asking other daemons for each instance that ends.
+func TestSingleFailedInstanceIsNotAskedAbout(t *testing.T) {
+	tracker := NewTracker(clockwork.NewFakeClock())
+	tracker.Failed(name, "a")
+	require.Empty(t, tracker.FailedInstances(name, 4))
+	require.Equal(t, []string{"a"}, tracker.FailedInstances(name, 1))
+	tracker.Connected(name)
+	tracker.Failed(name, "b")
+	require.Empty(t, tracker.FailedInstances(name, 4))
+}
+
+// Guards against a cut that is concluded after a direct connection has succeeded.
+func TestConnectionDuringCheckWins(t *testing.T) {
+	tracker := NewTracker(clockwork.NewFakeClock())
+	tracker.Failed(name, "a")
+	tracker.Failed(name, "b")
+	require.True(t, tracker.BeginCheck(name))
+	require.False(t, tracker.BeginCheck(name), "one check at a time")
+	tracker.Connected(name)
+	cut, _ := tracker.EndCheck(name, 3)
+	require.False(t, cut)
+}
+
+// Guards against a cut that is noticed only when open connections time out.
+func TestSilentServiceIsChecked(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	tracker.Sent(name)
+	clock.Advance(silentAfter - time.Millisecond)
+	require.Empty(t, tracker.Due())
+	tracker.Heard(name)
+	clock.Advance(silentAfter - time.Millisecond)
+	require.Empty(t, tracker.Due())
+	clock.Advance(time.Millisecond)
+	require.Equal(t, []string{name}, tracker.Due())
+	tracker.Answered(name, true)
+	clock.Advance(time.Minute)
+	require.Empty(t, tracker.Due(), "nothing is waiting")
+}
+
+// Guards against a daemon that stays cut off after its links are back.
+func TestCutEndsAfterProbes(t *testing.T) {
+	tracker, clock := newCutOff(t)
+	end := clock.Now().Add(2 * time.Second)
+	for {
+		clock.Advance(probeInterval)
+		require.True(t, clock.Now().Before(end))
+		require.True(t, tracker.ProbeDue(name))
+		require.False(t, tracker.ProbeDue(name), "one probe at a time")
+		if tracker.Connected(name) {
+			break
+		}
+	}
+	require.Empty(t, tracker.CutOffServices())
+}
+
+// Guards against a daemon that changes its way with each change of a link that comes and goes.
+func TestFlappingLinkNeedsMoreProbes(t *testing.T) {
+	tracker, clock := newCutOff(t)
+	needed := func() int {
+		for n := 1; ; n++ {
+			clock.Advance(probeInterval)
+			if tracker.Connected(name) {
+				return n
+			}
+		}
+	}
+	first := needed()
+	cutOff(t, tracker)
+	clock.Advance(probeInterval)
+	require.False(t, tracker.Connected(name))
+	tracker.Failed(name, "a")
+	require.Greater(t, needed(), first)
+	clock.Advance(flapTime)
+	cutOff(t, tracker)
+	require.Equal(t, first, needed())
+}
+
+// Guards against a slow or silent network that is taken for slow instances.
+func TestUnansweredRequestsOfSilentServiceProveNothing(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	tracker.Sent(name)
+	sentAt := clock.Now()
+	clock.Advance(time.Second)
+	require.False(t, tracker.HeardSince(name, sentAt))
+	tracker.Heard(name)
+	require.True(t, tracker.HeardSince(name, sentAt))
+	tracker.Failed(name, "a")
+	require.False(t, tracker.HeardSince(name, sentAt))
+}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -14,11 +14,15 @@
 // Request is a request to one instance. Its body is in memory, so that it can be sent again to
 // another instance.
 type Request struct {
+	// ID identifies the request in the logs of daemons that pass it on.
+	ID     string
 	Method string
 	// Target is the path and query, byte for byte as the caller sent them.
 	Target string
 	Host   string
-	Header http.Header
+	// Header returns the headers. It is called when the connection is established, since they state
+	// the time that is left.
+	Header func() http.Header
 	Body   []byte
 	// HasBody is set for a request with a body, even an empty one.
 	HasBody bool
@@ -72,11 +76,20 @@
 	return errors.As(err, &e)
 }
 
-// Do sends a request to the instance at address and reads the head of the answer. isAnswer
-// reports whether an answer with the given status and headers is the one to this request.
-// limit bounds the connections of this daemon to the instance; 0 means no limit.
-func (p *Pool) Do(ctx context.Context, address string, limit int, r *Request, isAnswer func(status int, h http.Header) bool) (*Exchange, error) {
-	c, err := p.get(ctx, address, limit)
+// TunneledError wraps an error of an exchange that went through another daemon.
+type TunneledError struct{ Cause error }
+
+// Error implements error.
+func (e *TunneledError) Error() string { return "by tunnel: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *TunneledError) Unwrap() error { return e.Cause }
+
+// Do sends a request to an instance and reads the head of the answer. isAnswer reports whether an
+// answer with the given status and headers is the one to this request. limit bounds the connections
+// of this daemon to the instance; 0 means no limit.
+func (p *Pool) Do(ctx context.Context, to Target, limit int, r *Request, isAnswer func(status int, h http.Header) bool) (*Exchange, error) {
+	c, err := p.get(ctx, to, limit)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -85,10 +98,10 @@
 		err = ErrWithdrawn
 	}
 	if err != nil {
-		p.putUnused(address, c)
+		p.putUnused(to.Address, c)
 		return nil, &NotSentError{Cause: err}
 	}
-	e := &Exchange{pool: p, address: address, conn: c, writeDone: make(chan error, 1)}
+	e := &Exchange{pool: p, address: to.Address, conn: c, writeDone: make(chan error, 1)}
 	e.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go e.write(r)
 	if err := e.readHead(r, isAnswer); err != nil {
@@ -96,10 +109,15 @@
 		if ctxErr := ctx.Err(); ctxErr != nil {
 			err = ctxErr
 		}
-		if !e.writeStarted.Load() {
+		var refused refusal
+		if !e.writeStarted.Load() || errors.As(err, &refused) {
 			return nil, &NotSentError{Cause: err}
 		}
-		return nil, fmt.Errorf("exchange with %s: %w", address, err)
+		err = fmt.Errorf("exchange with %s: %w", to.Address, err)
+		if c.tunnel != nil {
+			err = &TunneledError{Cause: err}
+		}
+		return nil, err
 	}
 	return e, nil
 }
@@ -114,7 +132,7 @@
 	buf = append(buf, " HTTP/1.1\r\nHost: "...)
 	buf = append(buf, r.Host...)
 	buf = append(buf, "\r\n"...)
-	for name, values := range r.Header {
+	for name, values := range r.Header() {
 		for _, value := range values {
 			buf = append(buf, name...)
 			buf = append(buf, ": "...)
@@ -129,6 +147,13 @@
 	}
 	buf = append(buf, "\r\n"...)
 	buf = append(buf, r.Body...)
+	if e.conn.tunnel != nil {
+		if err := e.conn.tunnel.BeginRequest(r.ID); err != nil {
+			_ = e.conn.Close()
+			e.writeDone <- err
+			return
+		}
+	}
 	e.writeStarted.Store(true)
 	_, err := e.conn.Write(buf)
 	e.writeDone <- err
@@ -168,6 +193,15 @@
 	return errNoAnswer
 }
 
+// Gateway returns the address of the daemon through which the request was sent; empty if it was sent
+// directly.
+func (e *Exchange) Gateway() string {
+	if e.conn.tunnel == nil {
+		return ""
+	}
+	return e.conn.tunnel.Gateway()
+}
+
 // Status returns the HTTP status of the answer.
 func (e *Exchange) Status() int { return e.resp.StatusCode }
 
@@ -218,6 +252,10 @@
 		e.discard()
 		return
 	}
+	if e.conn.tunnel != nil && e.conn.tunnel.EndRequest() != nil {
+		e.discard()
+		return
+	}
 	e.closed = true
 	e.conn.usableUntil = time.Now().Add(idleTimeout(e.resp.Header))
 	e.pool.put(e.address, e.conn)
--- a/internal/upconn/exchange_test.go
+++ b/internal/upconn/exchange_test.go
@@ -13,17 +13,19 @@
 	"github.com/stretchr/testify/require"
 )
 
+func noHeader() http.Header { return http.Header{} }
+
 // Guards against sending a request to an instance that was withdrawn after it was chosen,
 // while the connection was being established.
 func TestWithdrawnRequestIsNotSent(t *testing.T) {
 	var arrived atomic.Int32
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
 	defer server.Close()
-	pool := NewPool(NewDialer())
+	pool := NewPool(NewDialer(), nil)
 	withdrawn := true
 	send := func() error {
-		r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IsWithdrawn: func() bool { return withdrawn }}
-		x, err := pool.Do(context.Background(), server.Listener.Addr().String(), 0, r, func(int, http.Header) bool { return true })
+		r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: noHeader, IsWithdrawn: func() bool { return withdrawn }}
+		x, err := pool.Do(context.Background(), Target{Address: server.Listener.Addr().String()}, 0, r, func(int, http.Header) bool { return true })
 		if err == nil {
 			x.Close()
 		}
@@ -56,7 +58,7 @@
 		body := strings.Repeat("x", maxSkippedBytes) + smuggled
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-For: other\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}()
-	r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
-	_, err = NewPool(NewDialer()).Do(t.Context(), listener.Addr().String(), 0, r, func(_ int, h http.Header) bool { return h.Get("X-For") == "me" })
+	r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: noHeader}
+	_, err = NewPool(NewDialer(), nil).Do(t.Context(), Target{Address: listener.Addr().String()}, 0, r, func(_ int, h http.Header) bool { return h.Get("X-For") == "me" })
 	require.ErrorIs(t, err, errOtherAnswer)
 }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,11 +38,62 @@
 // open.
 var ErrNoConnection = errors.New("upstream: no connection is free")
 
+// Target is the instance that a connection leads to.
+type Target struct {
+	// Address is host:port.
+	Address           string
+	Service, Instance string
+}
+
+// Errors of OpenTunnel. Both say nothing about the instance.
+var (
+	// ErrNoGateway means that no other daemon is known that opens a tunnel.
+	ErrNoGateway = errors.New("upstream: cut off, and no other daemon opens a tunnel")
+	// ErrGatewaysBusy means that all gateways have as many tunnels as they can carry.
+	ErrGatewaysBusy = errors.New("upstream: cut off, and no gateway has free capacity")
+)
+
+// Paths chooses between direct connections to instances and tunnels through other daemons.
+type Paths interface {
+	// Tunneled reports whether the instances of a service are reached through other daemons, and
+	// since when.
+	Tunneled(service string) (since time.Time, ok bool)
+	// OpenTunnel opens a tunnel to an instance.
+	OpenTunnel(ctx context.Context, to Target) (Tunnel, error)
+	// NoteDial records the result of a direct connection.
+	NoteDial(to Target, err error)
+}
+
+// Tunnel is a connection to an instance through another daemon.
+type Tunnel interface {
+	net.Conn
+	// BeginRequest announces the request that is written next, and EndRequest states that its whole
+	// answer has been received.
+	BeginRequest(id string) error
+	EndRequest() error
+	// Gateway returns the address of the other daemon.
+	Gateway() string
+}
+
+// refusal is an error with which a tunnel states that it has passed no byte of a request on.
+type refusal interface {
+	error
+	NotPassedOn()
+}
+
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// usableUntil is until when an idle connection may be used again.
-	usableUntil time.Time
+	// tunnel is Conn if that is a tunnel, and otherwise nil.
+	tunnel Tunnel
+	// usableUntil is until when an idle connection may be used again, and idleSince since when it is
+	// idle.
+	usableUntil, idleSince time.Time
+}
+
+func newConn(raw net.Conn) *conn {
+	tunnel, _ := raw.(Tunnel)
+	return &conn{Conn: raw, tunnel: tunnel, reader: bufio.NewReaderSize(raw, bufferSize)}
 }
 
 type host struct {
@@ -55,6 +107,7 @@
 // so keep must not call methods of Pool.
 type Pool struct {
 	dialer Dialer
+	paths  Paths
 	dials  atomic.Int64
 
 	mu    sync.Mutex
@@ -69,65 +122,142 @@
 // NewDialer returns the dialer for connections to upstream instances.
 func NewDialer() Dialer { return dial.Dialer(DialTimeout) }
 
-// NewPool returns an empty pool that opens connections with dialer.
-func NewPool(dialer Dialer) *Pool { return &Pool{hosts: map[string]*host{}, dialer: dialer} }
+// NewPool returns an empty pool that opens direct connections with dialer. paths may be nil if there
+// are only direct ones.
+func NewPool(dialer Dialer, paths Paths) *Pool {
+	return &Pool{hosts: map[string]*host{}, dialer: dialer, paths: paths}
+}
 
-// Dials returns the number of connections opened so far.
+// Dials returns the number of direct connections opened so far.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
 // get returns an idle connection, or a new one while fewer than limit are open.
-func (p *Pool) get(ctx context.Context, address string, limit int) (*conn, error) {
+func (p *Pool) get(ctx context.Context, to Target, limit int) (*conn, error) {
+	tunneledSince, tunneled := p.tunneled(to)
 	for {
-		c, dial := p.takeIdle(address, limit)
+		c, dial := p.takeIdle(to.Address, limit)
 		switch {
-		case c != nil && c.isReusable():
+		case c != nil && c.isReusable() && c.isOnPath(tunneledSince, tunneled):
 			return c, nil
 		case c != nil:
-			p.discard(address, c)
+			p.discard(to.Address, c)
 			continue
 		case !dial:
 			return nil, ErrNoConnection
 		}
-		raw, err := p.dialer.DialContext(ctx, "tcp", address)
+		raw, err := p.open(ctx, to, tunneled)
 		if err != nil {
-			p.removeConn(address)
+			p.removeConn(to.Address)
 			return nil, err
 		}
-		p.dials.Add(1)
-		return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize)}, nil
+		return newConn(raw), nil
 	}
 }
 
-// ProcessEnded reports whether the process that listened at address has certainly ended: no
-// connection to it is alive, and a new one is refused. A server that only resets some
-// connections, or does not answer, has not ended. If the check opens a connection, that is
-// kept for the next request.
-func (p *Pool) ProcessEnded(ctx context.Context, address string) bool {
-	const unlimited = 0
-	c, err := p.get(ctx, address, unlimited)
+func (p *Pool) tunneled(to Target) (since time.Time, ok bool) {
+	if p.paths == nil {
+		return time.Time{}, false
+	}
+	return p.paths.Tunneled(to.Service)
+}
+
+// isOnPath reports whether an idle connection may be used now. While instances are reached through
+// tunnels, that is a direct one only if it has given a whole answer since then: others may have lost
+// their link without a sign. Otherwise it is any direct one.
+func (c *conn) isOnPath(tunneledSince time.Time, tunneled bool) bool {
+	if c.tunnel != nil {
+		return tunneled
+	}
+	return !tunneled || c.idleSince.After(tunneledSince)
+}
+
+// open opens a tunnel or a direct connection.
+func (p *Pool) open(ctx context.Context, to Target, tunneled bool) (net.Conn, error) {
+	if tunneled {
+		return p.paths.OpenTunnel(ctx, to)
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", to.Address)
 	if err == nil {
-		p.putUnused(address, c)
+		p.dials.Add(1)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	if p.paths != nil && ctx.Err() == nil {
+		p.paths.NoteDial(to, err)
+	}
+	return raw, err
 }
 
-// takeIdle takes an idle connection. If there is none, dial reports whether a new one may be
-// opened, which is then already counted as open.
-func (p *Pool) takeIdle(address string, limit int) (c *conn, dial bool) {
+// Probe opens a direct connection to an instance and keeps it for the next request.
+func (p *Pool) Probe(ctx context.Context, to Target) error {
+	p.mu.Lock()
+	p.hostOf(to.Address).open++
+	p.mu.Unlock()
+	raw, err := p.open(ctx, to, false)
+	if err != nil {
+		p.removeConn(to.Address)
+		return err
+	}
+	p.putUnused(to.Address, newConn(raw))
+	return nil
+}
+
+// ProcessEnded reports whether the process that listened at an address refuses connections: no
+// direct connection to it is alive, and a new one is refused. A server that only resets some
+// connections, or does not answer, has not ended. If the check opens a connection, that is kept for
+// the next request.
+func (p *Pool) ProcessEnded(ctx context.Context, to Target) bool {
+	for {
+		c, _ := p.takeIdle(to.Address, noDial)
+		if c == nil {
+			return errors.Is(p.Probe(ctx, to), syscall.ECONNREFUSED)
+		}
+		if c.tunnel == nil && c.isReusable() {
+			p.put(to.Address, c)
+			return false
+		}
+		p.discard(to.Address, c)
+	}
+}
+
+// ReachedSince reports whether a direct connection to an address has given an answer or was
+// established after a time, and is still idle.
+func (p *Pool) ReachedSince(address string, after time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	h, ok := p.hosts[address]
+	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.idleSince.After(after) })
+}
+
+// DialDirect opens a direct connection to an instance that does not belong to the pool.
+func (p *Pool) DialDirect(ctx context.Context, to Target) (net.Conn, error) {
+	return p.open(ctx, to, false)
+}
+
+// hostOf returns the entry of an address, which it adds if there is none. The lock is held.
+func (p *Pool) hostOf(address string) *host {
 	h, ok := p.hosts[address]
 	if !ok {
 		h = &host{}
 		p.hosts[address] = h
 	}
+	return h
+}
+
+// noDial is a limit that allows no new connection.
+const noDial = -1
+
+// takeIdle takes an idle connection. If there is none, dial reports whether a new one may be
+// opened, which is then already counted as open.
+func (p *Pool) takeIdle(address string, limit int) (c *conn, dial bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hostOf(address)
 	// The connection that was returned last is the least likely to have been closed since.
 	if n := len(h.idle); n > 0 {
 		c = h.idle[n-1]
 		h.idle = h.idle[:n-1]
 		return c, false
 	}
-	if limit > 0 && h.open >= limit {
+	if limit == noDial || limit > 0 && h.open >= limit {
 		return nil, false
 	}
 	h.open++
@@ -161,6 +291,7 @@
 
 // put returns a connection to the pool for the next exchange.
 func (p *Pool) put(address string, c *conn) {
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
