--- a/internal/entry/directory_run.go
+++ b/internal/entry/directory_run.go
@@ -59,16 +59,14 @@
 // weightedAddresses returns the addresses for an answer to a caller in a failure domain.
 func (n *Node) weightedAddresses(failureDomain string) []string {
 	now := n.clock.Now()
-	live := n.registry.Live()
+	serving := servingDaemons(n.registry.Live())
 	var all []carrier
 	n.directory.mu.Lock()
-	for _, d := range live {
-		if d.CallerURL != "" {
-			all = append(all, carrier{
-				address: d.CallerURL, near: d.FailureDomain == failureDomain, cpu: d.CPUShare, memory: float64(d.MemoryMB), linkM: d.LinkMbps,
-				late: n.directory.book.level(d.Incarnation, now),
-			})
-		}
+	for _, d := range serving {
+		all = append(all, carrier{
+			address: d.CallerURL, near: d.FailureDomain == failureDomain, cpu: d.CPUShare, memory: float64(d.MemoryMB), linkM: d.LinkMbps,
+			late: n.directory.book.level(d.Incarnation, now),
+		})
 	}
 	n.directory.mu.Unlock()
 	out := chooseAddresses(all, platform.MaxAddresses, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -294,19 +294,17 @@
 	n.requestHeartbeat()
 }
 
-// directoryAddresses returns the addresses for callers of the live daemons, those in the
+// directoryAddresses returns the addresses for callers of the serving daemons, those in the
 // caller's failure domain first: an answer cannot list all daemons of a large fleet.
 func (n *Node) directoryAddresses(_, failureDomain string) []string {
 	if n.overload.DirectoryWeights() {
 		return n.weightedAddresses(failureDomain)
 	}
 	var near, far []string
-	for _, d := range n.registry.Live() {
-		switch {
-		case d.CallerURL == "":
-		case d.FailureDomain == failureDomain:
+	for _, d := range servingDaemons(n.registry.Live()) {
+		if d.FailureDomain == failureDomain {
 			near = append(near, d.CallerURL)
-		default:
+		} else {
 			far = append(far, d.CallerURL)
 		}
 	}
