entry, inventory: a cut daemon tells nobody of losses that its own links caused; gateways that are gone are replaced

Callers saw, in tests of the new tunnels: 502 or 503 after the only known gateway was killed or stopped, though another daemon reached the servers (TestKilledGatewayLosesNoPromise, TestPlannedStopsCutNoTunneledStream); other daemons kept requests away from sound instances for a minute after one daemon's connections were reset (TestCutCondemnsNobody). Cause: gateways were looked for every 700 ms only; a broken connection counted as a lost answer and was reported within 100 ms, before it is known whose fault it was; an idle connection that its server has closed counted as reaching the server.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -33,6 +33,8 @@
 	reachTimeout = upconn.DialTimeout + 150*time.Millisecond
 	// reachedRecently is how long a sign of life of an instance counts as reaching it.
 	reachedRecently = 500 * time.Millisecond
+	// findInterval is the shortest interval at which gateways are looked for while none is known.
+	findInterval = 250 * time.Millisecond
 	// gatewayInterval is the interval at which the free capacity of gateways is asked for.
 	gatewayInterval = 700 * time.Millisecond
 	// tunnelTries is the number of gateways tried for one tunnel.
@@ -42,13 +44,16 @@
 // pathManager knows which services this daemon is cut off from, and the daemons through which it
 // reaches them.
 //
-// Lock order: no other lock is taken while mu is held.
+// Lock order: finding, then mu. No other lock is taken while mu is held.
 type pathManager struct {
 	*Node
 	tracker *reach.Tracker
 	// failed is signalled when a direct connection has failed.
 	failed chan struct{}
 
+	// finding is held while gateways are looked for. It is taken before mu.
+	finding sync.Mutex
+
 	mu sync.Mutex
 	// gateways are the known gateways by service, and refreshed is when they were last asked.
 	gateways  map[string][]gateway
@@ -172,7 +177,7 @@
 			if p.tracker.ProbeDue(service) {
 				go p.probe(ctx, p.sampleTargets(service, 1))
 			}
-			if p.refreshDue(service) {
+			if p.refreshDue(service, gatewayInterval) {
 				go p.refreshGateways(ctx, service)
 			}
 		}
@@ -316,13 +321,13 @@
 	return append([]gateway(nil), p.gateways[service]...)
 }
 
-// refreshDue reports whether the gateways of a service are to be asked again, and counts them as
-// asked.
-func (p *pathManager) refreshDue(service string) bool {
+// refreshDue reports whether the gateways of a service were last asked at least interval ago, and
+// counts them as asked then.
+func (p *pathManager) refreshDue(service string, interval time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	if now.Sub(p.refreshed[service]) < gatewayInterval {
+	if now.Sub(p.refreshed[service]) < interval {
 		return false
 	}
 	p.refreshed[service] = now
@@ -339,8 +344,16 @@
 		r.Instances = append(r.Instances, to.Instance)
 	}
 	reached, _ := p.ask(ctx, p.peersToAsk(service, known[:min(len(known), maxGateways-askedPeers)]), r)
-	if len(reached) > 0 {
-		p.setGateways(service, reached)
+	p.setGateways(service, reached)
+}
+
+// findGateways looks for gateways of a service of which none is known. The requests that need one at
+// the same time wait for the same answer.
+func (p *pathManager) findGateways(ctx context.Context, service string) {
+	p.finding.Lock()
+	defer p.finding.Unlock()
+	if len(p.knownGateways(service)) == 0 && p.refreshDue(service, findInterval) {
+		p.refreshGateways(ctx, service)
 	}
 }
 
@@ -389,6 +402,10 @@
 	busy := false
 	for range tunnelTries {
 		d, noneFree, ok := p.takeGateway(to.Service, tried)
+		if !ok && !noneFree && !busy && unreachable == nil {
+			p.findGateways(ctx, to.Service)
+			d, noneFree, ok = p.takeGateway(to.Service, tried)
+		}
 		busy = busy || noneFree
 		if !ok {
 			break
--- a/internal/forward/proven.go
+++ b/internal/forward/proven.go
@@ -46,7 +46,7 @@
 // connection proves nothing, because a lost one may end in the same way.
 func (a *attempt) noteWhole(outcome inventory.Outcome) {
 	if outcome == inventory.OutcomeSuccess && !a.dropped && a.exchange != nil && a.exchange.IsSelfDelimited() && a.watchesLosses() {
-		a.Table.NoteAnswer(a.instance, true)
+		a.Table.NoteWholeAnswer(a.instance)
 	}
 }
 
@@ -74,10 +74,14 @@
 		return
 	}
 	a.Metrics.LostAnswers.Add(1)
-	if a.Table.NoteAnswer(a.instance, false) {
+	hold := time.Duration(0)
+	if isConnectionBroken(err) {
+		hold = 2 * crashCheckDelay
+	}
+	if a.Table.NoteLoss(a.instance, hold) {
 		slog.Info("instance.unproven", "instance", a.instance.ID, "version", a.instance.Version, "source", "answer", "request", a.request.headers.ID)
 	}
-	if isConnectionBroken(err) {
+	if hold > 0 {
 		time.AfterFunc(crashCheckDelay, func() {
 			_, cutOff := a.Paths.Tunneled(a.service.Name)
 			if cutOff || a.Quarantine.InstanceEnded(a.instance) {
--- a/internal/inventory/proven.go
+++ b/internal/inventory/proven.go
@@ -43,6 +43,8 @@
 	startedAt time.Time
 	// ownLostAt is the last loss that this daemon saw, and lostAt the last that any daemon saw.
 	ownLostAt, lostAt time.Time
+	// heldUntil is until when the loss that this daemon saw is not reported to others.
+	heldUntil time.Time
 	// sound counts whole answers to this daemon since lostAt or startedAt, and fleetSound those
 	// to all daemons.
 	sound, fleetSound int
@@ -73,9 +75,10 @@
 	return p.startedAt
 }
 
-// lost records the loss of an answer to this daemon.
-func (p *proof) lost(now time.Time) {
-	p.ownLostAt = now
+// lost records the loss of an answer to this daemon. It is reported to others after hold, unless
+// notLost withdraws it before.
+func (p *proof) lost(now time.Time, hold time.Duration) {
+	p.ownLostAt, p.heldUntil = now, now.Add(hold)
 	p.restart(now)
 }
 
@@ -137,22 +140,25 @@
 	Sound    int
 }
 
-// NoteAnswer records that an instance has given a whole answer, or has lost one: the connection
-// ended after the request was sent and before the end of the answer, or the answer had no digest.
-// It reports whether the instance was proven until this loss.
-func (t *Table) NoteAnswer(i Instance, whole bool) (first bool) {
+// NoteWholeAnswer records that an instance has given a whole answer.
+func (t *Table) NoteWholeAnswer(i Instance) {
 	t.withEntry(i, func(e *entry) {
-		now := t.clock.Now()
-		_, watched := t.unproven[e]
-		switch {
-		case !whole:
-			first = e.proof.isProven(now)
-			t.unproven[e] = struct{}{}
-			e.proof.lost(now)
-		case watched:
-			e.proof.wholeAnswer(now)
+		if _, watched := t.unproven[e]; watched {
+			e.proof.wholeAnswer(t.clock.Now())
 		}
 	})
+}
+
+// NoteLoss records that an instance has lost an answer: the connection ended after the request was
+// sent and before the end of the answer, or the answer had no digest. Other daemons are told after
+// hold. It reports whether the instance was proven until this loss.
+func (t *Table) NoteLoss(i Instance, hold time.Duration) (first bool) {
+	t.withEntry(i, func(e *entry) {
+		now := t.clock.Now()
+		first = e.proof.isProven(now)
+		t.unproven[e] = struct{}{}
+		e.proof.lost(now, hold)
+	})
 	return first
 }
 
@@ -189,7 +195,7 @@
 	out := make([]LossReport, 0, min(n, len(all)))
 	for _, e := range all[:min(n, len(all))] {
 		p := &e.proof
-		r := LossReport{Instance: e.hash, Lost: !p.ownLostAt.IsZero(), Counted: !p.lostAt.IsZero(), Sound: p.sound}
+		r := LossReport{Instance: e.hash, Lost: !p.ownLostAt.IsZero() && !now.Before(p.heldUntil), Counted: !p.lostAt.IsZero(), Sound: p.sound}
 		if r.Lost {
 			r.LossAge = now.Sub(p.ownLostAt)
 		}
--- a/internal/inventory/proven_load_test.go
+++ b/internal/inventory/proven_load_test.go
@@ -148,7 +148,7 @@
 	}
 	if s.errors == nil && s.isFaulty(c.instance.ID) && s.random.Float64() < lossRate {
 		table.End(c.instance, inventory.OutcomeFailed)
-		table.NoteAnswer(c.instance, false)
+		table.NoteLoss(c.instance, 0)
 		if c.order {
 			s.lost++
 			return
@@ -159,7 +159,7 @@
 	}
 	table.ReportLoad(c.instance, inventory.Load{Running: s.open[c.instance.ID], Slots: lossSlots})
 	table.End(c.instance, inventory.OutcomeSuccess)
-	table.NoteAnswer(c.instance, true)
+	table.NoteWholeAnswer(c.instance)
 	if s.now-c.arrived > lossObjective {
 		s.late++
 	}
--- a/internal/inventory/proven_test.go
+++ b/internal/inventory/proven_test.go
@@ -42,7 +42,7 @@
 func (f *provenFleet) answers(id string, n int) {
 	for _, table := range f.tables {
 		for range n {
-			table.NoteAnswer(instance(id), true)
+			table.NoteWholeAnswer(instance(id))
 		}
 	}
 }
@@ -65,7 +65,7 @@
 	f := newProvenFleet(t, daemons)
 	for range 2 {
 		f.clock.Advance(time.Second)
-		require.True(t, f.tables[0].NoteAnswer(instance("a"), false))
+		require.True(t, f.tables[0].NoteLoss(instance("a"), 0))
 		require.True(t, f.isProven(9, "a"))
 		f.exchange(time.Millisecond)
 		require.False(t, f.isProven(9, "a"))
@@ -87,7 +87,7 @@
 // one that is forgotten early because the daemon that saw it has stopped.
 func TestLossIsForgottenInTime(t *testing.T) {
 	f := newProvenFleet(t, 3)
-	f.tables[0].NoteAnswer(instance("a"), false)
+	f.tables[0].NoteLoss(instance("a"), 0)
 	start := f.clock.Now()
 	for f.clock.Since(start) < lossTime-5*time.Second {
 		f.exchange(300 * time.Millisecond)
@@ -107,13 +107,13 @@
 // report the whole answers since the one before.
 func TestOldCountsDoNotCoverNewLoss(t *testing.T) {
 	f := newProvenFleet(t, 2)
-	f.tables[0].NoteAnswer(instance("a"), false)
+	f.tables[0].NoteLoss(instance("a"), 0)
 	f.exchange(time.Millisecond)
 	f.clock.Advance(5 * time.Second)
 	f.answers("a", soundAfterLoss)
 	f.exchange(time.Millisecond)
 	require.True(t, f.isProven(0, "a"))
-	f.tables[1].NoteAnswer(instance("a"), false)
+	f.tables[1].NoteLoss(instance("a"), 0)
 	f.exchange(time.Millisecond)
 	f.exchange(time.Millisecond)
 	require.False(t, f.isProven(0, "a"))
@@ -125,7 +125,7 @@
 func TestCrashAndStart(t *testing.T) {
 	f := newProvenFleet(t, 1)
 	table := f.tables[0]
-	table.NoteAnswer(instance("a"), false)
+	table.NoteLoss(instance("a"), 0)
 	table.NoteCrash(instance("a"))
 	require.True(t, f.isProven(0, "a"))
 
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -218,13 +218,13 @@
 	}
 }
 
-// ReachedSince reports whether a direct connection to an address has given an answer or was
-// established after a time, and is still idle.
+// ReachedSince reports whether an idle direct connection to an address has given an answer or was
+// established after a time, and is still open.
 func (p *Pool) ReachedSince(address string, after time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[address]
-	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.idleSince.After(after) })
+	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.idleSince.After(after) && c.isReusable() })
 }
 
 // DialDirect opens a direct connection to an instance that does not belong to the pool.
