dial, upconn: a connection with a request under way outlives one and a half seconds of silence

Cause: TCP_USER_TIMEOUT was 1.2 s on all connections, and decides when probes give up, too. Change: 1.2 s while a connection is idle, where its loss costs a new one; 3.3 s while a request is under way: the kernel sends again 0.2, 0.6, 1.4 and 3.0 s after the first time. The cost: a request at a server that lost power without a word is given up up to 2.1 s later, where no time limit of its route comes first.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -19,9 +19,13 @@
 	probeIdle     = 400 * time.Millisecond
 	probeInterval = 300 * time.Millisecond
 	probeCount    = 3
-	// UnackedTimeout closes a connection on which sent data has not been acknowledged for this
-	// time. Probes do not cover this case: they are sent on idle connections only.
-	UnackedTimeout = 1200 * time.Millisecond
+	// IdleTimeout closes a connection on which sent data, or a probe, has not been acknowledged for
+	// this time. The loss of an idle connection costs only a new one.
+	IdleTimeout = 1200 * time.Millisecond
+	// BusyTimeout is the same while a request is under way, whose loss cannot be made good if it must
+	// not be repeated. A sound server may be silent for one and a half seconds; the kernel sends data
+	// again 0.2, 0.6, 1.4 and 3.0 s after the first time.
+	BusyTimeout = 3300 * time.Millisecond
 )
 
 // Dialer returns a dialer whose connections are established within timeout and closed soon
@@ -32,15 +36,32 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
-		Control: setUnackedTimeout,
+		Control: func(_, _ string, c syscall.RawConn) error { return setTimeout(c, IdleTimeout) },
 	}
 }
 
-// setUnackedTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
-func setUnackedTimeout(_, _ string, c syscall.RawConn) error {
+// SetBusy sets whether a request is under way on a connection, and with it for how long the peer may
+// be silent. It does nothing to connections that are not sockets.
+func SetBusy(c net.Conn, busy bool) error {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if busy {
+		return setTimeout(raw, BusyTimeout)
+	}
+	return setTimeout(raw, IdleTimeout)
+}
+
+// setTimeout sets TCP_USER_TIMEOUT, which also decides when keep-alive probes give up.
+func setTimeout(c syscall.RawConn, d time.Duration) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	return errors.Join(err, sockErr)
 }
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 )
 
 // Request is a request to one instance. Its body is in memory, so that it can be sent again to
@@ -101,6 +103,8 @@
 		p.putUnused(to.Address, c)
 		return nil, &NotSentError{Cause: err}
 	}
+	// A connection that is closed already fails when the request is written.
+	_ = dial.SetBusy(c.Conn, true)
 	e := &Exchange{pool: p, address: to.Address, conn: c, writeDone: make(chan error, 1)}
 	e.stopCancelWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go e.write(r)
@@ -256,6 +260,10 @@
 		e.discard()
 		return
 	}
+	if dial.SetBusy(e.conn.Conn, false) != nil {
+		e.discard()
+		return
+	}
 	e.closed = true
 	e.conn.usableUntil = time.Now().Add(idleTimeout(e.resp.Header))
 	e.pool.put(e.address, e.conn)
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -227,9 +227,14 @@
 	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.idleSince.After(after) && c.isReusable() })
 }
 
-// DialDirect opens a direct connection to an instance that does not belong to the pool.
+// DialDirect opens a direct connection to an instance for requests of another daemon. It does not
+// belong to the pool.
 func (p *Pool) DialDirect(ctx context.Context, to Target) (net.Conn, error) {
-	return p.open(ctx, to, false)
+	c, err := p.open(ctx, to, false)
+	if err == nil {
+		_ = dial.SetBusy(c, true)
+	}
+	return c, err
 }
 
 // hostOf returns the entry of an address, which it adds if there is none. The lock is held.
--- a/test/faultdial/faultdial.go
+++ b/test/faultdial/faultdial.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
 
-	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 )
 
@@ -175,7 +175,20 @@
 	if len(c.held) > 0 {
 		since = c.heldSince
 	}
-	return time.Since(since) > dial.UnackedTimeout
+	return time.Since(since) > c.userTimeout()
+}
+
+// userTimeout returns the TCP_USER_TIMEOUT of the connection.
+func (c *conn) userTimeout() time.Duration {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	ms := 0
+	if err := raw.Control(func(fd uintptr) { ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }); err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
 }
 
 // fail ends the connection with an error. The peer notices nothing while packets are lost.
