inventory, forward: requests to fragile instances are bounded by the slots that all daemons share

Cause: what a daemon sends is chosen by reports of load, which are as old at all daemons. Nothing bounds what all of them send together. Change: while the answers of a service say so, the slots of each of its instances are divided between the daemons that may run, by rendezvous order. What does not fit waits in the queue that admission control has, or is refused there as not run. Other services are served as before.

--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -123,6 +123,7 @@
 		Config: n.configVersion(), List: n.table.Revision(), Quarantine: n.quarantine.list.Checksum(), Left: n.table.RecentlyLeaving(),
 		Terms:     n.terms.book.Checksum(n.clock.Now()),
 		Evacuated: n.evacuations.Checksum(), Limits: n.table.RecentLimits(), Live: n.registry.LiveCount(),
+		Fragile: n.table.FragileNews(),
 	}
 	if n.carriesNews(to) {
 		h.News = n.registry.NextUpdates()
@@ -171,6 +172,9 @@
 	n.startup.noteFleet(h.Live)
 	n.mergeLeaving(h)
 	n.mergeLimits(h.Limits, h.From.PeerAddress)
+	for _, service := range n.table.MergeFragile(h.Fragile) {
+		slog.Info("service.fragile", "service", service, "fragile", true, "source", h.From.PeerAddress)
+	}
 	before := n.registry.Epoch()
 	n.registry.Merge(append(h.News, h.From))
 	if n.registry.Epoch() != before {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -200,6 +200,7 @@
 		Meter: n.meter, Account: n.account,
 		BodyBytes: limit.NewByteBudget(s.MemoryMB << 20 / bodyMemoryDivisor), Held: n.held,
 	})
+	n.table.SetRanks(func(instance string) (int, int) { return n.registry.RankAmongPresent("quota/" + instance) })
 	n.duties = newRolloutDuties(n)
 	store.OnRestore(n.onStoreRestored)
 	return n
--- a/internal/forward/admission_service.go
+++ b/internal/forward/admission_service.go
@@ -53,6 +53,13 @@
 	return s.rate
 }
 
+// setRate sets what expectedRate returns.
+func (s *serviceLoad) setRate(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate = rate
+}
+
 // noteObjective records the objective of a request and returns the shortest recent one.
 func (s *serviceLoad) noteObjective(objective time.Duration, now time.Time) time.Duration {
 	if objective <= 0 {
--- a/internal/forward/admission_wait.go
+++ b/internal/forward/admission_wait.go
@@ -36,6 +36,9 @@
 	version string
 	// granted is the instance at which the request was granted and has not begun.
 	granted string
+	// hasQuota is set if lastReserved counts against this daemon's quota there.
+	hasQuota     bool
+	lastReserved inventory.Instance
 	// hasWaited is set once the request has been queued.
 	hasWaited bool
 	// work is the expected time of the answer, in seconds; 0 before the first attempt.
@@ -46,7 +49,13 @@
 
 // isQueued reports whether the request may have to wait for capacity.
 func (q *request) isQueued() bool {
-	return q.admission != nil && q.Overload != nil && q.Overload.Admission(q.service.Name)
+	return q.admission != nil && (q.admitsByLoad() || q.Table.IsFragile(q.service.Name))
+}
+
+// admitsByLoad reports whether the request may only use capacity that is free by the load of all
+// instances.
+func (q *request) admitsByLoad() bool {
+	return q.Overload != nil && q.Overload.Admission(q.service.Name)
 }
 
 // reserveFree chooses an instance with free capacity. If there is none, the request waits in the
@@ -79,6 +88,14 @@
 	if q.blocked && r.err != nil {
 		return r, false
 	}
+	if r.err == nil && r.picked.HasQuota {
+		// Without any quota, place.WithQuota allows one request.
+		if !q.Table.ReserveQuota(r.instance, max(r.picked.Quota, 1)) {
+			q.blocked, q.version = true, r.instance.Version
+			return r, false
+		}
+		q.hasQuota, q.lastReserved = true, r.instance
+	}
 	if r.err == nil {
 		q.granted = r.instance.ID
 		q.admission.noteGranted(q.granted)
@@ -94,17 +111,33 @@
 		return all
 	}
 	now := time.Now()
-	rule := capacityRule{objective: q.objective, engine: q.service.Engine, keepsPrompts: q.service.Engine && q.placementKey() != "", prefillRate: rateWork / q.prefillRate.Estimate(rateWork, now).Seconds()}
-	free := q.load.free(all, rule, q.admission.grantedCounts(), q.fleetView(len(all)), rand.Float64, now)
-	if len(free) == 0 {
-		q.blocked = true
-		if instance, ok := q.Table.Get(all[0].ID); ok {
-			q.version = instance.Version
-		}
+	granted := q.admission.grantedCounts()
+	withQuota := place.WithQuota(all, granted)
+	if !q.admitsByLoad() {
+		q.load.setRate(place.TotalQuota(all))
+	}
+	if len(withQuota) == 0 || !q.admitsByLoad() {
+		q.noteBlocked(all, withQuota)
+		return withQuota
 	}
+	all = withQuota
+	rule := capacityRule{objective: q.objective, engine: q.service.Engine, keepsPrompts: q.service.Engine && q.placementKey() != "", prefillRate: rateWork / q.prefillRate.Estimate(rateWork, now).Seconds()}
+	free := q.load.free(all, rule, granted, q.fleetView(len(all)), rand.Float64, now)
+	q.noteBlocked(all, free)
 	return free
 }
 
+// noteBlocked records whether none of the candidates has free capacity.
+func (q *request) noteBlocked(all, free []place.Candidate) {
+	if len(free) > 0 {
+		return
+	}
+	q.blocked = true
+	if instance, ok := q.Table.Get(all[0].ID); ok {
+		q.version = instance.Version
+	}
+}
+
 // rateWork is the work for which the time is estimated to get a rate.
 const rateWork = 1e6
 
@@ -133,7 +166,7 @@
 	}
 	organisation := q.organisationName()
 	q.meter().Arrived(q.service.Name, organisation, q.work)
-	if q.Overload.FairShares(q.service.Name) {
+	if q.Overload != nil && q.Overload.FairShares(q.service.Name) {
 		fraction, limited := q.account().Share(q.service.Name, organisation)
 		q.beyondShare = limited && rand.Float64() >= fraction
 	}
@@ -231,6 +264,10 @@
 		q.admission.noteBegun(q.granted)
 		q.granted = ""
 	}
+	if q.hasQuota {
+		q.Table.ReleaseQuota(q.lastReserved)
+		q.hasQuota = false
+	}
 }
 
 // noteEnded updates what admission control knows of the service after an attempt, and grants the
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -208,6 +208,7 @@
 		q.Table.BackOff(a.instance, a.answerHeaders.BackOff)
 		slog.Info("instance.resting", "instance", a.instance.ID, "rest_ms", a.answerHeaders.BackOff.Milliseconds(), "request", a.request.headers.ID)
 	}
+	a.noteFragile()
 	if a.answerHeaders.NotRun {
 		return &refusedError{instance: a.instance.ID}
 	}
@@ -283,6 +284,22 @@
 	}
 }
 
+// noteFragile records whether the answer states that the service is fragile. An instance that refuses
+// the request gets no other one for a moment then.
+func (a *attempt) noteFragile() {
+	if a.answerHeaders.WrongInstance {
+		return
+	}
+	service := a.service.Name
+	if a.Table.NoteFragile(service, a.answerHeaders.Fragile, a.sentAt) {
+		slog.Info("service.fragile", "service", service, "fragile", a.answerHeaders.Fragile, "instance", a.instance.ID, "request", a.request.headers.ID)
+		a.NotifyPeers()
+	}
+	if a.answerHeaders.NotRun {
+		a.Table.NoteRefused(a.instance)
+	}
+}
+
 // acceptAnswer reports whether an answer belongs to this request, and if so stores the values
 // of its headers. Only an error answer may come without a request ID.
 func (a *attempt) acceptAnswer(status int, h http.Header) bool {
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -145,7 +145,7 @@
 	}
 	return place.Candidate{
 		ID: v.Instance.ID, Local: v.Instance.FailureDomain == s.FailureDomain, Slots: v.Instance.Slots,
-		Load: v.Load, Open: v.Open, Waiting: v.Waiting, Prefill: s.uncachedPrefill(s.work, v.Instance), Ejected: v.Ejected,
+		Load: v.Load, InFlight: v.InFlight, Quota: v.Quota, HasQuota: v.HasQuota, Open: v.Open, Waiting: v.Waiting, Prefill: s.uncachedPrefill(s.work, v.Instance), Ejected: v.Ejected,
 		Warming: v.Warming, Wait: v.Wait, NoTurn: v.NoTurn, ProbeDue: v.ProbeDue, Canary: s.canary, Factor: factor,
 		Proof:  place.Proof{Unproven: !v.Proven, LostAt: v.LostAt},
 		Tokens: s.tokensAt(v), NoConnection: s.connections > 0 && v.InFlight >= s.connections,
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -80,6 +80,9 @@
 	HasLimit        bool
 	LimitUnreadable bool
 
+	// Fragile is set if the instance states that it fails when it has to refuse too many requests.
+	Fragile bool
+
 	Load          inventory.Load
 	HasLoad       bool
 	Confidence    int
--- a/internal/inventory/table.go
+++ b/internal/inventory/table.go
@@ -44,6 +44,7 @@
 	removeAt time.Time
 	health   health
 	budget   budget
+	quota    quota
 	proof    proof
 	// errors is nil until the instance has answered a request for which errors count.
 	errors *errorRecord
@@ -95,6 +96,9 @@
 	NoTurn bool
 	// ProbeDue is set if a request is needed to find out whether Limit still applies.
 	ProbeDue bool
+	// Quota is how many requests this daemon may have open there, if HasQuota is set.
+	Quota    int
+	HasQuota bool
 	// Speed is how many times as long as usual the instance takes.
 	Speed speed.Factor
 	// OwnTokens is the memory that this daemon's open requests take there.
@@ -112,7 +116,7 @@
 
 // Table is the table of upstream instances.
 //
-// Lock order: mu is held while the ShareFunc is called, which may take other locks but must not
+// Lock order: mu is held while the ShareFunc and the RankFunc are called, which may take other locks but must not
 // call methods of Table. shift.Tracker holds its lock when it calls InFlight.
 type Table struct {
 	clock clockwork.Clock
@@ -171,6 +175,9 @@
 	// of a budget.
 	warmUps map[string]catalog.WarmUp
 	shareOf ShareFunc
+	// fragile contains the services with fragile instances. rankOf ranks this daemon for quotas.
+	fragile map[string]fragility
+	rankOf  RankFunc
 }
 
 // NewTable returns an empty table.
@@ -179,6 +186,7 @@
 		clock: clock, entries: map[string]*entry{}, index: index{}, names: map[string]string{}, addresses: map[string]int{},
 		missing: map[*entry]struct{}{}, busy: map[*entry]struct{}{}, unproven: map[*entry]struct{}{}, watched: map[*entry]struct{}{}, summed: map[*entry]struct{}{}, errorShares: map[serviceRoute]*errorShare{}, excused: map[string]bool{}, firstListed: map[string]map[string]time.Time{}, leavingAt: map[Incarnation]time.Time{}, removedAt: map[Incarnation]time.Time{},
 		evacuated: map[string]bool{}, limits: map[Incarnation]limitRecord{}, shared: map[string]bool{}, sampled: map[*entry]struct{}{}, unsent: map[*entry]struct{}{}, otherSpeeds: map[InstanceHash]speed.Others{}, shareOf: func(string, float64) pacing.Share { return pacing.Share{} },
+		fragile: map[string]fragility{}, rankOf: func(string) (int, int) { return 0, 1 },
 	}
 }
 
@@ -195,6 +203,7 @@
 func (t *Table) view(e *entry, now time.Time) View {
 	turn := t.turn(e, now)
 	limit, limited := t.limitOf(e)
+	quota, hasQuota := t.quotaOf(e, now)
 	proven, provenSince, lostAt := t.proofOf(e, now)
 	// A report of the instance has the requests of callers that have gone, too.
 	orphaned, _ := t.orphansOf(e, now)
@@ -211,6 +220,8 @@
 		Wait:     turn.Wait,
 		NoTurn:   turn.NotOwner,
 		ProbeDue: t.isProbeDue(e, now),
+		Quota:    quota,
+		HasQuota: hasQuota,
 		Speed:    t.factor(e, now),
 		Proven:   proven, ProvenSince: provenSince, LostAt: lostAt,
 
--- a/internal/member/ranking.go
+++ b/internal/member/ranking.go
@@ -23,6 +23,34 @@
 	return best == r.self.Incarnation
 }
 
+// RankAmongPresent returns the rank of this daemon, counted from 0, among the daemons that may still
+// run, in rendezvous order for name, and their number. A suspected daemon is counted unless a live
+// one has its address. Daemons with the same table have different ranks.
+func (r *Registry) RankAmongPresent(name string) (rank, count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	live := map[string]bool{}
+	if r.states[Suspect] > 0 {
+		for _, d := range r.sorted {
+			if d.State == Alive {
+				live[d.PeerAddress] = true
+			}
+		}
+	}
+	own := weight(name, r.self.Incarnation)
+	for i := range r.sorted {
+		d := &r.sorted[i]
+		if d.State == Left || d.State == Suspect && live[d.PeerAddress] {
+			continue
+		}
+		count++
+		if w := weight(name, d.Incarnation); w > own || w == own && d.Incarnation > r.self.Incarnation {
+			rank++
+		}
+	}
+	return rank, count
+}
+
 // TopRanked returns the first n live daemons that keep accepts, in rendezvous order for name.
 // All daemons with the same table get the same order, and a daemon that comes or goes does not
 // change the order of the others. keep is called with the registry locked and must not call
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -43,6 +43,9 @@
 	// Limited is a checksum of all limits in force; 0 if there are none.
 	Limits  []inventory.Limit
 	Limited uint64
+	// Fragile are the services of which an instance has told the sender within the last seconds that it
+	// fails when it has to refuse too many requests.
+	Fragile []string
 	// Live is the number of live daemons that the sender knows. A daemon that starts knows few
 	// of them yet.
 	Live int
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,8 +19,10 @@
 	Local bool
 	// Slots is the number of requests that the instance processes concurrently.
 	Slots int
-	// Load is the estimated number of requests there, from the last report of the instance.
-	Load float64
+	// Load is the estimated number of requests there, from the last report of the instance. InFlight
+	// is this daemon's part of it.
+	Load     float64
+	InFlight int
 	// Open is the number of open requests there, according to the reports that daemons
 	// exchange.
 	Open int
@@ -48,6 +50,10 @@
 	Factor float64
 	// Tokens is the memory that the requests at an engine take.
 	Tokens float64
+	// Quota is how many requests this daemon may have open there, if HasQuota is set: its service is
+	// fragile.
+	Quota    int
+	HasQuota bool
 	// NoConnection is set if this daemon has no connection left for the instance.
 	NoConnection bool
 	Proof
@@ -114,6 +120,40 @@
 	return all
 }
 
+// TotalQuota returns how many requests this daemon may have open at all of the instances.
+func TotalQuota(all []Candidate) float64 {
+	sum := 0
+	for _, c := range all {
+		sum += c.Quota
+	}
+	return float64(sum)
+}
+
+// WithQuota returns the instances to which this daemon may send a request. granted is the number of
+// requests that it is about to send, by instance.
+//
+// A daemon that has no quota at any instance, because there are more daemons than slots, uses those
+// that report at least half of their slots free.
+func WithQuota(all []Candidate, granted map[string]int) []Candidate {
+	any, sum := false, 0
+	for _, c := range all {
+		any = any || c.HasQuota
+		sum += c.Quota
+	}
+	if !any {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool {
+		switch {
+		case !c.HasQuota:
+			return false
+		case sum <= 0:
+			return c.InFlight+granted[c.ID] > 0 || 2*c.Load > float64(c.Slots)
+		}
+		return c.InFlight+granted[c.ID] >= c.Quota
+	})
+}
+
 // Ready removes instances that may not receive requests yet if there are others. If all have
 // to be waited for, it returns only the one with the shortest wait, preferably one at which
 // this daemon has a turn.
--- a/test/routes/cut_off_test.go
+++ b/test/routes/cut_off_test.go
@@ -53,11 +53,16 @@
 	replies map[*daemon][]timedReply
 }
 
-// callInterval is the mean time between two calls to a daemon.
+// callInterval is the usual mean time between two calls to a daemon.
 const callInterval = 48 * time.Millisecond
 
 // startCallerLoad sends calls to the paths in turn to each daemon until stop is called.
 func (s *testbed) startCallerLoad(daemons []*daemon, paths ...string) *callerLoad {
+	return s.startCallerLoadEvery(callInterval, daemons, paths...)
+}
+
+// startCallerLoadEvery is startCallerLoad with the given mean time between two calls to a daemon.
+func (s *testbed) startCallerLoadEvery(interval time.Duration, daemons []*daemon, paths ...string) *callerLoad {
 	l := &callerLoad{testbed: s, replies: map[*daemon][]timedReply{}}
 	done := make(chan struct{})
 	var all sync.WaitGroup
@@ -67,7 +72,7 @@
 				select {
 				case <-done:
 					return
-				case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(callInterval))):
+				case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(interval))):
 				}
 				c := s.newCall(paths[n%len(paths)])
 				all.Go(func() { l.sendTo(d, c) })
