test/routes: the soak cuts daemons off, and silences servers

Faults: one daemon or most of them lose their links to all servers or to one service, by resets, hanging or refused connections, for at most 2.5 s, a third of them coming and going; a server is silent for all daemons for up to 1.5 s. The soak's daemons are those whose connections can be cut.

--- a/test/faultdial/faultdial.go
+++ b/test/faultdial/faultdial.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -91,11 +93,16 @@
 // Write puts a fault in force in the daemons that follow the control file at path.
 func Write(path string, f Fault, addresses ...string) error {
 	text := strings.Join(append([]string{string(f)}, addresses...), " ")
-	next := path + ".next"
-	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+	// A daemon must not read a part of the text, and several goroutines may write.
+	next, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, writeErr := next.WriteString(text)
+	if err := errors.Join(writeErr, next.Close()); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(os.Rename(next, path))
+	return trace.Wrap(os.Rename(next.Name(), path))
 }
 
 // DialContext implements upconn.Dialer.
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -21,6 +21,7 @@
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+	"github.com/hornbeamsill/hornbeamsill/test/faultdial"
 )
 
 // The soak test runs real daemons under a load of all kinds of requests, and injects faults
@@ -38,7 +39,7 @@
 )
 
 // soakFaultKinds is the number of kinds of faults in injectFault.
-const soakFaultKinds = 17
+const soakFaultKinds = 20
 
 // soakCase is a seed with the number of kinds of faults. The draws depend on both, so the
 // number of a listed seed does not change when injectFault gets more kinds.
@@ -220,7 +221,7 @@
 		seeds = append(seeds, d.peerAddress)
 	}
 	s.mu.Unlock()
-	d := s.startDaemon(func(r *settings.Routes) {
+	d := s.startProcess(func(r *settings.Routes) {
 		r.Platform = proxy.Address()
 		r.Seeds = append([]string{}, seeds...)
 		r.StopS = 4
@@ -231,7 +232,7 @@
 				RestartSurvey: on, DirectoryWeights: on,
 			}
 		}
-	})
+	}, binaries.StartFaultDaemon)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeProxies[d] = proxy
@@ -361,7 +362,54 @@
 		s.limitServer(s.drawPlace())
 	case 16:
 		s.restoreStore()
+	case 17:
+		s.cutOff(d)
+	case 18:
+		// Most daemons, one after the other.
+		for range soakDaemons - 1 {
+			s.cutOff(s.pickDaemon(s.random))
+		}
+	case 19:
+		s.silenceServer(s.serverAt(s.drawPlace()).Address())
+	}
+}
+
+// cutOff cuts a daemon off from all servers, or from those of one service, in one of the ways in which
+// networks fail. A third of the cuts come and go.
+func (s *soak) cutOff(d *daemon) {
+	f := []faultdial.Fault{faultdial.Reset, faultdial.Refuse, faultdial.Hang}[s.random.IntN(3)]
+	var addresses []string
+	if s.random.IntN(3) == 0 {
+		for i := range 3 {
+			addresses = append(addresses, s.serverAt(fmt.Sprint("cat-", i)).Address())
+		}
+	}
+	s.setFault(d, f, addresses...)
+	if s.random.IntN(3) == 0 {
+		s.undoLater(func() { s.setFault(d, faultdial.None) })
+		s.undoLater(func() { s.setFault(d, f, addresses...) })
 	}
+	s.undoing.Go(func() {
+		<-time.After(soakFaultTime)
+		s.setFault(d, faultdial.None)
+	})
+}
+
+// silenceServer loses the packets between all daemons and a server for at most one and a half seconds.
+func (s *soak) silenceServer(address string) {
+	s.mu.Lock()
+	live := append([]*daemon{}, s.live...)
+	s.mu.Unlock()
+	for _, d := range live {
+		s.setFault(d, faultdial.Hang, address)
+	}
+	silence := time.Duration(s.random.Int64N(int64(1500 * time.Millisecond)))
+	s.undoing.Go(func() {
+		<-time.After(silence)
+		for _, d := range live {
+			s.setFault(d, faultdial.None)
+		}
+	})
 }
 
 // restoreStore restores the store from a backup after an outage. The operator and the servers
@@ -556,7 +604,7 @@
 			if received.Behaviour.Runs() {
 				runs[received.ID]++
 			}
-			require.Equal(s.t, "visrad", received.Organisation)
+			require.Equal(s.t, "visrad", received.Organisation, "%+v at %s", received, id)
 		}
 	}
 	served := 0
