--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/entry"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform"
 )
@@ -99,6 +101,14 @@
 	return fmt.Sprintf("%v since %s", v.Proven, v.ProvenSince.UTC().Format(time.RFC3339))
 }
 
+// formatCutOff formats the services whose instances a daemon does not reach.
+func formatCutOff(d member.Daemon) string {
+	if len(d.CutOff) == 0 {
+		return "none"
+	}
+	return strings.Join(d.CutOff, ",")
+}
+
 func printStatus(w io.Writer, status entry.DaemonStatus) {
 	printLine(w, "daemon\t%s\tready %v\treads the store %v\tstale %v", status.Instance, status.Ready, status.Reader, status.Stale())
 	printLine(w, "config\tversion %d\t%d ms old\tbody limit %d bytes", status.Config.Version, status.Config.AgeMS, status.Config.Limits.BodyBytes)
@@ -118,6 +128,6 @@
 		printLine(w, "rollout\t%s\tto %s\t%s\tshare %.2f", s.Service, s.To, s.Phase, s.Share)
 	}
 	for _, d := range status.Daemons {
-		printLine(w, "daemon\t%s\t%s\t%s\t%s", d.PeerAddress, d.State, d.FailureDomain, d.CallerURL)
+		printLine(w, "daemon\t%s\t%s\t%s\t%s\tcut off from %s", d.PeerAddress, d.State, d.FailureDomain, d.CallerURL, formatCutOff(d))
 	}
 }
--- a/test/routes/tunnel_test.go
+++ b/test/routes/tunnel_test.go
@@ -428,3 +428,92 @@
 	})
 	require.Less(t, time.Since(at), cutEndedAfter+time.Second)
 }
+
+// Guards against a sound version that is rolled back because one daemon's links break its answers.
+func TestCutDoesNotRollBackAVersion(t *testing.T) {
+	for _, f := range []faultdial.Fault{faultdial.Reset, faultdial.Hang} {
+		t.Run(string(f), func(t *testing.T) {
+			s := newTestbed(t)
+			for i := range 2 {
+				s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("old-", i), Service: engineService, Events: 10, Delay: 20 * time.Millisecond, Confidence: map[string]int{"small": 90}})
+			}
+			for range 3 {
+				s.startFaultDaemon()
+			}
+			stop := s.startSessions(12)
+			defer stop()
+			for i := range 2 {
+				s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("new-", i), Service: engineService, Version: "v2", Events: 10, Delay: 20 * time.Millisecond, Confidence: map[string]int{"small": 90}})
+			}
+			s.store.OrderRollout(engineService, "v2", rolloutTime)
+			s.waitRolloutState(engineService, "running")
+			flapped := make(chan struct{})
+			go func() {
+				defer close(flapped)
+				for range 3 {
+					s.setFault(s.daemons[0], f)
+					<-time.After(900 * time.Millisecond)
+					s.setFault(s.daemons[0], faultdial.None)
+					<-time.After(300 * time.Millisecond)
+				}
+			}()
+			s.waitRolloutState(engineService, "completed")
+			<-flapped
+			require.True(t, s.daemons[0].logsContain("service.cut_off"))
+		})
+	}
+}
+
+// Guards against a daemon that loses requests with each change of a link that comes and goes.
+func TestFlappingCutServesCallers(t *testing.T) {
+	for _, f := range []faultdial.Fault{faultdial.Reset, faultdial.Refuse} {
+		t.Run(string(f), func(t *testing.T) {
+			s := newTestbed(t)
+			for i := range 4 {
+				s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("cat-", i), Service: plainService, Delay: 20 * time.Millisecond})
+			}
+			for range 4 {
+				s.startFaultDaemon()
+			}
+			load := s.startCallerLoad(s.daemons, pathSafe, pathUnsafe)
+			<-time.After(500 * time.Millisecond)
+			from := time.Now()
+			for range 4 {
+				s.setFault(s.daemons[0], f)
+				<-time.After(time.Second)
+				s.setFault(s.daemons[0], faultdial.None)
+				<-time.After(time.Second)
+			}
+			to := time.Now()
+			load.stop()
+			load.requireAtMostOnce()
+			served, sent := load.served(s.daemons[:1], from, to)
+			othersServed, othersSent := load.served(s.daemons[1:], from, to)
+			t.Logf("cut off: %d of %d served, others: %d of %d; %d cuts", served, sent, othersServed, othersSent, strings.Count(s.daemons[0].Log(), "service.cut_off"))
+			require.Equal(t, othersSent, othersServed)
+			require.GreaterOrEqual(t, float64(served)/float64(sent), cutServedShare)
+		})
+	}
+}
+
+// Guards against a request that crashes each server that runs it, and is not refused because it comes
+// over a gateway.
+func TestTunneledPoisonIsQuarantined(t *testing.T) {
+	const size = 9
+	s := newTestbed(t)
+	p := s.newPool(engineService, 8, size)
+	for range 3 {
+		s.startFaultDaemon()
+	}
+	cutOff := s.daemons[0]
+	s.setFault(cutOff, faultdial.Reset)
+	s.eventually(func() error {
+		if s.send(s.newCall(pathStream), cutOff).Status != http.StatusOK || !cutOff.logsContain("service.cut_off") {
+			return trace.Errorf("not served")
+		}
+		return nil
+	})
+	p.crashUntilRefused(size, cutOff)
+	require.LessOrEqual(t, p.endedServers(), 5)
+	require.Contains(t, s.send(s.poisonCall(pathStream), s.daemons[1]).Body, "request_quarantined")
+}
