--- /dev/null
+++ b/internal/forward/paths_test.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+)
+
+// switchedPaths is a Paths of a daemon that may be cut off from a silent service.
+type switchedPaths struct {
+	directPaths
+	cutOff, heard atomic.Bool
+}
+
+func (p *switchedPaths) Tunneled(string) (since time.Time, ok bool) {
+	return time.Time{}, p.cutOff.Load()
+}
+func (p *switchedPaths) HeardSince(string, time.Time) bool { return p.heard.Load() }
+
+// Guards against a sound version that is judged by answers that this daemon's own links broke, also
+// by those that broke before it is known that the daemon is cut off.
+func TestBrokenConnectionsOfACutOffDaemonAreNoEvidence(t *testing.T) {
+	for _, cutOff := range []bool{true, false} {
+		v, paths := &observationRecorder{}, &switchedPaths{}
+		a := newStreamAttempt(v)
+		a.Paths, a.broken = paths, true
+		a.observeLater()
+		require.Empty(t, v.all)
+		paths.cutOff.Store(cutOff)
+		<-time.After(crashCheckDelay + 100*time.Millisecond)
+		if cutOff {
+			require.Empty(t, v.all)
+			continue
+		}
+		require.Len(t, v.all, 1)
+		require.True(t, v.all[0].Bad)
+	}
+}
+
+// Guards against instances that are ejected, or versions that are judged, by requests that got no
+// answer because nothing came through.
+func TestOutcomeOfThePathIsNotThatOfTheInstance(t *testing.T) {
+	paths := &switchedPaths{}
+	a := newStreamAttempt(&observationRecorder{})
+	a.Paths = paths
+	require.Equal(t, inventory.OutcomeNone, a.pathOutcome(inventory.OutcomeTimeout, errHeadTimeout))
+	paths.heard.Store(true)
+	require.Equal(t, inventory.OutcomeTimeout, a.pathOutcome(inventory.OutcomeTimeout, errHeadTimeout))
+	require.Equal(t, inventory.OutcomeFailed, a.pathOutcome(inventory.OutcomeFailed, io.ErrUnexpectedEOF))
+	a.tunneled = true
+	require.Equal(t, inventory.OutcomeNone, a.pathOutcome(inventory.OutcomeFailed, io.ErrUnexpectedEOF))
+	require.Equal(t, inventory.OutcomeFailed, a.pathOutcome(inventory.OutcomeFailed, &serverError{status: 500}), "the instance has answered")
+	require.Equal(t, inventory.OutcomeFailed, a.pathOutcome(inventory.OutcomeFailed, errUnverifiable))
+}
--- a/test/routes/tunnel_test.go
+++ b/test/routes/tunnel_test.go
@@ -180,11 +180,15 @@
 	})
 }
 
+// stopEvents is the number of events, 50 ms apart, of streams that last longer than the time in which
+// a stopping daemon accepts requests.
+const stopEvents = 95
+
 // Guards against streams that are cut by a planned stop of either daemon on their way.
 func TestPlannedStopsCutNoTunneledStream(t *testing.T) {
 	for _, stopsGateway := range []bool{true, false} {
 		t.Run(fmt.Sprint("gateway=", stopsGateway), func(t *testing.T) {
-			b := newCutBed(t, 2, faultdial.Hang, 40, 50*time.Millisecond, nil)
+			b := newCutBed(t, 2, faultdial.Hang, stopEvents, 50*time.Millisecond, nil)
 			b.startFaultDaemon()
 			streams := make(chan platformtest.Reply, 4)
 			var calls []platformtest.Call
@@ -208,7 +212,7 @@
 			for range cap(streams) {
 				r := <-streams
 				require.NoError(t, r.Err)
-				require.Equal(t, eventStream(r.ID, 40), r.Body)
+				require.Equal(t, eventStream(r.ID, stopEvents), r.Body)
 			}
 			for _, c := range calls {
 				require.Len(t, b.serversThatRan(c.ID), 1, "the stream was not resumed")
