forward, entry: streams under way are resumed through other daemons when a daemon is cut off

Cause: only new connections went another way; the longer time for silent servers made the wait longer. Change: 400 ms after the beginning of a cut, attempts that may be repeated are ended if no open connection to the service has given a sign of life; they are made again through gateways within the budget of retries. Those that must not be repeated go on. Where open connections live on, nothing is ended.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -33,6 +33,9 @@
 	reachTimeout = upconn.DialTimeout + 150*time.Millisecond
 	// reachedRecently is how long a sign of life of an instance counts as reaching it.
 	reachedRecently = 500 * time.Millisecond
+	// abortAfter is the time after the beginning of a cut in which open connections may give a sign of
+	// life.
+	abortAfter = 400 * time.Millisecond
 	// findInterval is the shortest interval at which gateways are looked for while none is known.
 	findInterval = 250 * time.Millisecond
 	// gatewayInterval is the interval at which the free capacity of gateways is asked for.
@@ -199,6 +202,17 @@
 		p.table.ForgiveFailures(service)
 		slog.Warn("service.cut_off", "service", service, "failed", strings.Join(evidence.Failed, ","), "reached_by", evidence.Peers)
 		p.announceCuts()
+		p.clock.AfterFunc(abortAfter, func() { p.abortSilent(service) })
+	}
+}
+
+// abortSilent ends the attempts over open connections to a service if these have lost their link, too.
+func (p *pathManager) abortSilent(service string) {
+	if !p.tracker.IsSilent(service) {
+		return
+	}
+	if n := p.handler.AbortDirect(service); n > 0 {
+		slog.Info("attempts.aborted", "service", service, "count", n)
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -51,7 +52,9 @@
 	// tunneled is set if the attempt goes through another daemon, and broken if it ended because the
 	// direct connection broke.
 	tunneled, broken bool
-	span             oteltrace.Span
+	// pathLost is set once the attempt is ended because this daemon is cut off.
+	pathLost atomic.Bool
+	span     oteltrace.Span
 }
 
 // refusedError means that the instance refused the request and did not run it.
@@ -115,6 +118,9 @@
 	if timer != nil && !timer.Stop() && err != nil && ctx.Err() != nil && q.r.Context().Err() == nil {
 		err = errHeadTimeout
 	}
+	if err != nil && a.pathLost.Load() {
+		err = errPathLost
+	}
 	if err != nil {
 		a.fail(err)
 		return nil, err
@@ -229,6 +235,9 @@
 	_, a.tunneled = a.Paths.Tunneled(service)
 	if !a.tunneled {
 		a.Paths.Sent(service)
+		if a.route.Idempotent() {
+			a.direct.add(a)
+		}
 	}
 	to := upconn.Target{Address: a.instance.Address, Service: service, Instance: a.instance.ID}
 	exchange, err := a.Pool.Do(ctx, to, a.maxConnections(), r, a.acceptAnswer)
@@ -363,6 +372,7 @@
 		return
 	}
 	a.ended = true
+	a.direct.remove(a)
 	a.noteWhole(outcome)
 	a.stopOverdueChecks()
 	a.span.End()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -90,6 +90,7 @@
 	// answers estimates how long whole answers take, for admission control.
 	answers   *cascade.LatencyEstimator
 	admission *admission
+	direct    directAttempts
 }
 
 // New returns a handler.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -242,6 +242,15 @@
 	return s.since, true
 }
 
+// IsSilent reports whether the daemon is cut off from a service, and open connections to it have given
+// no sign of life since. If they have, the cut affects new connections only.
+func (t *Tracker) IsSilent(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.get(name)
+	return s.cut && !s.heardAt.After(s.since)
+}
+
 // CutOffServices returns the services from which the daemon is cut off.
 func (t *Tracker) CutOffServices() []string {
 	t.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -78,6 +78,15 @@
 	require.Empty(t, tracker.Due(), "nothing is waiting")
 }
 
+// Guards against requests that are broken off though only new connections fail.
+func TestOpenConnectionsThatLiveOnAreNotSilent(t *testing.T) {
+	tracker, clock := newCutOff(t)
+	require.True(t, tracker.IsSilent(name))
+	clock.Advance(time.Millisecond)
+	tracker.Heard(name)
+	require.False(t, tracker.IsSilent(name))
+}
+
 // Guards against a daemon that stays cut off after its links are back.
 func TestCutEndsAfterProbes(t *testing.T) {
 	tracker, clock := newCutOff(t)
--- a/test/routes/tunnel_test.go
+++ b/test/routes/tunnel_test.go
@@ -304,6 +304,45 @@
 	}
 }
 
+// Guards against streams that stand still until their connection times out, though they can be resumed
+// through another daemon, and against streams that are resumed though their connection lives on.
+func TestStreamsUnderWayAreResumedThroughGateways(t *testing.T) {
+	for _, f := range []faultdial.Fault{faultdial.Hang, faultdial.Refuse} {
+		t.Run(string(f), func(t *testing.T) {
+			s := newTestbed(t)
+			for i := range 2 {
+				s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("eng-", i), Service: engineService, Events: 60, Delay: 50 * time.Millisecond, Confidence: map[string]int{"small": 90}})
+			}
+			for range 3 {
+				s.startFaultDaemon()
+			}
+			d := s.daemons[0]
+			streams := make(chan platformtest.Reply)
+			const count = 6
+			for range count {
+				go func() { streams <- s.send(s.newCall(pathStream), d) }()
+			}
+			<-time.After(500 * time.Millisecond)
+			at := time.Now()
+			s.setFault(d, f)
+			go func() { s.send(s.newCall(pathStream), d) }()
+			for range count {
+				r := <-streams
+				require.NoError(t, r.Err)
+				require.Equal(t, eventStream(r.ID, 60), r.Body)
+				runs := len(s.serversThatRan(r.ID))
+				if f == faultdial.Refuse {
+					require.Equal(t, 1, runs)
+				} else {
+					require.Equal(t, 2, runs)
+					// The stream itself lasts for three seconds.
+					require.Less(t, time.Since(at), 5*time.Second)
+				}
+			}
+		})
+	}
+}
+
 // Guards against requests that circle between daemons all of which are cut off, one after the other.
 func TestAllDaemonsCutOffRefuseAtOnce(t *testing.T) {
 	b := newCutBed(t, 4, faultdial.Reset, 4, 0, nil)
