entry, reach: a failed connection costs one more connection, not two; a whole failure domain cut off

Cause: an instance that has crashed stays listed for some seconds, and each failed connection in that time made the daemon open two connections to other instances every 250 ms. One, every 400 ms, tells as much.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -22,9 +22,7 @@
 
 const (
 	// pathTick is the interval at which the state of the paths to instances is looked at.
-	pathTick = 50 * time.Millisecond
-	// checkedInstances is the number of further instances to which a check of a service connects.
-	checkedInstances = 2
+	pathTick = 100 * time.Millisecond
 	// askedPeers is the number of daemons asked in a check, and maxGateways the largest number of
 	// gateways that are known at a time.
 	askedPeers  = 4
@@ -188,9 +186,9 @@
 }
 
 // check finds out whether this daemon is cut off from a service whose connections fail. It first
-// connects to other instances: one that failed alone has probably ended.
+// connects to another instance: one that failed alone has probably ended.
 func (p *pathManager) check(ctx context.Context, service string) {
-	p.probe(ctx, p.sampleTargets(service, checkedInstances))
+	p.probe(ctx, p.sampleTargets(service, 1))
 	failed := p.tracker.FailedInstances(service, p.table.Count(service, anyVersion))
 	var reached []gateway
 	if len(failed) > 0 {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -17,7 +17,7 @@
 	// the service has so many. One that failed alone has probably ended.
 	minFailed = 2
 	// checkInterval is the shortest time between two checks of a service.
-	checkInterval = 250 * time.Millisecond
+	checkInterval = 400 * time.Millisecond
 	// silenceCheckInterval is the same for checks because of silence.
 	silenceCheckInterval = 500 * time.Millisecond
 	// silentAfter is the time without a sign of life of a whole service after which it is checked
--- a/test/routes/cut_off_test.go
+++ b/test/routes/cut_off_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/test/faultdial"
 )
@@ -143,22 +144,32 @@
 }
 
 // TestCutOffDaemonServesByWayOfPeers guards against a daemon that refuses its callers because it
-// reaches no instance while other daemons reach all of them.
+// reaches no instance while other daemons reach all of them. The first half of the daemons is in one
+// failure domain. CUT_DAEMONS is the number of daemons.
+//
+//	CUT_DAEMONS=30 go test -count=1 -run TestCutOffDaemonServesByWayOfPeers -timeout 20m ./test/routes
 func TestCutOffDaemonServesByWayOfPeers(t *testing.T) {
-	const daemonCount = 6
+	daemonCount := envInt("CUT_DAEMONS", 6)
 	for _, c := range []struct {
 		fault faultdial.Fault
 		cut   int
 	}{
-		{faultdial.Reset, 2}, {faultdial.Hang, 2}, {faultdial.Refuse, 2}, {faultdial.Hang, 1}, {faultdial.Hang, daemonCount - 1}, {faultdial.Reset, daemonCount - 1},
+		{faultdial.Reset, 2}, {faultdial.Hang, 2}, {faultdial.Refuse, 2}, {faultdial.Hang, 1}, {faultdial.Hang, daemonCount / 2}, {faultdial.Hang, daemonCount - 1}, {faultdial.Reset, daemonCount - 1},
 	} {
 		t.Run(fmt.Sprintf("%s-%d-of-%d", c.fault, c.cut, daemonCount), func(t *testing.T) {
 			s := newTestbed(t)
 			for i := range 4 {
 				s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("cat-", i), Service: plainService, Delay: 20 * time.Millisecond})
 			}
-			for range daemonCount {
-				s.startFaultDaemon()
+			for i := range daemonCount {
+				s.startProcess(func(r *settings.Routes) {
+					if i >= daemonCount/2 {
+						r.FailureDomain = "hall-b"
+					}
+				}, binaries.StartFaultDaemon)
+			}
+			for _, d := range s.daemons {
+				s.waitReady(d)
 			}
 			load := s.startCallerLoad(s.daemons, pathSafe, pathUnsafe)
 			<-time.After(time.Second)
