entry, peer, reach: idle tunnels make room, and a daemon finds the few that reach the instances

Cause: (1) each daemon keeps tunnels to each server, and idle ones filled the gateway's limit; (2) of 24 daemons four were asked at a time, and who is cut off says so only once it knows; (3) gateways were looked for at most every 250 ms, also when the known ones had gone since; (4) one probe could hit the same instance again, so that too few had failed to ask others. Change: a full gateway drops an idle tunnel, and tells its user that nothing of a crossing request is passed on; idle tunnels live for a second; the number of daemons asked grows from 6 to 24 to 32 with checks in which none reached the instances, and such checks become rarer up to one in 3 s; probes leave out what has failed.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -23,10 +23,16 @@
 const (
 	// pathTick is the interval at which the state of the paths to instances is looked at.
 	pathTick = 100 * time.Millisecond
-	// askedPeers is the number of daemons asked in a check, and maxGateways the largest number of
-	// gateways that are known at a time.
-	askedPeers  = 4
-	maxGateways = 8
+	// askedPeers is the number of daemons asked in a check, and maxAskedPeers the number to which it
+	// grows with checks in which none reached the instances. Few of them reach any if most are cut off.
+	askedPeers    = 6
+	maxAskedPeers = 32
+	// askGrowth is the factor by which it grows.
+	askGrowth = 4
+	// maxGateways is the largest number of gateways that are known at a time.
+	maxGateways = 10
+	// moreGateways is how long after the first gateway has answered others are waited for.
+	moreGateways = 50 * time.Millisecond
 	// reachTimeout bounds the question to a peer, which may connect to instances itself.
 	reachTimeout = upconn.DialTimeout + 150*time.Millisecond
 	// reachedRecently is how long a sign of life of an instance counts as reaching it.
@@ -34,7 +40,7 @@
 	// abortAfter is the time after the beginning of a cut in which open connections may give a sign of
 	// life.
 	abortAfter = 400 * time.Millisecond
-	// findInterval is the shortest interval at which gateways are looked for while none is known.
+	// findInterval is the shortest interval at which gateways are looked for while none is found.
 	findInterval = 250 * time.Millisecond
 	// gatewayInterval is the interval at which the free capacity of gateways is asked for.
 	gatewayInterval = 700 * time.Millisecond
@@ -59,6 +65,8 @@
 	// gateways are the known gateways by service, and refreshed is when they were last asked.
 	gateways  map[string][]gateway
 	refreshed map[string]time.Time
+	// none is set for services of which no gateway was found then.
+	none map[string]bool
 
 	// Cuts counts the cuts, Opened the tunnels opened, and Failed those that could not be opened.
 	cuts, opened, notOpened atomic.Int64
@@ -73,7 +81,7 @@
 func newPathManager(n *Node) *pathManager {
 	return &pathManager{
 		Node: n, tracker: reach.NewTracker(n.clock), failed: make(chan struct{}, 1),
-		gateways: map[string][]gateway{}, refreshed: map[string]time.Time{},
+		gateways: map[string][]gateway{}, refreshed: map[string]time.Time{}, none: map[string]bool{},
 	}
 }
 
@@ -176,7 +184,7 @@
 		}
 		for _, service := range p.tracker.CutOffServices() {
 			if p.tracker.ProbeDue(service) {
-				go p.probe(ctx, p.sampleTargets(service, 1))
+				go p.probe(ctx, p.sampleTargets(service, 1, noTarget))
 			}
 			if p.refreshDue(service, gatewayInterval) {
 				go p.refreshGateways(ctx, service)
@@ -186,13 +194,20 @@
 }
 
 // check finds out whether this daemon is cut off from a service whose connections fail. It first
-// connects to another instance: one that failed alone has probably ended.
+// connects to others, until enough have failed: one that failed alone has probably ended.
 func (p *pathManager) check(ctx context.Context, service string) {
-	p.probe(ctx, p.sampleTargets(service, 1))
+	fruitless := p.tracker.Fruitless(service)
+	if fruitless == 0 {
+		p.probe(ctx, p.sampleTargets(service, p.tracker.ProbesNeeded(service), p.tracker.HasFailed))
+	}
 	failed := p.tracker.FailedInstances(service, p.table.Count(service, anyVersion))
 	var reached []gateway
 	if len(failed) > 0 {
-		reached, _ = p.ask(ctx, p.peersToAsk(service, nil), peer.ReachRequest{Service: service, Instances: failed})
+		count := askedPeers
+		for range fruitless {
+			count = min(count*askGrowth, maxAskedPeers)
+		}
+		reached, _ = p.ask(ctx, p.peersToAsk(service, nil, count), peer.ReachRequest{Service: service, Instances: failed})
 		p.setGateways(service, reached)
 	}
 	if cut, evidence := p.tracker.EndCheck(service, len(reached)); cut {
@@ -232,17 +247,24 @@
 
 func anyVersion(string, bool) bool { return true }
 
-// sampleTargets returns about n instances of a service at random.
-func (p *pathManager) sampleTargets(service string, n int) []upconn.Target {
-	views, _ := p.table.Sample(service, inventory.Selection{Accept: anyVersion, Start: rand.Uint64(), FailureDomain: p.settings.FailureDomain, Size: max(n, 2)})
+// sampledTargets is the number of instances from which sampleTargets chooses.
+const sampledTargets = 12
+
+// sampleTargets returns up to n instances of a service at random, without those that leaveOut accepts.
+func (p *pathManager) sampleTargets(service string, n int, leaveOut func(service, instance string) bool) []upconn.Target {
+	views, _ := p.table.Sample(service, inventory.Selection{Accept: anyVersion, Start: rand.Uint64(), FailureDomain: p.settings.FailureDomain, Size: sampledTargets})
 	rand.Shuffle(len(views), func(i, j int) { views[i], views[j] = views[j], views[i] })
 	var out []upconn.Target
-	for _, v := range views[:min(n, len(views))] {
-		out = append(out, targetOf(v.Instance))
+	for _, v := range views {
+		if len(out) < n && !leaveOut(service, v.Instance.ID) {
+			out = append(out, targetOf(v.Instance))
+		}
 	}
 	return out
 }
 
+func noTarget(string, string) bool { return false }
+
 func targetOf(i inventory.Instance) upconn.Target {
 	return upconn.Target{Address: i.Address, Service: i.Service, Instance: i.ID}
 }
@@ -259,9 +281,9 @@
 	all.Wait()
 }
 
-// peersToAsk returns the daemons to ask about a service: the known ones, and others at random, half of
-// them in this daemon's failure domain. Daemons that are cut off, too, are left out.
-func (p *pathManager) peersToAsk(service string, known []gateway) []member.Daemon {
+// peersToAsk returns the daemons to ask about a service: the known ones, and count others at random,
+// half of them in this daemon's failure domain. Daemons that are cut off, too, are left out.
+func (p *pathManager) peersToAsk(service string, known []gateway, count int) []member.Daemon {
 	var out, near, far []member.Daemon
 	for _, g := range known {
 		out = append(out, g.Daemon)
@@ -281,8 +303,8 @@
 	}
 	shuffle(near)
 	shuffle(far)
-	fromNear := min(len(near), max(askedPeers/2, askedPeers-len(far)))
-	return append(append(out, near[:fromNear]...), far[:min(len(far), askedPeers-fromNear)]...)
+	fromNear := min(len(near), max(count/2, count-len(far)))
+	return append(append(out, near[:fromNear]...), far[:min(len(far), count-fromNear)]...)
 }
 
 func isCutOff(d member.Daemon, service string) bool {
@@ -294,37 +316,50 @@
 	return false
 }
 
-// ask asks daemons whether they reach instances, and returns those that do. ended is set if none
-// does, and an instance refuses their connections.
+// ask asks daemons whether they reach instances, and returns those that do: all that answer within
+// moreGateways of the first one. ended is set if none does, and an instance refuses their
+// connections.
 func (p *pathManager) ask(ctx context.Context, daemons []member.Daemon, r peer.ReachRequest) (reached []gateway, ended bool) {
-	var mu sync.Mutex
+	type answer struct {
+		from  member.Daemon
+		reply peer.ReachReply
+	}
+	answers := make(chan answer, len(daemons))
 	call, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	var all sync.WaitGroup
 	for _, d := range daemons {
-		all.Go(func() {
+		go func() {
 			reply, err := p.peers.Reach(call, d.PeerAddress, r)
 			if err != nil {
 				slog.Debug("reach.not_answered", "peer", d.PeerAddress, "error", err)
-				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			ended = ended || reply.Refused
-			if !reply.CutOff && (reply.Reached || len(r.Instances) == 0) {
-				near := d.FailureDomain == p.settings.FailureDomain
-				reached = append(reached, gateway{Daemon: d, Gateway: reach.Gateway{Near: near, Free: reply.Free, Limit: reply.Limit}})
+			answers <- answer{d, reply}
+		}()
+	}
+	var enough <-chan time.Time
+	for range daemons {
+		select {
+		case a := <-answers:
+			ended = ended || a.reply.Refused
+			if !a.reply.Reached || a.reply.CutOff {
+				continue
 			}
-		})
+			near := a.from.FailureDomain == p.settings.FailureDomain
+			reached = append(reached, gateway{Daemon: a.from, Gateway: reach.Gateway{Near: near, Free: a.reply.Free, Limit: a.reply.Limit}})
+			if enough == nil {
+				enough = p.clock.After(moreGateways)
+			}
+		case <-enough:
+			return reached, false
+		}
 	}
-	all.Wait()
 	return reached, ended && len(reached) == 0
 }
 
 func (p *pathManager) setGateways(service string, all []gateway) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gateways[service], p.refreshed[service] = all[:min(len(all), maxGateways)], p.clock.Now()
+	p.gateways[service], p.refreshed[service], p.none[service] = all[:min(len(all), maxGateways)], p.clock.Now(), len(all) == 0
 }
 
 func (p *pathManager) knownGateways(service string) []gateway {
@@ -352,10 +387,10 @@
 	known := p.knownGateways(service)
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 	r := peer.ReachRequest{Service: service}
-	for _, to := range p.sampleTargets(service, peer.MaxReachInstances) {
+	for _, to := range p.sampleTargets(service, peer.MaxReachInstances, noTarget) {
 		r.Instances = append(r.Instances, to.Instance)
 	}
-	reached, _ := p.ask(ctx, p.peersToAsk(service, known[:min(len(known), maxGateways-askedPeers)]), r)
+	reached, _ := p.ask(ctx, p.peersToAsk(service, known[:min(len(known), maxGateways-askedPeers)], askedPeers), r)
 	p.setGateways(service, reached)
 }
 
@@ -364,11 +399,25 @@
 func (p *pathManager) findGateways(ctx context.Context, service string) {
 	p.finding.Lock()
 	defer p.finding.Unlock()
-	if len(p.knownGateways(service)) == 0 && p.refreshDue(service, findInterval) {
+	if len(p.knownGateways(service)) > 0 {
+		return
+	}
+	interval := time.Duration(0)
+	if p.foundNone(service) {
+		interval = findInterval
+	}
+	if p.refreshDue(service, interval) {
 		p.refreshGateways(ctx, service)
 	}
 }
 
+// foundNone reports whether no gateway of a service was found when they were last asked.
+func (p *pathManager) foundNone(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.none[service]
+}
+
 // takeGateway chooses a gateway that has not been tried, and counts a tunnel there. busy is set if
 // the others have no free capacity.
 func (p *pathManager) takeGateway(service string, tried map[string]bool) (d member.Daemon, busy, ok bool) {
@@ -468,7 +517,7 @@
 	if !cut && !p.pool.ProcessEnded(ctx, to) {
 		return false
 	}
-	peers := p.peersToAsk(i.Service, nil)
+	peers := p.peersToAsk(i.Service, nil, askedPeers)
 	if len(peers) == 0 {
 		return !cut
 	}
@@ -498,7 +547,7 @@
 // OnReach implements peer.RoutesHandler.
 func (n *Node) OnReach(r peer.ReachRequest) peer.ReachReply {
 	reply := peer.ReachReply{Limit: n.gateway.Limit()}
-	reply.Free = max(reply.Limit-n.gateway.Open(), 0)
+	reply.Free = max(reply.Limit-n.gateway.Running(), 0)
 	if _, reply.CutOff = n.paths.tracker.CutOff(r.Service); reply.CutOff {
 		return reply
 	}
--- a/internal/peer/gateway.go
+++ b/internal/peer/gateway.go
@@ -33,13 +33,18 @@
 }
 
 // Gateway carries the tunnels of other daemons.
+//
+// Lock order: no other lock is taken while mu is held.
 type Gateway struct {
 	handler GatewayHandler
 	// limit is the number of tunnels that may be open at once.
-	limit int64
-	open  atomic.Int64
-	// running is the number of tunnels with a request that has no whole answer.
-	running atomic.Int64
+	limit int
+
+	mu sync.Mutex
+	// open is the number of open tunnels, running that of tunnels with a request that has no whole
+	// answer, and idle has the tunnels without one.
+	open, running int
+	idle          map[*carried]struct{}
 
 	// Opened counts the tunnels that were opened, Passed the requests that were passed on, and Refused
 	// the tunnels and requests that were refused.
@@ -48,17 +53,59 @@
 
 // NewGateway returns a gateway for at most limit tunnels.
 func NewGateway(limit int, handler GatewayHandler) *Gateway {
-	return &Gateway{handler: handler, limit: int64(limit)}
+	return &Gateway{handler: handler, limit: limit, idle: map[*carried]struct{}{}}
 }
 
 // Open returns the number of open tunnels.
-func (g *Gateway) Open() int { return int(g.open.Load()) }
+func (g *Gateway) Open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
 
 // Running returns the number of requests in progress.
-func (g *Gateway) Running() int { return int(g.running.Load()) }
+func (g *Gateway) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running
+}
 
 // Limit returns the number of tunnels that may be open at once.
-func (g *Gateway) Limit() int { return int(g.limit) }
+func (g *Gateway) Limit() int { return g.limit }
+
+// take counts a new tunnel. If there are too many, an idle one is dropped; take returns false if none
+// is idle.
+func (g *Gateway) take() bool {
+	g.mu.Lock()
+	if g.open < g.limit {
+		g.open++
+		g.mu.Unlock()
+		return true
+	}
+	var dropped *carried
+	for c := range g.idle {
+		dropped = c
+		break
+	}
+	if dropped != nil {
+		delete(g.idle, dropped)
+		dropped.state = tunnelDropped
+	}
+	g.mu.Unlock()
+	if dropped == nil {
+		return false
+	}
+	// The new tunnel takes the place of the dropped one in open.
+	_ = dropped.writeBack(frameRefused, []byte(TunnelBusy))
+	return true
+}
+
+// release ends what take began.
+func (g *Gateway) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open--
+}
 
 // serve serves a connection on which tunnelPreface has been read.
 func (g *Gateway) serve(conn net.Conn) {
@@ -70,10 +117,10 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	defer g.open.Add(-1)
 	var instance net.Conn
 	refused := TunnelBusy
-	if g.open.Add(1) <= g.limit {
+	taken := g.take()
+	if taken {
 		instance, refused = g.handler.ConnectTunnel(r)
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(CallTimeout))
@@ -83,11 +130,15 @@
 	err := buffer.Flush()
 	if refused != "" {
 		g.Refused.Add(1)
+		if taken {
+			g.release()
+		}
 		slog.Info("tunnel.refused", "service", r.Service, "instance", r.Instance, "from", conn.RemoteAddr().String(), "reason", string(refused))
 		return
 	}
 	defer instance.Close()
 	if err != nil {
+		g.release()
 		return
 	}
 	g.Opened.Add(1)
@@ -102,20 +153,46 @@
 	user, instance net.Conn
 	frames         frameReader
 	writer         frameWriter
-	// running is set while a request has no whole answer; only passOn uses it.
-	running bool
+	// state is guarded by the lock of the gateway.
+	state tunnelState
 }
 
-func (c *carried) setRunning(running bool) {
-	if running == c.running {
-		return
+// tunnelState is the state of a tunnel at its gateway.
+type tunnelState int
+
+const (
+	tunnelNew tunnelState = iota
+	// tunnelIdle tunnels have no request, tunnelRunning ones have one without a whole answer.
+	tunnelIdle
+	tunnelRunning
+	// tunnelDropped tunnels pass no more requests on, and do not count.
+	tunnelDropped
+)
+
+// setState changes the state of a tunnel. It returns false if the tunnel has been dropped.
+func (c *carried) setState(state tunnelState) bool {
+	g := c.Gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state == tunnelDropped {
+		return false
+	}
+	switch c.state {
+	case tunnelIdle:
+		delete(g.idle, c)
+	case tunnelRunning:
+		g.running--
 	}
-	c.running = running
-	if running {
-		c.Gateway.running.Add(1)
-	} else {
-		c.Gateway.running.Add(-1)
+	c.state = state
+	switch state {
+	case tunnelIdle:
+		g.idle[c] = struct{}{}
+	case tunnelRunning:
+		g.running++
+	case tunnelDropped:
+		g.open--
 	}
+	return true
 }
 
 // run passes bytes on until one side ends. If the user closes the tunnel, the connection to the
@@ -131,7 +208,7 @@
 // passOn passes requests on until the user closes the tunnel or a request is refused.
 func (c *carried) passOn() {
 	buffer := make([]byte, maxFrame)
-	defer c.setRunning(false)
+	defer c.setState(tunnelDropped)
 	for {
 		kind, payload, err := c.frames.next()
 		if err != nil {
@@ -143,7 +220,11 @@
 				c.refuse(payload, refused)
 				return
 			}
-			c.setRunning(true)
+			if !c.setState(tunnelRunning) {
+				// The user has been told that the request is not passed on.
+				c.awaitClose()
+				return
+			}
 			c.Passed.Add(1)
 			slog.Info("request.carried", "request", payload, "instance", c.request.Instance, "from", c.user.RemoteAddr().String())
 		case frameData:
@@ -151,7 +232,7 @@
 				return
 			}
 		case frameDone:
-			c.setRunning(false)
+			c.setState(tunnelIdle)
 		default:
 			return
 		}
--- a/internal/peer/reach.go
+++ b/internal/peer/reach.go
@@ -5,8 +5,8 @@
 // ReachRequest asks a daemon whether it reaches instances of a service by direct connections.
 type ReachRequest struct {
 	Service string
-	// Instances are instances to which the sender's own connections fail; at most MaxReachInstances of
-	// them are looked at. Without any, the reply only has the free capacity.
+	// Instances are those to reach, the most important first; at most MaxReachInstances of them are
+	// looked at.
 	Instances []string
 }
 
@@ -22,8 +22,8 @@
 	// CutOff is set if the daemon is itself cut off from the service. It has looked at no instance
 	// then.
 	CutOff bool
-	// Free is the number of tunnels that the daemon can carry beside the open ones, and Limit with
-	// them.
+	// Free is the number of tunnels that the daemon can carry beside those with a request, and Limit
+	// with them.
 	Free, Limit int
 }
 
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -210,6 +210,32 @@
 	}, 5*time.Second, time.Millisecond)
 }
 
+// Guards against idle tunnels that keep others from being opened, and against a request that crosses
+// the end of an idle tunnel and is not known not to have run.
+func TestIdleTunnelsMakeRoom(t *testing.T) {
+	var received atomic.Int64
+	b := newTunnelBed(t, 1, func(c *net.TCPConn) {
+		n, _ := io.Copy(io.Discard, c)
+		received.Add(n)
+	})
+	idle := b.mustOpen()
+	require.NoError(t, idle.BeginRequest("first"))
+	require.Eventually(t, func() bool { return b.gateway.Running() == 1 }, 5*time.Second, time.Millisecond)
+	_, err := b.open("user")
+	require.ErrorIs(t, err, TunnelBusy)
+	require.NoError(t, idle.EndRequest())
+	require.Eventually(t, func() bool { return b.gateway.Running() == 0 }, 5*time.Second, time.Millisecond)
+	b.mustOpen()
+	require.Equal(t, 1, b.gateway.Open())
+	// The gateway has dropped the tunnel by now. The user may not have noticed.
+	_ = idle.BeginRequest("second")
+	_, _ = idle.Write([]byte("a request"))
+	_, err = idle.Read(make([]byte, 1))
+	require.ErrorIs(t, err, TunnelBusy)
+	idle.Close()
+	require.Zero(t, received.Load())
+}
+
 // Guards against a gateway that keeps a daemon waiting that has lost its links after it was chosen.
 func TestSilentGatewayIsGivenUp(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -16,8 +16,10 @@
 	// minFailed is the number of instances that must have failed before other daemons are asked, if
 	// the service has so many. One that failed alone has probably ended.
 	minFailed = 2
-	// checkInterval is the shortest time between two checks of a service.
-	checkInterval = 400 * time.Millisecond
+	// checkInterval is the shortest time between two checks of a service. It doubles with each check
+	// in which no other daemon reached the instances, up to maxCheckInterval.
+	checkInterval    = 400 * time.Millisecond
+	maxCheckInterval = 3 * time.Second
 	// silenceCheckInterval is the same for checks because of silence.
 	silenceCheckInterval = 500 * time.Millisecond
 	// silentAfter is the time without a sign of life of a whole service after which it is checked
@@ -53,6 +55,8 @@
 	// checked is closed at the end of the check in progress; nil if there is none.
 	checked   chan struct{}
 	checkedAt time.Time
+	// fruitless counts consecutive checks in which no other daemon reached the failed instances.
+	fruitless int
 
 	cut   bool
 	since time.Time
@@ -93,7 +97,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.get(name), t.clock.Now()
-	s.heardAt = now
+	s.heardAt, s.fruitless = now, 0
 	clear(s.failed)
 	if !s.cut || now.Sub(s.probedAt) < probeInterval/2 {
 		return false
@@ -164,7 +168,7 @@
 		if s.cut || s.checked != nil {
 			continue
 		}
-		failing := len(s.failed) > 0 && now.Sub(s.checkedAt) >= checkInterval
+		failing := len(s.failed) > 0 && now.Sub(s.checkedAt) >= s.checkInterval()
 		silent := s.waiting > 0 && now.Sub(s.heardAt) >= silentAfter && now.Sub(s.checkedAt) >= silenceCheckInterval
 		if failing || silent {
 			due = append(due, name)
@@ -174,6 +178,22 @@
 	return due
 }
 
+// checkInterval returns the time between two checks. The first two checks follow each other at once.
+func (s *service) checkInterval() time.Duration {
+	return min(checkInterval<<max(min(s.fruitless, maxFruitless)-1, 0), maxCheckInterval)
+}
+
+// maxFruitless keeps the shift above from overflowing.
+const maxFruitless = 8
+
+// Fruitless returns the number of consecutive checks in which no other daemon reached the failed
+// instances.
+func (t *Tracker) Fruitless(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.get(name).fruitless
+}
+
 // BeginCheck begins a check of a service, which EndCheck ends. It returns false if one is in
 // progress or the daemon is known to be cut off.
 func (t *Tracker) BeginCheck(name string) bool {
@@ -187,6 +207,21 @@
 	return true
 }
 
+// ProbesNeeded returns the number of further instances to connect to before other daemons are asked.
+func (t *Tracker) ProbesNeeded(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(minFailed-len(t.get(name).failed), 1)
+}
+
+// HasFailed reports whether the last direct connection to an instance failed.
+func (t *Tracker) HasFailed(name, instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, failed := t.get(name).failed[instance]
+	return failed
+}
+
 // FailedInstances returns the instances to ask other daemons about, the latest failures first. There
 // are none if too few of the instances of the service, count in all, have failed.
 func (t *Tracker) FailedInstances(name string, count int) []string {
@@ -209,6 +244,9 @@
 		close(s.checked)
 		s.checked = nil
 	}
+	if len(s.failed) > 0 && peers == 0 {
+		s.fruitless++
+	}
 	// A direct connection may have succeeded since the peers were asked.
 	if peers == 0 || len(s.failed) == 0 || s.cut {
 		return false, e
@@ -219,6 +257,7 @@
 	} else {
 		s.needed = minProbes
 	}
+	s.fruitless = 0
 	s.cut, s.since, s.probes, s.probedAt = true, now, 0, now
 	return true, e
 }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -38,6 +38,26 @@
 	require.Empty(t, tracker.CutOffServices())
 }
 
+// Guards against daemons that go on asking all others at a high rate while the servers are down.
+func TestFruitlessChecksBecomeRare(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	checks := 0
+	for range 300 {
+		tracker.Failed(name, "a")
+		tracker.Failed(name, "b")
+		if len(tracker.Due()) > 0 {
+			require.True(t, tracker.BeginCheck(name))
+			tracker.EndCheck(name, 0)
+			checks++
+		}
+		clock.Advance(100 * time.Millisecond)
+	}
+	require.Less(t, checks, 15)
+	tracker.Connected(name)
+	require.Zero(t, tracker.Fruitless(name))
+}
+
 // Guards against asking other daemons for each instance that ends.
 func TestSingleFailedInstanceIsNotAskedAbout(t *testing.T) {
 	tracker := NewTracker(clockwork.NewFakeClock())
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -265,7 +265,11 @@
 		return
 	}
 	e.closed = true
-	e.conn.usableUntil = time.Now().Add(idleTimeout(e.resp.Header))
+	idle := idleTimeout(e.resp.Header)
+	if e.conn.tunnel != nil {
+		idle = min(idle, maxTunnelIdleTime)
+	}
+	e.conn.usableUntil = time.Now().Add(idle)
 	e.pool.put(e.address, e.conn)
 }
 
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -28,6 +28,8 @@
 	// maxIdleTime is how long an unused connection is kept if the server does not state a shorter
 	// time.
 	maxIdleTime = 4 * time.Second
+	// maxTunnelIdleTime is the same for tunnels, of which the gateways carry few.
+	maxTunnelIdleTime = 1 * time.Second
 	// idleMargin is subtracted from the time that the server states, so that no request is sent
 	// while the server closes the connection.
 	idleMargin = 500 * time.Millisecond
