--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -144,8 +144,8 @@
 	return outcome
 }
 
-// observe reports an observation of the version. One of a connection that broke waits until it is
-// known whether that was the fault of this daemon's own links.
+// observeLater reports the observation of an attempt whose connection broke, once it is known whether
+// that was the fault of this daemon's own links.
 func (a *attempt) observeLater() {
 	o, ok := a.finalObservation(inventory.OutcomeFailed)
 	if !ok {
--- a/internal/inventory/quota.go
+++ b/internal/inventory/quota.go
@@ -115,9 +115,8 @@
 }
 
 // quotaOf returns how many requests this daemon may have open at an instance, if its service is
-// fragile. The slots of
-// the instance are divided between all daemons: what they send together then never exceeds them,
-// however old their reports of its load are. The lock is held.
+// fragile. The slots of the instance are divided between all daemons: what they send together then
+// never exceeds them, however old their reports of its load are. The lock is held.
 func (t *Table) quotaOf(e *entry, now time.Time) (requests int, limited bool) {
 	if e.instance.Slots <= 0 || !t.isFragile(e.instance.Service, now) {
 		return 0, false
--- a/internal/peer/gateway.go
+++ b/internal/peer/gateway.go
@@ -157,13 +157,13 @@
 	state tunnelState
 }
 
-// tunnelState is the state of a tunnel at its gateway.
+// tunnelState is the state of a tunnel at its gateway. New tunnels have the zero value until their
+// first request.
 type tunnelState int
 
 const (
-	tunnelNew tunnelState = iota
 	// tunnelIdle tunnels have no request, tunnelRunning ones have one without a whole answer.
-	tunnelIdle
+	tunnelIdle tunnelState = iota + 1
 	tunnelRunning
 	// tunnelDropped tunnels pass no more requests on, and do not count.
 	tunnelDropped
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// DialTimeout bounds the time to establish a connection. It is many times the longest delay between failure domains (a few ms) and leaves
-	// time for another instance within an objective of 300 ms.
+	// DialTimeout bounds the time to establish a connection. It is many times the longest delay
+	// between failure domains (a few ms) and leaves time for another instance within an objective of
+	// 300 ms.
 	DialTimeout = 250 * time.Millisecond
 	// maxIdleTime is how long an unused connection is kept if the server does not state a shorter
 	// time.
