--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -51,7 +51,8 @@
 	ended                 bool
 	// tunneled is set if the attempt goes through another daemon, and broken if it ended because the
 	// direct connection broke.
-	tunneled, broken bool
+	tunneled atomic.Bool
+	broken   bool
 	// pathLost is set once the attempt is ended because this daemon is cut off.
 	pathLost atomic.Bool
 	span     oteltrace.Span
@@ -232,8 +233,9 @@
 // exchangeHeads sends the request and reads the head of the answer.
 func (a *attempt) exchangeHeads(ctx context.Context, r *upconn.Request) (*upconn.Exchange, error) {
 	service := a.service.Name
-	_, a.tunneled = a.Paths.Tunneled(service)
-	if !a.tunneled {
+	_, tunneled := a.Paths.Tunneled(service)
+	a.tunneled.Store(tunneled)
+	if !tunneled {
 		a.Paths.Sent(service)
 		if a.route.Idempotent() {
 			a.direct.add(a)
@@ -241,16 +243,16 @@
 	}
 	to := upconn.Target{Address: a.instance.Address, Service: service, Instance: a.instance.ID}
 	exchange, err := a.Pool.Do(ctx, to, a.maxConnections(), r, a.acceptAnswer)
-	if !a.tunneled {
+	if !tunneled {
 		a.Paths.Answered(service, err == nil)
 	}
 	var byTunnel *upconn.TunneledError
 	switch {
 	case err == nil:
 		a.gateway = exchange.Gateway()
-		a.tunneled = a.gateway != ""
+		a.tunneled.Store(a.gateway != "")
 	case errors.As(err, &byTunnel):
-		a.tunneled = true
+		a.tunneled.Store(true)
 	}
 	return exchange, err
 }
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -84,7 +84,7 @@
 	a.checkTimer.Reset(overdueCheckInterval)
 	a.mu.Unlock()
 	// A request that waits because of the path to its instance is no evidence against the version.
-	if ok && !a.tunneled && a.Paths.HeardSince(a.service.Name, a.sentAt) {
+	if ok && !a.tunneled.Load() && a.Paths.HeardSince(a.service.Name, a.sentAt) {
 		a.Versions.Observe(a.service.Name, o)
 	}
 }
@@ -147,7 +147,7 @@
 // noteEvent counts an event of the answer, and reports the pace once there are
 // earlyPaceEvents.
 func (a *attempt) noteEvent() {
-	if !a.tunneled {
+	if !a.tunneled.Load() {
 		a.Paths.Heard(a.service.Name)
 	}
 	a.mu.Lock()
--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -138,7 +138,7 @@
 	if outcome == inventory.OutcomeNone || errors.As(err, &status) || errors.Is(err, errUnverifiable) {
 		return outcome
 	}
-	if a.tunneled || outcome == inventory.OutcomeTimeout && !a.Paths.HeardSince(a.service.Name, a.sentAt) {
+	if a.tunneled.Load() || outcome == inventory.OutcomeTimeout && !a.Paths.HeardSince(a.service.Name, a.sentAt) {
 		return inventory.OutcomeNone
 	}
 	return outcome
--- a/internal/forward/paths_test.go
+++ b/internal/forward/paths_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
+	"github.com/hornbeamsill/hornbeamsill/internal/shift"
 )
 
 // switchedPaths is a Paths of a daemon that may be cut off from a silent service.
@@ -26,22 +27,29 @@
 // by those that broke before it is known that the daemon is cut off.
 func TestBrokenConnectionsOfACutOffDaemonAreNoEvidence(t *testing.T) {
 	for _, cutOff := range []bool{true, false} {
-		v, paths := &observationRecorder{}, &switchedPaths{}
-		a := newStreamAttempt(v)
+		observed, paths := make(observationChannel, 1), &switchedPaths{}
+		a := newStreamAttempt(observed)
 		a.Paths, a.broken = paths, true
 		a.observeLater()
-		require.Empty(t, v.all)
 		paths.cutOff.Store(cutOff)
-		<-time.After(crashCheckDelay + 100*time.Millisecond)
-		if cutOff {
-			require.Empty(t, v.all)
-			continue
+		select {
+		case o := <-observed:
+			require.False(t, cutOff)
+			require.True(t, o.Bad)
+		case <-time.After(crashCheckDelay + time.Second):
+			require.True(t, cutOff)
 		}
-		require.Len(t, v.all, 1)
-		require.True(t, v.all[0].Bad)
 	}
 }
 
+// observationChannel is a Versions that passes observations on.
+type observationChannel chan shift.Observation
+
+func (c observationChannel) Rule(string, string) shift.Rule        { return shift.Rule{} }
+func (c observationChannel) BeginRequest(string, string)           {}
+func (c observationChannel) EndRequest(string, string)             {}
+func (c observationChannel) Observe(_ string, o shift.Observation) { c <- o }
+
 // Guards against instances that are ejected, or versions that are judged, by requests that got no
 // answer because nothing came through.
 func TestOutcomeOfThePathIsNotThatOfTheInstance(t *testing.T) {
@@ -52,7 +60,7 @@
 	paths.heard.Store(true)
 	require.Equal(t, inventory.OutcomeTimeout, a.pathOutcome(inventory.OutcomeTimeout, errHeadTimeout))
 	require.Equal(t, inventory.OutcomeFailed, a.pathOutcome(inventory.OutcomeFailed, io.ErrUnexpectedEOF))
-	a.tunneled = true
+	a.tunneled.Store(true)
 	require.Equal(t, inventory.OutcomeNone, a.pathOutcome(inventory.OutcomeFailed, io.ErrUnexpectedEOF))
 	require.Equal(t, inventory.OutcomeFailed, a.pathOutcome(inventory.OutcomeFailed, &serverError{status: 500}), "the instance has answered")
 	require.Equal(t, inventory.OutcomeFailed, a.pathOutcome(inventory.OutcomeFailed, errUnverifiable))
--- a/internal/forward/proven.go
+++ b/internal/forward/proven.go
@@ -70,7 +70,7 @@
 // links. Which of these it was is known only after some 50 ms or more. Until then the break counts as a loss, since requests sent to a crashed
 // instance fail just as well.
 func (a *attempt) noteLoss(err error) {
-	if a.callerFailed || a.tunneled && isConnectionBroken(err) || !isLoss(err) || !a.watchesLosses() {
+	if a.callerFailed || a.tunneled.Load() && isConnectionBroken(err) || !isLoss(err) || !a.watchesLosses() {
 		return
 	}
 	a.Metrics.LostAnswers.Add(1)
