forward, reach, entry: one acceptor of all versions, and two comments that said too much

Found by reading the whole change: the function that accepts any version stood twice in forward; the comment on the time between checks said that the first two follow each other at once, which they do not; a lock order was told twice. No behaviour is changed. Tests of the three packages and vet pass.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -54,7 +54,7 @@
 	// failed is signalled when a direct connection has failed.
 	failed chan struct{}
 
-	// finding is held while gateways are looked for. It is taken before mu.
+	// finding is held while gateways are looked for.
 	finding sync.Mutex
 
 	mu sync.Mutex
--- a/internal/forward/admission_wait.go
+++ b/internal/forward/admission_wait.go
@@ -146,7 +146,7 @@
 func (q *request) fleetView(sample int) fleetView {
 	v := fleetView{scale: 1, fraction: 1 / float64(max(q.DaemonCount(), 1))}
 	if sample >= sampleSize {
-		v.scale = float64(q.Table.Count(q.service.Name, func(string, bool) bool { return true })) / float64(sample)
+		v.scale = float64(q.Table.Count(q.service.Name, anyVersion)) / float64(sample)
 	}
 	return v
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -178,7 +178,7 @@
 	return due
 }
 
-// checkInterval returns the time between two checks. The first two checks follow each other at once.
+// checkInterval returns the shortest time between two checks, which grows with fruitless ones.
 func (s *service) checkInterval() time.Duration {
 	return min(checkInterval<<max(min(s.fruitless, maxFruitless)-1, 0), maxCheckInterval)
 }
