--- a/test/routes/pool_test.go
+++ b/test/routes/pool_test.go
@@ -23,6 +23,11 @@
 	*testbed
 	service string
 	events  int
+	// unframed is set if answers end with their connections, and crashes returns how a server crashes
+	// of a request; nil means that only the poison request crashes it.
+	unframed bool
+	crashes  func(received platformtest.ReceivedRequest) (behaviour platformtest.Behaviour, ok bool)
+	restart  time.Duration
 
 	mu    sync.Mutex
 	next  int
@@ -36,7 +41,15 @@
 
 // newPool starts a pool of size servers.
 func (s *testbed) newPool(service string, events, size int) *pool {
-	p := &pool{testbed: s, service: service, events: events, crashing: map[string]bool{}}
+	return s.startPool(&pool{service: service, events: events}, size)
+}
+
+// startPool starts the servers of a pool whose options are set.
+func (s *testbed) startPool(p *pool, size int) *pool {
+	p.testbed, p.crashing = s, map[string]bool{}
+	if p.restart == 0 {
+		p.restart = restartTime
+	}
 	for range size {
 		p.startOne()
 	}
@@ -53,13 +66,17 @@
 	var server *platformtest.Server
 	server = platformtest.NewServer(platformtest.ServerOptions{
 		ID: id, Service: p.service, Version: "v1", Slots: 8, Delay: 20 * time.Millisecond, Events: p.events,
-		Confidence: map[string]int{"small": 90},
+		Confidence: map[string]int{"small": 90}, Unframed: p.unframed,
 		Behave: func(received platformtest.ReceivedRequest) platformtest.Behaviour {
-			if received.Header.Get("X-Poison") != "" {
+			behaviour, crashes := platformtest.Crash, received.Header.Get("X-Poison") != ""
+			if !crashes && p.crashes != nil {
+				behaviour, crashes = p.crashes(received)
+			}
+			if crashes {
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				p.crashing[id] = true
-				return platformtest.Crash
+				return behaviour
 			}
 			return platformtest.Answer
 		},
@@ -81,7 +98,7 @@
 		}
 	}
 	p.mu.Unlock()
-	<-time.After(restartTime)
+	<-time.After(p.restart)
 	p.store.Remove(wire.TableInstances, id)
 	p.startOne()
 }
