quarantine, forward, entry: one kind of evidence for whatever crashed requests have in common

What callers saw: requests with one part in their prompts ended server after server, and with these a tenth to all of the sound requests of three routes.

Cause: the quarantine knew only requests that are the same byte for byte. No two of these were, so each was a new suspect that went to up to three servers.

Change: suspects have traits: the request itself, and each part of its prompt but the last, for its organisation and for all. Sets of traits that were on the same runs are weighed together; a verdict refuses requests that have all traits common to the crashed ones. A trait is acquitted by a completion, as before, or put off by an answer that has run for longer than the ones that ended. Suspects with parts that have never completed are held back, one at a time, until the last crash is judged. An answer that ends with its connection counts as whole only if its instance lives on.

Failed attempts name their parts in the log.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -44,13 +45,20 @@
 		return err
 	}
 	return a.print(reply, func(w io.Writer) {
-		printLine(w, "DIGEST\tORGANISATION\tROUTE\tSTATE\tENDED")
+		printLine(w, "DIGEST\tPARTS\tORGANISATION\tROUTE\tSTATE\tENDED")
 		for _, r := range reply.Requests {
-			printLine(w, "%s\t%s\t%s\t%s\t%s", r.Digest, r.Organisation, r.Route, quarantineState(r), strings.Join(r.Ended, " "))
+			printLine(w, "%s\t%s\t%s\t%s\t%s\t%s", r.Digest, cmp.Or(strings.Join(r.Parts, ","), "-"), organisationOf(r), r.Route, quarantineState(r), strings.Join(r.Ended, " "))
 		}
 	})
 }
 
+func organisationOf(r entry.QuarantinedRequest) string {
+	if r.Shared {
+		return "(all)"
+	}
+	return r.Organisation
+}
+
 func quarantineState(r entry.QuarantinedRequest) string {
 	left := time.Duration(r.LeftMS) * time.Millisecond
 	switch {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,10 +45,20 @@
 	reports []*report
 	// waiting are the requests whose next attempt waits, until the instance is found not to
 	// have ended or the judges have decided.
-	waiting map[quarantine.Digest][]chan struct{}
+	waiting map[quarantine.Digest]*waitingRequest
 	// reporting has the incarnations of the judges to which a report is being sent.
 	reporting  map[string]bool
 	endedCount int64
+
+	completions *quarantine.Completions
+	inFlight    *quarantine.InFlight
+	gate        *quarantine.Gate
+}
+
+// waitingRequest is a request whose next attempt waits; each of channels is closed when it may go on.
+type waitingRequest struct {
+	suspect  quarantine.Suspect
+	channels []chan struct{}
 }
 
 // report is the report of an instance that ended.
@@ -62,18 +73,27 @@
 func newCrashReporter(n *Node) *crashReporter {
 	return &crashReporter{
 		Node: n, pending: make(chan struct{}, 1), broken: map[inventory.InstanceHash][]quarantine.Suspect{},
-		waiting: map[quarantine.Digest][]chan struct{}{}, reporting: map[string]bool{},
+		waiting: map[quarantine.Digest]*waitingRequest{}, reporting: map[string]bool{},
+		completions: quarantine.NewCompletions(n.clock), inFlight: quarantine.NewInFlight(n.clock), gate: quarantine.NewGate(n.clock),
 	}
 }
 
 // ConnectionBroken implements forward.Quarantine. It does not block.
 func (c *crashReporter) ConnectionBroken(i inventory.Instance, s quarantine.Suspect) <-chan struct{} {
+	suspectParts := c.completions.SuspectParts(s.Parts)
+	s.Parts = cloneAll(c.completions.OrderParts(s.Parts))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	decided := make(chan struct{})
-	c.waiting[s.Digest] = append(c.waiting[s.Digest], decided)
+	w := c.waiting[s.Digest]
+	if w == nil {
+		w = &waitingRequest{suspect: s}
+		c.waiting[s.Digest] = w
+	}
+	w.channels = append(w.channels, decided)
 	if r := c.reportOf(i); r != nil {
 		r.suspects = append(r.suspects, s)
+		c.gate.Hold(suspectParts)
 		c.signal()
 		return decided
 	}
@@ -86,6 +106,28 @@
 	return decided
 }
 
+// cloneAll returns copies that do not keep the header alive of which the parts are substrings.
+func cloneAll(parts []string) []string {
+	for i, part := range parts {
+		parts[i] = strings.Clone(part)
+	}
+	return parts
+}
+
+// Enter implements forward.Quarantine.
+func (c *crashReporter) Enter(ctx context.Context, s *quarantine.Suspect) (leave func()) {
+	return c.gate.Enter(ctx, s.Parts)
+}
+
+// Holds implements forward.Quarantine.
+func (c *crashReporter) Holds(s *quarantine.Suspect) bool { return c.gate.Holds(s.Parts) }
+
+// Answering implements forward.Quarantine.
+func (c *crashReporter) Answering(s *quarantine.Suspect) (ended func()) {
+	flight := c.inFlight.Begin(s)
+	return func() { c.inFlight.End(flight) }
+}
+
 // InstanceEnded implements forward.Quarantine.
 func (c *crashReporter) InstanceEnded(i inventory.Instance) bool {
 	c.mu.Lock()
@@ -98,10 +140,31 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, d := range all {
-		for _, decided := range c.waiting[d] {
-			close(decided)
+		c.resume(d)
+	}
+}
+
+// resume allows the next attempts of a request. The caller holds mu.
+func (c *crashReporter) resume(d quarantine.Digest) {
+	w := c.waiting[d]
+	if w == nil {
+		return
+	}
+	for _, decided := range w.channels {
+		close(decided)
+	}
+	delete(c.waiting, d)
+}
+
+// resumeDecided allows the next attempts of the requests that an entry is about.
+func (c *crashReporter) resumeDecided(e quarantine.Entry) {
+	c.gate.Open(e.RefusedParts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for d, w := range c.waiting {
+		if e.Refuses(&w.suspect) {
+			c.resume(d)
 		}
-		delete(c.waiting, d)
 	}
 }
 
@@ -136,6 +199,9 @@
 	c.endedCount++
 	c.reports = append(c.reports, &report{instance: i, at: at, suspects: suspects, sent: map[string]int{}})
 	c.reports = c.reports[max(len(c.reports)-maxReports, 0):]
+	for _, s := range suspects {
+		c.gate.Hold(c.completions.SuspectParts(s.Parts))
+	}
 	c.signal()
 	slog.Warn("instance.ended", "instance", i.ID, "address", i.Address, "version", i.Version, "requests", len(suspects))
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
@@ -42,7 +43,6 @@
 	*crashReporter
 	list     *quarantine.List
 	evidence *quarantine.Evidence
-	finished *quarantine.Finished
 	refusals atomic.Int64
 	// judgeDue is signalled when a crash report has arrived.
 	judgeDue chan struct{}
@@ -55,19 +55,19 @@
 func newQuarantineManager(n *Node) *quarantineManager {
 	return &quarantineManager{
 		crashReporter: newCrashReporter(n), list: quarantine.NewList(n.clock), evidence: quarantine.NewEvidence(n.clock),
-		finished: quarantine.NewFinished(n.clock), judgeDue: make(chan struct{}, 1),
+		judgeDue:        make(chan struct{}, 1),
 		pendingReleases: make(chan quarantine.Digest, maxPendingReleases),
 		unsaved:         make(chan []quarantine.Entry, maxUnsaved),
 	}
 }
 
 // Refused implements forward.Quarantine.
-func (q *quarantineManager) Refused(d quarantine.Digest) (time.Duration, bool) {
-	left, refused := q.list.Refused(d)
+func (q *quarantineManager) Refused(s *quarantine.Suspect) (quarantine.Entry, bool) {
+	e, refused := q.list.Refused(s)
 	if refused {
 		q.refusals.Add(1)
 	}
-	return left, refused
+	return e, refused
 }
 
 // Finished implements forward.Quarantine.
@@ -76,9 +76,11 @@
 // was over. It then does not crash instances, or no longer does, so it is released. If it
 // stayed on the list, a single unrelated crash under it, such as a power failure, would
 // quarantine it again.
-func (q *quarantineManager) Finished(d quarantine.Digest) {
-	q.finished.Record(d)
-	if !q.list.QuarantinedOrOnProbation(d) {
+func (q *quarantineManager) Finished(s *quarantine.Suspect) {
+	q.completions.Record(s)
+	q.gate.Open(s.Parts)
+	d, ok := q.list.ToRelease(s)
+	if !ok {
 		return
 	}
 	select {
@@ -87,6 +89,26 @@
 	}
 }
 
+// EndedWithAnswer implements forward.Quarantine. The answer of an instance that is leaving is whole:
+// its end is planned.
+func (q *quarantineManager) EndedWithAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) bool {
+	if q.table.IsLeaving(i.Incarnation()) {
+		return false
+	}
+	if q.InstanceEnded(i) || q.paths.instanceEnded(ctx, i) {
+		return true
+	}
+	go func() {
+		q.clock.Sleep(secondProbeDelay)
+		if q.paths.instanceEnded(context.Background(), i) {
+			q.ConnectionBroken(i, *s)
+			return
+		}
+		q.Finished(s)
+	}()
+	return false
+}
+
 // judgeLoop decides after crash reports, and again later while there are undecided suspects.
 //
 // Another request may have run on the same ended instances as the culprit and finish elsewhere
@@ -138,60 +160,79 @@
 // judge quarantines the requests that crash instances according to the evidence of all daemons.
 // It reports whether suspects are left for which the evidence does not suffice yet.
 func (q *quarantineManager) judge(ctx context.Context) (undecided bool) {
-	refused := func(d quarantine.Digest) bool {
-		_, yes := q.list.Refused(d)
-		return yes
-	}
-	suspected := q.evidence.Suspected(refused, q.list.OnProbation)
+	suspected := q.evidence.Suspected(q.list)
 	if len(suspected) == 0 {
 		return false
 	}
-	complete := q.collectEvidence(ctx, suspected)
+	complete, running := q.collectEvidence(ctx, suspected)
 	var decided []quarantine.Entry
-	for _, c := range q.evidence.Culprits(complete, refused, q.list.OnProbation) {
-		decided = append(decided, q.list.Quarantine(c))
-		q.resumeWaiting([]quarantine.Digest{c.Digest})
-		slog.Warn("quarantine.decided", "digest", c.Digest, "route", c.Route, "organisation", c.Organisation,
-			"ended", strings.Join(c.Ended, ","), "since_ms", c.Since.Milliseconds(), "complete_ms", complete.Milliseconds())
+	for _, v := range q.evidence.Culprits(complete, q.list, running) {
+		e := q.list.Quarantine(v)
+		decided = append(decided, e)
+		q.resumeDecided(e)
+		slog.Warn("quarantine.decided", "digest", e.Digest, "parts", strings.Join(e.RefusedParts, ","), "shared", e.Shared, "route", e.Route, "organisation", e.Organisation,
+			"ended", strings.Join(e.Ended, ","), "since_ms", v.Since.Milliseconds(), "complete_ms", complete.Milliseconds(),
+			"requests", v.Requests, "unrelated", v.Unrelated, "suspected", len(suspected), "running", len(running))
 	}
 	q.sendDecisions(ctx, decided)
-	return len(q.evidence.Suspected(refused, q.list.OnProbation)) > 0
+	return len(q.evidence.Suspected(q.list)) > 0
 }
 
-// collectEvidence asks all daemons which of the suspected requests have finished, and for
-// crashes that they may have been unable to report. It returns how far back the evidence is
-// complete.
+// maxInquiredTraits bounds the traits that daemons are asked about.
+const maxInquiredTraits = 2048
+
+// collectEvidence asks all daemons with which of the suspected traits requests have finished or run
+// now, and for crashes that they may have been unable to report. It returns how far back the evidence
+// is complete.
 //
 // A request that only ran beside the culprit is cleared by having finished, or by the crash of
-// an instance that did not run it. A daemon that does not answer may know of either, so the
-// result is 0 then.
-func (q *quarantineManager) collectEvidence(ctx context.Context, suspected []quarantine.Digest) (complete time.Duration) {
-	request := peer.QuarantineEvidenceRequest{Within: inquiryWindow, Digests: suspected}
+// an instance that did not run it. A daemon that does not answer may know of either, so complete is 0
+// then.
+func (q *quarantineManager) collectEvidence(ctx context.Context, suspected []quarantine.Trait) (complete time.Duration, running quarantine.Running) {
+	request := peer.QuarantineEvidenceRequest{Within: inquiryWindow, HasTraits: true}
+	for _, t := range suspected[:min(len(suspected), maxInquiredTraits)] {
+		if t.Part == "" {
+			request.Digests = append(request.Digests, t.Request)
+		} else {
+			request.Parts = append(request.Parts, t.Part)
+		}
+	}
 	own := q.OnQuarantineEvidence(request)
-	q.addEvidence(own)
+	running = quarantine.Running{}
 	var mu sync.Mutex
 	complete = own.Up
-	atMost := func(d time.Duration) {
+	add := func(answer peer.QuarantineEvidence) {
+		q.addEvidence(answer)
 		mu.Lock()
 		defer mu.Unlock()
-		complete = min(complete, d)
+		complete = min(complete, answer.Up)
+		if !answer.HasTraits {
+			// A daemon of an older version knows nothing of parts.
+			complete = 0
+		}
+		running.Merge(answer.Running)
 	}
+	add(own)
 	q.callEach(ctx, inquiryTimeout, q.otherRunningDaemons(), func(call context.Context, address string) {
 		answer, err := q.peers.QuarantineEvidence(call, address, request)
 		if err != nil {
-			atMost(0)
+			mu.Lock()
+			complete = 0
+			mu.Unlock()
 			slog.Info("quarantine.no_answer", "peer", address, "error", err)
 			return
 		}
-		atMost(answer.Up)
-		q.addEvidence(answer)
+		add(answer)
 	})
-	return complete
+	return complete, running
 }
 
 func (q *quarantineManager) addEvidence(answer peer.QuarantineEvidence) {
 	for d, age := range answer.Finished {
-		q.evidence.Clear(d, age)
+		q.evidence.ClearRequest(d, age)
+	}
+	for part, age := range answer.FinishedParts {
+		q.evidence.ClearPart(part, age)
 	}
 	for _, c := range answer.Crashes {
 		q.evidence.Add(c)
@@ -238,10 +279,10 @@
 	for _, e := range q.list.Merge(entries) {
 		if e.Released {
 			// Crashes before the release no longer count against the request.
-			q.evidence.Clear(e.Digest, 0)
+			q.evidence.ClearEntry(e)
 		}
-		q.resumeWaiting([]quarantine.Digest{e.Digest})
-		slog.Info("quarantine.learned", "digest", e.Digest, "route", e.Route, "organisation", e.Organisation,
+		q.resumeDecided(e)
+		slog.Info("quarantine.learned", "digest", e.Digest, "parts", strings.Join(e.RefusedParts, ","), "shared", e.Shared, "route", e.Route, "organisation", e.Organisation,
 			"ended", strings.Join(e.Ended, ","), "released", e.Released, "left_ms", e.Left.Milliseconds(), "source", source)
 	}
 }
@@ -253,8 +294,8 @@
 	if !ok {
 		return false
 	}
-	q.evidence.Clear(d, 0)
-	slog.Warn("quarantine.released", "digest", d, "route", e.Route, "organisation", e.Organisation)
+	q.evidence.ClearEntry(e)
+	slog.Warn("quarantine.released", "digest", d, "parts", strings.Join(e.RefusedParts, ","), "route", e.Route, "organisation", e.Organisation)
 	q.sendDecisions(ctx, []quarantine.Entry{e})
 	return true
 }
@@ -272,12 +313,27 @@
 
 // OnQuarantineEvidence implements peer.RoutesHandler.
 func (n *Node) OnQuarantineEvidence(r peer.QuarantineEvidenceRequest) peer.QuarantineEvidence {
-	answer := peer.QuarantineEvidence{Up: n.clock.Since(n.startedAt), Finished: map[quarantine.Digest]time.Duration{}, Crashes: n.quarantine.recent(r.Within)}
+	q := n.quarantine
+	answer := peer.QuarantineEvidence{
+		Up: n.clock.Since(n.startedAt), Finished: map[quarantine.Digest]time.Duration{}, FinishedParts: map[string]time.Duration{},
+		Crashes: q.recent(r.Within), HasTraits: r.HasTraits,
+	}
+	var traits []quarantine.Trait
 	for _, d := range r.Digests {
-		if age, ok := n.quarantine.finished.Age(d); ok {
+		t := quarantine.Trait{Request: d}
+		traits = append(traits, t)
+		if age, ok := q.completions.Age(t); ok {
 			answer.Finished[d] = age
 		}
 	}
+	for _, part := range r.Parts {
+		t := quarantine.Trait{Part: part, Shared: true}
+		traits = append(traits, t)
+		if age, ok := q.completions.Age(t); ok {
+			answer.FinishedParts[part] = age
+		}
+	}
+	answer.Running = q.inFlight.Longest(traits)
 	return answer
 }
 
--- a/internal/entry/quarantine_http.go
+++ b/internal/entry/quarantine_http.go
@@ -22,9 +22,14 @@
 
 // QuarantinedRequest is a request that is refused, or was until recently.
 type QuarantinedRequest struct {
-	Digest       quarantine.Digest `json:"digest"`
-	Route        string            `json:"route"`
-	Organisation string            `json:"organisation"`
+	// Digest identifies the request, or the entry if Parts are set.
+	Digest quarantine.Digest `json:"digest"`
+	// Parts are the parts of prompts: all requests of the organisation, or of all if Shared is set, that
+	// have all of them are refused.
+	Parts        []string `json:"parts,omitempty"`
+	Shared       bool     `json:"shared,omitempty"`
+	Route        string   `json:"route"`
+	Organisation string   `json:"organisation"`
 	// Ended are the IDs of the upstream instances that ended under the request.
 	Ended    []string `json:"ended"`
 	Released bool     `json:"released"`
@@ -55,7 +60,7 @@
 	reply := QuarantineReply{Requests: []QuarantinedRequest{}}
 	for _, e := range q.list.Entries() {
 		reply.Requests = append(reply.Requests, QuarantinedRequest{
-			Digest: e.Digest, Route: e.Route, Organisation: e.Organisation, Ended: e.Ended, Released: e.Released,
+			Digest: e.Digest, Parts: e.RefusedParts, Shared: e.Shared, Route: e.Route, Organisation: e.Organisation, Ended: e.Ended, Released: e.Released,
 			LeftMS: e.Left.Milliseconds(),
 		})
 	}
--- a/internal/forward/ahead.go
+++ b/internal/forward/ahead.go
@@ -156,7 +156,9 @@
 		e, err := next()
 		switch {
 		case err == io.EOF:
-			a.noteFinished()
+			if err := a.finish(); err != nil {
+				return q.failStream(a, err)
+			}
 			a.end(inventory.OutcomeSuccess)
 			return nil
 		case err != nil && buffer.stopped.Load():
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -56,6 +56,9 @@
 	// pathLost is set once the attempt is ended because this daemon is cut off.
 	pathLost atomic.Bool
 	span     oteltrace.Span
+	// leave and answerEnded tell the quarantine of the end of the attempt; answerEnded is nil until an
+	// answer has begun.
+	leave, answerEnded func()
 }
 
 // refusedError means that the instance refused the request and did not run it.
@@ -76,7 +79,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	if probe, due := place.Probe(candidates); due {
 		picked, ok = probe, true
-	} else if q.instanceEnded {
+	} else if q.endedInstances > 0 {
 		if q.placesByTime() {
 			candidates = place.WithMemory(candidates, q.placementRequest())
 		}
@@ -106,11 +109,19 @@
 // that is longer; a headTimeout of 0 means no limit. If the error is nil, the caller must end
 // the attempt.
 func (q *request) startAttempt(ctx context.Context, headTimeout time.Duration) (*attempt, error) {
-	picked, instance, err := q.takeTurn(ctx)
+	leave := q.Quarantine.Enter(ctx, q.suspect())
+	err := q.checkQuarantine()
+	var picked place.Candidate
+	var instance inventory.Instance
+	if err == nil {
+		picked, instance, err = q.takeTurn(ctx)
+	}
 	if err != nil {
+		leave()
 		return nil, err
 	}
 	a, ctx := q.newAttempt(ctx, instance, picked)
+	a.leave = leave
 	var timer *time.Timer
 	if headTimeout > 0 {
 		timer = time.AfterFunc(max(headTimeout, expectedTimeoutFactor*q.expectedFirstEvent), a.cancel)
@@ -140,7 +151,7 @@
 	a := &attempt{
 		span: span, request: q, instance: instance, cancel: cancel, sentAt: time.Now(),
 		prefill: picked.Prefill, queuedPrefill: picked.Waiting, isWaiting: true, warming: picked.Warming,
-		byTime: q.placesByTime(), crowding: crowding(picked),
+		byTime: q.placesByTime(), crowding: crowding(picked), leave: func() {},
 	}
 	q.Table.Begin(instance, a.prefill)
 	q.countUnproven(picked)
@@ -187,7 +198,7 @@
 		},
 		Body:        q.body,
 		HasBody:     len(q.body) > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
-		IsWithdrawn: a.isWithdrawn,
+		IsWithdrawn: func() bool { return a.isWithdrawn() || a.isRefused() },
 	}
 	exchange, err := a.exchangeHeads(ctx, upstreamRequest)
 	if err != nil {
@@ -220,6 +231,7 @@
 		return &refusedError{instance: a.instance.ID}
 	}
 	a.noteHead()
+	a.answerEnded = a.Quarantine.Answering(a.suspect())
 	a.removeWaiting()
 	q.firstEvent = a.headAt.Sub(a.sentAt)
 	if q.service.Engine {
@@ -358,11 +370,11 @@
 	a.broken = outcome == inventory.OutcomeFailed && isConnectionBroken(err)
 	if a.r.Context().Err() == nil {
 		if isConnectionBroken(err) {
-			a.quarantineDecided = a.Quarantine.ConnectionBroken(a.instance, a.suspect())
+			a.quarantineDecided = a.Quarantine.ConnectionBroken(a.instance, a.endedSuspect())
 		}
 		a.noteLoss(err)
 		slog.Info("attempt.failed", "request", a.request.headers.ID, "instance", a.instance.ID, "version", a.instance.Version,
-			"digest", a.digest, "model", a.model, "list", a.Table.Revision(), "after_ms", time.Since(a.sentAt).Milliseconds(), "error", err)
+			"digest", a.digest, "parts", a.loggedParts(), "model", a.model, "list", a.Table.Revision(), "after_ms", time.Since(a.sentAt).Milliseconds(), "error", err)
 	}
 	a.end(outcome)
 }
@@ -374,6 +386,10 @@
 		return
 	}
 	a.ended = true
+	a.leave()
+	if a.answerEnded != nil {
+		a.answerEnded()
+	}
 	a.direct.remove(a)
 	a.noteWhole(outcome)
 	a.stopOverdueChecks()
@@ -419,6 +435,8 @@
 	var refused *refusedError
 	mayHaveRun := !errors.As(err, &refused) && !notSent
 	switch {
+	case fault.Is(err, fault.Quarantined):
+		return "quarantined"
 	case fault.Is(err, fault.NoUpstream), fault.Is(err, fault.NoCapacity):
 		// An immediate retry would fail in the same way. Each would take a retry from the
 		// fleet's budget, until none is left for other requests.
@@ -439,6 +457,8 @@
 	switch {
 	case q.checkQuarantine() != nil:
 		return "quarantined"
+	case q.endedInstances >= maxEndedWhileHeld && q.Quarantine.Holds(q.suspect()):
+		return "held_back"
 	case notSent:
 		// Nothing was sent, so the next attempt may use the retry that this one took from the
 		// budget. Otherwise each unreachable instance would cost a retry, until none is left
--- a/internal/forward/done.go
+++ b/internal/forward/done.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
@@ -34,6 +35,9 @@
 	}
 	if f != nil && q.body != nil {
 		attrs = append(attrs, slog.String("digest", q.digest.String()))
+		if len(q.refusedBy.RefusedParts) > 0 {
+			attrs = append(attrs, slog.String("refused_parts", strings.Join(q.refusedBy.RefusedParts, ",")))
+		}
 	}
 	if q.lastInstance.ID != "" {
 		attrs = append(attrs, slog.String("instance", q.lastInstance.ID), slog.String("version", q.lastInstance.Version), slog.String("model", q.model))
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -121,13 +121,16 @@
 	service      *catalog.Service
 	body         []byte
 	callerMemory
-	// digest identifies repetitions of the same request.
-	digest quarantine.Digest
+	// digest identifies repetitions of the same request. suspected is the request as the quarantine
+	// knows it, and refusedBy the entry that refused it.
+	digest    quarantine.Digest
+	suspected *quarantine.Suspect
+	refusedBy quarantine.Entry
 	// quarantineDecided is closed once the request may be tried again; nil means at once.
 	quarantineDecided <-chan struct{}
-	// instanceEnded is set once an instance has ended while it ran the request.
-	instanceEnded bool
-	deadline      time.Time
+	// endedInstances is the number of instances that have ended while they ran the request.
+	endedInstances int
+	deadline       time.Time
 
 	// model is the model to request; empty if the caller names one.
 	model string
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -98,14 +98,17 @@
 		a.fail(err)
 		return nil, err
 	}
+	if err := a.finish(); err != nil {
+		q.releaseAnswer(body)
+		a.fail(err)
+		return nil, err
+	}
 	whole := &answer{status: a.exchange.Status(), header: a.exchange.Header(), body: body}
 	if whole.status >= http.StatusInternalServerError {
 		err := &serverError{status: whole.status}
-		a.noteFinished()
 		a.fail(err)
 		return whole, err
 	}
-	a.noteFinished()
 	a.end(inventory.OutcomeSuccess)
 	q.ran = fault.RanYes
 	return nil, q.sendAnswer(whole)
@@ -142,7 +145,10 @@
 		a.fail(err)
 		return err
 	}
-	a.noteFinished()
+	if err := a.finish(); err != nil {
+		a.fail(err)
+		return err
+	}
 	a.end(inventory.OutcomeSuccess)
 	q.ran = fault.RanYes
 	return nil
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"syscall"
 	"time"
 
@@ -15,10 +17,20 @@
 // Quarantine determines which requests are refused because they crash the instances that run
 // them, and collects the evidence for it.
 type Quarantine interface {
-	// Refused reports whether a request is refused, and for how much longer.
-	Refused(d quarantine.Digest) (remaining time.Duration, refused bool)
+	// Refused returns the entry that refuses a request, with the remaining time.
+	Refused(s *quarantine.Suspect) (entry quarantine.Entry, refused bool)
+	// Enter waits while a request is held back because an instance has just ended under a similar one.
+	// leave is called when the attempt that follows has ended.
+	Enter(ctx context.Context, s *quarantine.Suspect) (leave func())
+	// Holds reports whether requests like this one are held back.
+	Holds(s *quarantine.Suspect) bool
+	// Answering is called when an answer has begun, and ended at its end.
+	Answering(s *quarantine.Suspect) (ended func())
 	// Finished is called when an instance has run a request to its end.
-	Finished(d quarantine.Digest)
+	Finished(s *quarantine.Suspect)
+	// EndedWithAnswer is called instead if only the end of the connection marks the end of the answer.
+	// It reports whether the instance has ended, too, so that the answer may be cut.
+	EndedWithAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) bool
 	// ConnectionBroken is called when the connection on which an instance ran a request broke.
 	// The channel is closed once the request may be tried again: when the instance turns out not
 	// to have ended, when no other instance has ended under the request, or when the quarantine
@@ -49,45 +61,106 @@
 	case <-ctx.Done():
 	}
 	q.quarantineDecided = nil
-	q.instanceEnded = q.instanceEnded || q.Quarantine.InstanceEnded(q.lastInstance)
+	if q.Quarantine.InstanceEnded(q.lastInstance) {
+		q.endedInstances++
+	}
 }
 
+// maxEndedWhileHeld is the number of instances that may end under a request whose like are held back.
+// Its next attempt would probably end another one.
+const maxEndedWhileHeld = 2
+
 // checkQuarantine returns an error if the request is quarantined.
 //
 // No other check relates the crash of an instance to the content of a request. A caller
-// repeats the request with a new ID at any daemon, and each repetition would crash up to three
-// instances with all other requests on them.
+// repeats the request with a new ID at any daemon, or sends others that have the same part in
+// their prompts, and each would crash up to three instances with all other requests on them.
 func (q *request) checkQuarantine() error {
-	organisation := ""
-	if q.organisation != nil {
-		organisation = q.organisation.Name
-	}
-	if q.digest == (quarantine.Digest{}) {
-		q.digest = quarantine.NewDigest(q.r.Method, q.r.Host, q.r.RequestURI, organisation, q.body)
-	}
-	remaining, refused := q.Quarantine.Refused(q.digest)
+	entry, refused := q.Quarantine.Refused(q.suspect())
 	if !refused {
 		return nil
 	}
-	return fault.New(fault.Quarantined, "instances ended under this request (digest %s)", q.digest).WithRetryAfter(remaining)
+	q.refusedBy = entry
+	if len(entry.RefusedParts) > 0 {
+		return fault.New(fault.Quarantined, "instances ended under requests with the parts %s (digest %s)", strings.Join(entry.RefusedParts, ","), entry.Digest).WithRetryAfter(entry.Left)
+	}
+	return fault.New(fault.Quarantined, "instances ended under this request (digest %s)", entry.Digest).WithRetryAfter(entry.Left)
 }
 
-// suspect returns the request as it is listed in crash reports.
-func (q *request) suspect() quarantine.Suspect {
-	s := quarantine.Suspect{Digest: q.digest, Route: q.route.Name}
+// suspect returns the request as it is listed in crash reports. It is available once the body has been
+// read.
+func (q *request) suspect() *quarantine.Suspect {
+	if q.suspected != nil {
+		return q.suspected
+	}
+	s := &quarantine.Suspect{Route: q.route.Name, Parts: q.comparedParts()}
 	if q.organisation != nil {
 		s.Organisation = q.organisation.Name
 	}
+	q.digest = quarantine.NewDigest(q.r.Method, q.r.Host, q.r.RequestURI, s.Organisation, q.body)
+	s.Digest = q.digest
+	q.suspected = s
 	return s
 }
 
-// noteFinished records that the instance has run the request to its end. An answer that is
-// delimited by the end of the connection proves nothing, because a crash ends it in the same
-// way.
-func (a *attempt) noteFinished() {
+// comparedParts returns the parts of the prompt that other requests may share: all but the last one,
+// each once.
+func (q *request) comparedParts() []string {
+	n := len(q.headers.Prompt)
+	if n < 2 {
+		return nil
+	}
+	out, seen := make([]string, 0, n-1), make(map[string]bool, n-1)
+	for _, part := range q.headers.Prompt[:n-1] {
+		if id := quarantine.NormalisePart(part.ID); !seen[id] {
+			seen[id] = true
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// maxLoggedParts bounds the parts in a line of the log.
+const maxLoggedParts = 16
+
+// loggedParts returns the parts that the quarantine compares, for the log.
+func (q *request) loggedParts() string {
+	parts := q.suspect().Parts
+	return strings.Join(parts[:min(len(parts), maxLoggedParts)], ",")
+}
+
+// endedSuspect returns the request as it was when its connection broke.
+func (a *attempt) endedSuspect() quarantine.Suspect {
+	s := *a.suspect()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.headAt.IsZero() {
+		s.Progress = time.Since(a.headAt)
+	}
+	return s
+}
+
+// errInstanceEnded means that an answer that ends with its connection did so because the instance
+// ended.
+var errInstanceEnded = fmt.Errorf("the instance ended with the answer: %w", io.ErrUnexpectedEOF)
+
+// finish records that the instance has run the request to its end. It returns an error if the answer
+// may have been cut: the end of a connection ends an answer only if the instance lives on.
+func (a *attempt) finish() error {
 	if a.exchange.IsSelfDelimited() {
-		a.Quarantine.Finished(a.request.digest)
+		a.Quarantine.Finished(a.suspect())
+		return nil
 	}
+	if a.Quarantine.EndedWithAnswer(a.r.Context(), a.instance, a.suspect()) {
+		return fmt.Errorf("%w: %w", errAnswerCut, errInstanceEnded)
+	}
+	return nil
+}
+
+// isRefused reports whether the request has been quarantined since the attempt began.
+func (a *attempt) isRefused() bool {
+	_, refused := a.Quarantine.Refused(a.suspect())
+	return refused
 }
 
 // isConnectionBroken reports whether an attempt ended because the server closed or reset the
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -108,7 +108,9 @@
 }
 
 func (q *request) endStream(a *attempt) error {
-	a.noteFinished()
+	if err := a.finish(); err != nil {
+		return q.failStream(a, err)
+	}
 	a.end(inventory.OutcomeSuccess)
 	q.ran = fault.RanYes
 	if !q.headSent {
@@ -119,7 +121,9 @@
 
 // failStream ends an attempt whose stream broke off or paused for too long.
 func (q *request) failStream(a *attempt, err error) error {
-	err = fmt.Errorf("%w: %w", errAnswerCut, err)
+	if !errors.Is(err, errAnswerCut) {
+		err = fmt.Errorf("%w: %w", errAnswerCut, err)
+	}
 	a.fail(err)
 	return err
 }
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -23,7 +23,11 @@
 // QuarantineEvidenceRequest asks a daemon for its evidence about requests before they are
 // quarantined.
 type QuarantineEvidenceRequest struct {
+	// Digests are the requests, and Parts the parts of prompts that are asked about.
 	Digests []quarantine.Digest
+	Parts   []string
+	// HasTraits is set by daemons that know of parts.
+	HasTraits bool
 	// Within is the maximum age of the crashes to return.
 	Within time.Duration
 }
@@ -35,6 +39,11 @@
 	// Finished has, for those of the requests that recently ran to completion at this daemon,
 	// the time since then.
 	Finished map[quarantine.Digest]time.Duration
+	// FinishedParts is the same for requests with the parts, and Running is for how long answers have
+	// run. HasTraits is set if this daemon knows of both.
+	FinishedParts map[string]time.Duration
+	Running       quarantine.Running
+	HasTraits     bool
 	// Crashes are the recent crashes that this daemon observed, including those already
 	// reported.
 	Crashes []quarantine.Crash
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -1,13 +1,17 @@
 // Package quarantine decides which requests to refuse because they crash the upstream
-// instances that run them. It compares which requests ran on the instances that ended, stores
-// the decisions in memory, and does no I/O.
+// instances that run them: a single request that is repeated, or all that have a part of their
+// prompts in common. It compares what ran on the instances that ended, stores the decisions in
+// memory, and does no I/O.
 package quarantine
 
 import (
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strconv"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 )
 
@@ -49,3 +53,23 @@
 	copy(d[:], b)
 	return nil
 }
+
+// partDigest returns a digest of a part of prompts. It is not that of any request: those are not made
+// of one field.
+func partDigest(part string) Digest {
+	var d Digest
+	binary.BigEndian.PutUint64(d[:], xxhash.Sum64String(part))
+	return d
+}
+
+// partsDigest identifies the refusal of all requests of an organisation, or of all, that have all the
+// given parts.
+func partsDigest(organisation string, shared bool, parts []string) Digest {
+	scope := "one"
+	if shared {
+		scope = "all"
+	}
+	return NewDigest("part", scope, strings.Join(parts, ","), organisation, nil)
+}
+
+func hexOf(n uint64) string { return strconv.FormatUint(n, 16) }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -23,9 +23,14 @@
 	maxEntries = 2000
 )
 
-// Entry is a request that is or was quarantined.
+// Entry is a request, or all requests with certain parts, that are or were quarantined.
 type Entry struct {
+	// Suspect is the request. If RefusedParts are set, its Digest identifies the entry.
 	Suspect
+	// RefusedParts are the parts that a request must have, all of them, to be refused; none if only
+	// the one request is. Shared is set if they are refused for all organisations.
+	RefusedParts []string
+	Shared       bool
 	// Ended are the IDs of the instances that ended while running it.
 	Ended []string
 	// Released is set when the quarantine was ended early: by an operator, or because the
@@ -40,6 +45,25 @@
 	Left time.Duration
 }
 
+// Refuses reports whether the entry is about a request.
+func (e *Entry) Refuses(s *Suspect) bool {
+	if len(e.RefusedParts) == 0 {
+		return e.Digest == s.Digest
+	}
+	if !e.Shared && e.Organisation != s.Organisation {
+		return false
+	}
+	return !slices.ContainsFunc(e.RefusedParts, func(part string) bool { return !slices.Contains(s.Parts, part) })
+}
+
+// trait returns a trait that all requests have which the entry refuses.
+func (e *Entry) trait() Trait {
+	if len(e.RefusedParts) == 0 {
+		return Trait{Request: e.Digest}
+	}
+	return Trait{Part: e.RefusedParts[0], Organisation: e.Organisation, Shared: e.Shared}
+}
+
 type entry struct {
 	Entry
 	until time.Time
@@ -49,54 +73,93 @@
 // whatever order the entries arrived.
 //
 // Lock order: no other lock is taken while mu is held. The lock of an Evidence may be held when
-// mu is taken, by the functions that Suspected and Culprits call.
+// mu is taken, by the methods of Verdicts.
 type List struct {
 	clock clockwork.Clock
 
 	mu      sync.Mutex
 	entries map[Digest]*entry
+	// byPart has the entries with RefusedParts by the first of them.
+	byPart map[string][]*entry
 }
 
 // NewList returns an empty list.
 func NewList(clock clockwork.Clock) *List {
-	return &List{clock: clock, entries: map[Digest]*entry{}}
+	return &List{clock: clock, entries: map[Digest]*entry{}, byPart: map[string][]*entry{}}
 }
 
-// Refused returns the remaining quarantine of a request; refused is false if there is none.
-func (l *List) Refused(d Digest) (left time.Duration, refused bool) {
+// find returns the first entry about a request that accept accepts, or nil. The lock is held.
+func (l *List) find(s *Suspect, accept func(e *entry) bool) *entry {
+	if e, ok := l.entries[s.Digest]; ok && accept(e) {
+		return e
+	}
+	if len(l.byPart) == 0 {
+		return nil
+	}
+	for _, part := range s.Parts {
+		for _, e := range l.byPart[part] {
+			if e.Refuses(s) && accept(e) {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// isRefused reports whether an entry is in force. The lock is held.
+func (l *List) isRefused(e *entry) bool { return !e.Released && e.until.After(l.clock.Now()) }
+
+// Refused returns the entry that refuses a request, with the remaining time; refused is false if there
+// is none.
+func (l *List) Refused(s *Suspect) (found Entry, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.entries[d]
-	if !ok || e.Released {
-		return 0, false
+	e := l.find(s, l.isRefused)
+	if e == nil {
+		return Entry{}, false
 	}
-	left = e.until.Sub(l.clock.Now())
-	return left, left > 0
+	found = e.Entry
+	found.Left = e.until.Sub(l.clock.Now())
+	return found, true
+}
+
+// Explains implements Verdicts.
+func (l *List) Explains(s *Suspect) bool {
+	_, yes := l.Refused(s)
+	return yes
 }
 
-// QuarantinedOrOnProbation reports whether a request is quarantined or on probation.
-func (l *List) QuarantinedOrOnProbation(d Digest) bool {
+// ToRelease returns the digest of an entry that refuses a request, or did until recently; ok is false
+// if there is none. An entry that was ended early by Release is not returned.
+func (l *List) ToRelease(s *Suspect) (d Digest, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.entries[d]
-	return ok && !e.Released
+	e := l.find(s, func(e *entry) bool { return !e.Released })
+	if e == nil {
+		return Digest{}, false
+	}
+	return e.Digest, true
 }
 
-// OnProbation reports whether the quarantine of a request has expired recently. It is false
-// for one that was ended early by Release.
-func (l *List) OnProbation(d Digest) bool {
+// OnProbation implements Verdicts: it returns the entry that has expired recently. There is none if it
+// was ended early by Release.
+func (l *List) OnProbation(s *Suspect) (found Entry, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.entries[d]
-	return ok && !e.Released && l.clock.Since(e.until) >= 0
+	e := l.find(s, func(e *entry) bool { return !e.Released && l.clock.Since(e.until) >= 0 })
+	if e == nil {
+		return Entry{}, false
+	}
+	return e.Entry, true
 }
 
-// Quarantine adds a request and returns the entry to send to the other daemons.
-func (l *List) Quarantine(c SuspectCrashes) Entry {
-	e := Entry{Suspect: c.Suspect, Ended: c.Ended, Left: Duration}
+// Quarantine adds a verdict and returns the entry to send to the other daemons.
+func (l *List) Quarantine(v Verdict) Entry {
+	e := v.Entry
+	e.Left, e.Released = Duration, false
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e.Stamp = l.nextStamp(c.Digest)
+	e.Stamp = l.nextStamp(e.Digest)
 	l.put(e)
 	return e
 }
@@ -142,12 +205,33 @@
 }
 
 func (l *List) put(e Entry) {
-	l.entries[e.Digest] = &entry{Entry: e, until: l.clock.Now().Add(e.Left)}
+	l.remove(e.Digest)
+	added := &entry{Entry: e, until: l.clock.Now().Add(e.Left)}
+	l.entries[e.Digest] = added
+	if len(e.RefusedParts) > 0 {
+		l.byPart[e.RefusedParts[0]] = append(l.byPart[e.RefusedParts[0]], added)
+	}
 	if len(l.entries) > maxEntries {
 		l.dropOldest()
 	}
 }
 
+func (l *List) remove(d Digest) {
+	old, ok := l.entries[d]
+	if !ok {
+		return
+	}
+	delete(l.entries, d)
+	if len(old.RefusedParts) == 0 {
+		return
+	}
+	part := old.RefusedParts[0]
+	l.byPart[part] = slices.DeleteFunc(l.byPart[part], func(e *entry) bool { return e == old })
+	if len(l.byPart[part]) == 0 {
+		delete(l.byPart, part)
+	}
+}
+
 func (l *List) dropOldest() {
 	var oldest *entry
 	for _, e := range l.entries {
@@ -155,7 +239,7 @@
 			oldest = e
 		}
 	}
-	delete(l.entries, oldest.Digest)
+	l.remove(oldest.Digest)
 }
 
 // Expire removes the requests whose probation is over.
@@ -164,7 +248,7 @@
 	defer l.mu.Unlock()
 	for d, e := range l.entries {
 		if l.clock.Since(e.until) > probation {
-			delete(l.entries, d)
+			l.remove(d)
 		}
 	}
 }
