test: cuts behind something that accepts connections; fail on this code

A load balancer, a sidecar or a firewall may accept a daemon's connections and then reset them or pass nothing on. On the daemons behind it serve 0 of 121 calls (reset, 2 of 6), 36 of 128 (silent, 2 of 6), 79 of 253 (silent, 4 of 6) and 0 of 303 (reset, 5 of 6); the others all. If only new connections are reset, 122 of 122.

--- a/test/faultdial/faultdial.go
+++ b/test/faultdial/faultdial.go
@@ -35,6 +35,12 @@
 	Refuse Fault = "refuse"
 	// Hang loses all packets.
 	Hang Fault = "hang"
+	// ResetAccepted resets open connections, and new ones after they have been accepted, as a load
+	// balancer does that does not reach the instances. ResetNew does so with new ones only.
+	ResetAccepted Fault = "reset-accepted"
+	ResetNew      Fault = "reset-new"
+	// HangAccepted accepts new connections and passes nothing on, on these and open ones.
+	HangAccepted Fault = "hang-accepted"
 )
 
 // pollInterval is the interval at which the control file is read and faulty connections are checked.
@@ -122,6 +128,10 @@
 		return nil, err
 	}
 	conn := &conn{Conn: under, dialer: d, address: address, closed: make(chan struct{})}
+	if c.affects(address, ResetAccepted, ResetNew) {
+		conn.fail(syscall.ECONNRESET)
+		return conn, nil
+	}
 	go conn.watch()
 	return conn, nil
 }
@@ -157,7 +167,7 @@
 		case <-time.After(pollInterval):
 		}
 		switch {
-		case c.has(Reset):
+		case c.has(Reset, ResetAccepted):
 			c.fail(syscall.ECONNRESET)
 			return
 		case c.has(Hang):
@@ -165,6 +175,8 @@
 				c.fail(syscall.ETIMEDOUT)
 				return
 			}
+		case c.has(HangAccepted):
+			// What accepts the bytes acknowledges them, so that the kernel never gives up.
 		default:
 			c.resend()
 		}
@@ -241,7 +253,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for c.has(Hang) && c.failure() == nil {
+	for c.has(Hang, HangAccepted) && c.failure() == nil {
 		select {
 		case <-c.closed:
 			return 0, net.ErrClosed
@@ -261,7 +273,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.has(Hang) && len(c.held) == 0 {
+	if !c.has(Hang, HangAccepted) && len(c.held) == 0 {
 		return c.Conn.Write(p)
 	}
 	if len(c.held) == 0 {
--- a/test/routes/cut_off_test.go
+++ b/test/routes/cut_off_test.go
@@ -150,12 +150,28 @@
 //	CUT_DAEMONS=30 go test -count=1 -run TestCutOffDaemonServesByWayOfPeers -timeout 20m ./test/routes
 func TestCutOffDaemonServesByWayOfPeers(t *testing.T) {
 	daemonCount := envInt("CUT_DAEMONS", 6)
-	for _, c := range []struct {
-		fault faultdial.Fault
-		cut   int
-	}{
+	runCuts(t, daemonCount, []cutCase{
 		{faultdial.Reset, 2}, {faultdial.Hang, 2}, {faultdial.Refuse, 2}, {faultdial.Hang, 1}, {faultdial.Hang, daemonCount / 2}, {faultdial.Hang, daemonCount - 1}, {faultdial.Reset, daemonCount - 1},
-	} {
+	})
+}
+
+// Guards against a cut behind something that accepts connections, which a daemon takes for signs of
+// life of the instances.
+func TestCutBehindAnAcceptorServesByWayOfPeers(t *testing.T) {
+	daemonCount := envInt("CUT_DAEMONS", 6)
+	runCuts(t, daemonCount, []cutCase{
+		{faultdial.ResetAccepted, 2}, {faultdial.HangAccepted, 2}, {faultdial.ResetNew, 2}, {faultdial.HangAccepted, daemonCount - 2}, {faultdial.ResetAccepted, daemonCount - 1},
+	})
+}
+
+// cutCase is a fault of the connections to all instances at some daemons.
+type cutCase struct {
+	fault faultdial.Fault
+	cut   int
+}
+
+func runCuts(t *testing.T, daemonCount int, cases []cutCase) {
+	for _, c := range cases {
 		t.Run(fmt.Sprintf("%s-%d-of-%d", c.fault, c.cut, daemonCount), func(t *testing.T) {
 			s := newTestbed(t)
 			for i := range 4 {
