reach, upconn, entry: only an answer is a sign of life of an instance

What callers saw: daemons cut off behind something that accepts their connections, and resets them or passes nothing on, served nobody.

Cause: an established connection cleared the failures of a service, and only failures to connect counted. It proves a listener's kernel, no server.

Change: a direct connection that breaks before an answer begins is a failure of its instance, too. Answers refute failures: those of reused connections at once, others if their own connection was opened no earlier, so that old connections that live on do not hide that new ones fail.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -53,7 +53,7 @@
 			break
 		}
 		all.Go(func() {
-			err := n.pool.Probe(ctx, targetOf(i))
+			err := n.askInstance(ctx, targetOf(i))
 			mu.Lock()
 			defer mu.Unlock()
 			reply.Reached = reply.Reached || err == nil
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -107,6 +107,7 @@
 	// of its group. prefixes tracks which upstream instances have which prompt prefixes cached.
 	workTotals *workTotals
 	prefixes   *inventory.PrefixIndex
+	codec      platform.HeaderCodec
 	// quarantine refuses requests that crash upstream instances.
 	quarantine *quarantineManager
 	// overload decides which parts of the handling of overload apply.
@@ -165,7 +166,7 @@
 // is called.
 func NewNode(s settings.Routes, clock clockwork.Clock, store *platform.Store, codec platform.HeaderCodec, dialer upconn.Dialer) *Node {
 	n := &Node{
-		settings: s, clock: clock, store: store, kv: platform.Table{Store: store},
+		settings: s, clock: clock, codec: codec, store: store, kv: platform.Table{Store: store},
 		table: inventory.NewTable(clock), prefixes: inventory.NewPrefixIndex(clock), metrics: forward.NewMetrics(),
 		evacuations: evacuation.NewRegistry(clock),
 		startup:     newStartup(clock), survey: &survey{book: newSurveyBook()}, engines: platform.NewEngines(), relayQueue: make(chan peer.StoreUpdate, maxRelayQueue),
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -121,24 +122,25 @@
 	return p.tracker.CutOff(service)
 }
 
-// NoteDial implements upconn.Paths.
-func (p *pathManager) NoteDial(to upconn.Target, err error) {
+// NoteFailure implements upconn.Paths.
+func (p *pathManager) NoteFailure(to upconn.Target, l upconn.Link) {
 	if to.Service == "" {
 		return
 	}
-	if err == nil {
-		if p.tracker.Connected(to.Service) {
-			p.restored(to.Service)
-		}
-		return
-	}
-	p.tracker.Failed(to.Service, to.Instance)
+	p.tracker.Failed(to.Service, to.Instance, l.OpenedAt, l.Reused)
 	select {
 	case p.failed <- struct{}{}:
 	default:
 	}
 }
 
+// NoteAnswer implements upconn.Paths.
+func (p *pathManager) NoteAnswer(to upconn.Target, l upconn.Link) {
+	if to.Service != "" && p.tracker.Reached(to.Service, l.OpenedAt) {
+		p.restored(to.Service)
+	}
+}
+
 // loop checks services whose connections fail, and tries direct connections while this daemon is cut
 // off.
 func (p *pathManager) loop(ctx context.Context) {
@@ -165,12 +167,15 @@
 	}
 }
 
-// check finds out whether this daemon is cut off from a service whose connections fail. It first
-// connects to others, until enough have failed: one that failed alone has probably ended.
+// check finds out whether this daemon is cut off from a service whose connections fail. It first asks
+// others, until enough have failed: one that failed alone has probably ended. It asks one of those that
+// failed, too, since only its old connections may have ended.
 func (p *pathManager) check(ctx context.Context, service string) {
 	fruitless := p.tracker.Fruitless(service)
 	if fruitless == 0 {
-		p.probe(ctx, p.sampleTargets(service, p.tracker.ProbesNeeded(service), p.tracker.HasFailed))
+		targets := p.sampleTargets(service, p.tracker.ProbesNeeded(service), p.tracker.HasFailed)
+		again := p.sampleTargets(service, 1, func(service, instance string) bool { return !p.tracker.HasFailed(service, instance) })
+		p.probe(ctx, append(targets, again...))
 	}
 	failed := p.tracker.FailedInstances(service, p.table.Count(service, anyVersion))
 	var reached []gateway
@@ -241,18 +246,33 @@
 	return upconn.Target{Address: i.Address, Service: i.Service, Instance: i.ID}
 }
 
-// probe opens direct connections to instances, which are kept for requests.
+// probe asks instances for a sign of life over new direct connections, which are kept for requests.
 func (p *pathManager) probe(ctx context.Context, targets []upconn.Target) {
 	call, cancel := context.WithTimeout(ctx, 2*upconn.DialTimeout)
 	defer cancel()
 	var all sync.WaitGroup
 	for _, to := range targets {
-		// The pool reports the result to NoteDial.
-		all.Go(func() { _ = p.pool.Probe(call, to) })
+		// The pool reports the result to NoteFailure and NoteAnswer.
+		all.Go(func() { _ = p.askInstance(call, to) })
 	}
 	all.Wait()
 }
 
+// askInstance asks an instance for a sign of life.
+func (n *Node) askInstance(ctx context.Context, to upconn.Target) error {
+	return n.pool.Check(ctx, to, &upconn.Request{Method: http.MethodGet, Target: n.healthPath(to.Service), Host: to.Address, Header: n.codec.CheckHeaders})
+}
+
+// healthPath returns the path of the status check of a service.
+func (n *Node) healthPath(service string) string {
+	if c := n.current.Load(); c != nil {
+		if s, ok := c.Service(service); ok && s.HealthPath != "" {
+			return s.HealthPath
+		}
+	}
+	return "/"
+}
+
 // instanceEnded reports whether the process of an instance has certainly ended. Connections that are
 // refused here may be refused by this daemon's own network, so that another daemon must not reach the
 // instance.
--- a/internal/entry/paths_test.go
+++ b/internal/entry/paths_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -70,10 +69,19 @@
 	require.True(t, cut.OnReach(peer.ReachRequest{Service: tunnelService}).CutOff)
 }
 
+// Guards against a daemon that takes an accepted connection for a sign of life: the listener's kernel
+// accepts although the process stands still.
+func TestAcceptedConnectionReachesNoInstance(t *testing.T) {
+	n := newGatewayNode(t)
+	reply := n.OnReach(peer.ReachRequest{Service: tunnelService, Instances: []string{"a"}})
+	require.False(t, reply.Reached)
+	require.False(t, reply.Refused)
+}
+
 // cutOff makes a daemon believe that it is cut off from tunnelService.
 func cutOff(n *Node) {
-	n.paths.NoteDial(upconn.Target{Service: tunnelService, Instance: "a"}, errors.New("refused"))
-	n.paths.NoteDial(upconn.Target{Service: tunnelService, Instance: "b"}, errors.New("refused"))
+	n.paths.NoteFailure(upconn.Target{Service: tunnelService, Instance: "a"}, upconn.Link{})
+	n.paths.NoteFailure(upconn.Target{Service: tunnelService, Instance: "b"}, upconn.Link{})
 	n.paths.tracker.BeginCheck(tunnelService)
 	n.paths.tracker.EndCheck(tunnelService, 1)
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -29,7 +29,7 @@
 	failureTTL = 3 * time.Second
 	// probeInterval is the time between two direct connections tried while the daemon is cut off.
 	probeInterval = 200 * time.Millisecond
-	// minProbes consecutive successful probes end the cut. After a cut that follows the one before
+	// minProbes consecutive answers over new connections end the cut. After a cut that follows the one before
 	// within flapTime, twice as many are needed as then, up to maxProbes.
 	minProbes = 2
 	maxProbes = 6
@@ -46,8 +46,8 @@
 
 // service is the state of one service.
 type service struct {
-	// failed has the time of the last failure by instance, since the last direct connection.
-	failed map[string]time.Time
+	// failed has the last failure by instance, as far as no answer has refuted it.
+	failed map[string]failure
 	// waiting is the number of requests without an answer so far. heardAt is when the service last
 	// gave a sign of life, or the first of the waiting requests was sent.
 	waiting int
@@ -67,6 +67,20 @@
 	probedAt       time.Time
 }
 
+// failure is a direct connection that could not be opened, or broke before an answer began.
+type failure struct {
+	at time.Time
+	// openedAt is when the connection was opened. reused is set if it had given an answer before.
+	openedAt time.Time
+	reused   bool
+}
+
+// isRefuted reports whether an answer over a connection that was opened at a time shows that the
+// failure was not one of the path. Old connections may live on while new ones fail.
+func (f failure) isRefuted(openedAt time.Time) bool {
+	return f.reused || !openedAt.Before(f.openedAt)
+}
+
 // Tracker tracks the services that a daemon uses.
 //
 // Lock order: no other lock is taken while mu is held.
@@ -86,20 +100,24 @@
 func (t *Tracker) get(name string) *service {
 	s, ok := t.services[name]
 	if !ok {
-		s = &service{failed: map[string]time.Time{}, needed: minProbes}
+		s = &service{failed: map[string]failure{}, needed: minProbes}
 		t.services[name] = s
 	}
 	return s
 }
 
-// Connected records a direct connection to an instance. It reports whether that ends a cut.
-func (t *Tracker) Connected(name string) (restored bool) {
+// Reached records that an instance has begun an answer over a direct connection that was opened at a
+// time. It reports whether that ends a cut.
+func (t *Tracker) Reached(name string, openedAt time.Time) (restored bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, now := t.get(name), t.clock.Now()
-	s.heardAt, s.fruitless = now, 0
-	clear(s.failed)
-	if !s.cut || now.Sub(s.probedAt) < probeInterval/2 {
+	s.heardAt = now
+	maps.DeleteFunc(s.failed, func(_ string, f failure) bool { return f.isRefuted(openedAt) })
+	if len(s.failed) == 0 {
+		s.fruitless = 0
+	}
+	if !s.cut || openedAt.Before(s.since) || now.Sub(s.probedAt) < probeInterval/2 {
 		return false
 	}
 	s.probedAt = now
@@ -110,13 +128,16 @@
 	return true
 }
 
-// Failed records that a direct connection to an instance failed.
-func (t *Tracker) Failed(name, instance string) {
+// Failed records that a direct connection to an instance, opened at a time, could not be opened or
+// broke before an answer began. reused is set if it had given an answer before.
+func (t *Tracker) Failed(name, instance string, openedAt time.Time, reused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.get(name)
-	s.failed[instance] = t.clock.Now()
-	s.probes = 0
+	s.failed[instance] = failure{at: t.clock.Now(), openedAt: openedAt, reused: reused}
+	if !reused {
+		s.probes = 0
+	}
 }
 
 // Sent records that a request was sent over a direct connection, and Answered that its answer began
@@ -164,7 +185,7 @@
 	now := t.clock.Now()
 	var due []string
 	for name, s := range t.services {
-		maps.DeleteFunc(s.failed, func(_ string, at time.Time) bool { return now.Sub(at) > failureTTL })
+		maps.DeleteFunc(s.failed, func(_ string, f failure) bool { return now.Sub(f.at) > failureTTL })
 		if s.cut || s.checked != nil {
 			continue
 		}
@@ -214,7 +235,7 @@
 	return max(minFailed-len(t.get(name).failed), 1)
 }
 
-// HasFailed reports whether the last direct connection to an instance failed.
+// HasFailed reports whether a direct connection to an instance has failed.
 func (t *Tracker) HasFailed(name, instance string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -231,7 +252,7 @@
 	if len(s.failed) < min(minFailed, max(count, 1)) {
 		return nil
 	}
-	return slices.SortedFunc(maps.Keys(s.failed), func(a, b string) int { return s.failed[b].Compare(s.failed[a]) })
+	return slices.SortedFunc(maps.Keys(s.failed), func(a, b string) int { return s.failed[b].at.Compare(s.failed[a].at) })
 }
 
 // EndCheck ends a check. peers is the number of other daemons that reach instances which failed
@@ -247,7 +268,7 @@
 	if len(s.failed) > 0 && peers == 0 {
 		s.fruitless++
 	}
-	// A direct connection may have succeeded since the peers were asked.
+	// An instance may have answered since the peers were asked.
 	if peers == 0 || len(s.failed) == 0 || s.cut {
 		return false, e
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -19,8 +19,8 @@
 }
 
 func cutOff(t *testing.T, tracker *Tracker) {
-	tracker.Failed(name, "a")
-	tracker.Failed(name, "b")
+	tracker.Failed(name, "a", time.Time{}, false)
+	tracker.Failed(name, "b", time.Time{}, false)
 	require.True(t, tracker.BeginCheck(name))
 	cut, _ := tracker.EndCheck(name, 1)
 	require.True(t, cut)
@@ -29,8 +29,8 @@
 // Guards against taking servers that are down for a daemon that is cut off.
 func TestServersThatNobodyReachesAreNoCut(t *testing.T) {
 	tracker := NewTracker(clockwork.NewFakeClock())
-	tracker.Failed(name, "a")
-	tracker.Failed(name, "b")
+	tracker.Failed(name, "a", time.Time{}, false)
+	tracker.Failed(name, "b", time.Time{}, false)
 	require.Equal(t, []string{name}, tracker.Due())
 	require.True(t, tracker.BeginCheck(name))
 	cut, _ := tracker.EndCheck(name, 0)
@@ -44,8 +44,8 @@
 	tracker := NewTracker(clock)
 	checks := 0
 	for range 300 {
-		tracker.Failed(name, "a")
-		tracker.Failed(name, "b")
+		tracker.Failed(name, "a", time.Time{}, false)
+		tracker.Failed(name, "b", time.Time{}, false)
 		if len(tracker.Due()) > 0 {
 			require.True(t, tracker.BeginCheck(name))
 			tracker.EndCheck(name, 0)
@@ -54,29 +54,29 @@
 		clock.Advance(100 * time.Millisecond)
 	}
 	require.Less(t, checks, 15)
-	tracker.Connected(name)
+	tracker.Reached(name, tracker.clock.Now())
 	require.Zero(t, tracker.Fruitless(name))
 }
 
 // Guards against asking other daemons for each instance that ends.
 func TestSingleFailedInstanceIsNotAskedAbout(t *testing.T) {
 	tracker := NewTracker(clockwork.NewFakeClock())
-	tracker.Failed(name, "a")
+	tracker.Failed(name, "a", time.Time{}, false)
 	require.Empty(t, tracker.FailedInstances(name, 4))
 	require.Equal(t, []string{"a"}, tracker.FailedInstances(name, 1))
-	tracker.Connected(name)
-	tracker.Failed(name, "b")
+	tracker.Reached(name, tracker.clock.Now())
+	tracker.Failed(name, "b", time.Time{}, false)
 	require.Empty(t, tracker.FailedInstances(name, 4))
 }
 
 // Guards against a cut that is concluded after a direct connection has succeeded.
 func TestConnectionDuringCheckWins(t *testing.T) {
 	tracker := NewTracker(clockwork.NewFakeClock())
-	tracker.Failed(name, "a")
-	tracker.Failed(name, "b")
+	tracker.Failed(name, "a", time.Time{}, false)
+	tracker.Failed(name, "b", time.Time{}, false)
 	require.True(t, tracker.BeginCheck(name))
 	require.False(t, tracker.BeginCheck(name), "one check at a time")
-	tracker.Connected(name)
+	tracker.Reached(name, tracker.clock.Now())
 	cut, _ := tracker.EndCheck(name, 3)
 	require.False(t, cut)
 }
@@ -116,7 +116,7 @@
 		require.True(t, clock.Now().Before(end))
 		require.True(t, tracker.ProbeDue(name))
 		require.False(t, tracker.ProbeDue(name), "one probe at a time")
-		if tracker.Connected(name) {
+		if tracker.Reached(name, tracker.clock.Now()) {
 			break
 		}
 	}
@@ -129,7 +129,7 @@
 	needed := func() int {
 		for n := 1; ; n++ {
 			clock.Advance(probeInterval)
-			if tracker.Connected(name) {
+			if tracker.Reached(name, tracker.clock.Now()) {
 				return n
 			}
 		}
@@ -137,8 +137,8 @@
 	first := needed()
 	cutOff(t, tracker)
 	clock.Advance(probeInterval)
-	require.False(t, tracker.Connected(name))
-	tracker.Failed(name, "a")
+	require.False(t, tracker.Reached(name, tracker.clock.Now()))
+	tracker.Failed(name, "a", time.Time{}, false)
 	require.Greater(t, needed(), first)
 	clock.Advance(flapTime)
 	cutOff(t, tracker)
@@ -155,6 +155,48 @@
 	require.False(t, tracker.HeardSince(name, sentAt))
 	tracker.Heard(name)
 	require.True(t, tracker.HeardSince(name, sentAt))
-	tracker.Failed(name, "a")
+	tracker.Failed(name, "a", time.Time{}, false)
 	require.False(t, tracker.HeardSince(name, sentAt))
 }
+
+// Guards against a cut of new connections that is not noticed because old ones go on answering, and
+// against failures that newer answers refute.
+func TestOnlyNewerConnectionsRefuteFailures(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	old := clock.Now()
+	clock.Advance(time.Second)
+	tracker.Failed(name, "a", clock.Now(), false)
+	tracker.Failed(name, "b", clock.Now(), false)
+	tracker.Reached(name, old)
+	require.Len(t, tracker.FailedInstances(name, 4), 2)
+	clock.Advance(time.Second)
+	tracker.Reached(name, clock.Now())
+	require.Empty(t, tracker.FailedInstances(name, 4))
+}
+
+// Guards against taking idle connections that servers have closed for a cut.
+func TestAnyAnswerRefutesBrokenOldConnections(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	old := clock.Now()
+	clock.Advance(time.Second)
+	tracker.Failed(name, "a", clock.Now(), true)
+	tracker.Failed(name, "b", clock.Now(), true)
+	tracker.Reached(name, old)
+	require.Empty(t, tracker.FailedInstances(name, 4))
+}
+
+// Guards against a cut that ends because an open connection lives on.
+func TestOldConnectionsDoNotEndACut(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(clock)
+	old := clock.Now()
+	clock.Advance(time.Second)
+	cutOff(t, tracker)
+	for range 10 {
+		clock.Advance(probeInterval)
+		require.False(t, tracker.Reached(name, old))
+	}
+	require.NotEmpty(t, tracker.CutOffServices())
+}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -103,6 +103,11 @@
 		p.putUnused(to.Address, c)
 		return nil, &NotSentError{Cause: err}
 	}
+	return p.exchange(ctx, to, c, r, isAnswer)
+}
+
+// exchange sends a request on a connection and reads the head of the answer.
+func (p *Pool) exchange(ctx context.Context, to Target, c *conn, r *Request, isAnswer func(status int, h http.Header) bool) (*Exchange, error) {
 	// A connection that is closed already fails when the request is written.
 	_ = dial.SetBusy(c.Conn, true)
 	e := &Exchange{pool: p, address: to.Address, conn: c, writeDone: make(chan error, 1)}
@@ -112,6 +117,8 @@
 		e.discard()
 		if ctxErr := ctx.Err(); ctxErr != nil {
 			err = ctxErr
+		} else if c.tunnel == nil && !errors.Is(err, errOtherAnswer) && !errors.Is(err, errNoAnswer) {
+			p.noteFailure(to, c.link())
 		}
 		var refused refusal
 		if !e.writeStarted.Load() || errors.As(err, &refused) {
@@ -123,6 +130,9 @@
 		}
 		return nil, err
 	}
+	if c.tunnel == nil && p.paths != nil {
+		p.paths.NoteAnswer(to, c.link())
+	}
 	return e, nil
 }
 
@@ -265,6 +275,7 @@
 		return
 	}
 	e.closed = true
+	e.conn.answeredAt = time.Now()
 	idle := idleTimeout(e.resp.Header)
 	if e.conn.tunnel != nil {
 		idle = min(idle, maxTunnelIdleTime)
--- a/internal/upconn/exchange_test.go
+++ b/internal/upconn/exchange_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -62,3 +64,51 @@
 	_, err = NewPool(NewDialer(), nil).Do(t.Context(), Target{Address: listener.Addr().String()}, 0, r, func(_ int, h http.Header) bool { return h.Get("X-For") == "me" })
 	require.ErrorIs(t, err, errOtherAnswer)
 }
+
+// countingPaths is a Paths with direct connections only that counts what it is told.
+type countingPaths struct{ failures, answers atomic.Int32 }
+
+func (*countingPaths) Tunneled(string) (since time.Time, ok bool) { return time.Time{}, false }
+func (*countingPaths) OpenTunnel(context.Context, Target) (Tunnel, error) {
+	return nil, ErrNoGateway
+}
+func (p *countingPaths) NoteFailure(Target, Link) { p.failures.Add(1) }
+func (p *countingPaths) NoteAnswer(Target, Link)  { p.answers.Add(1) }
+
+// Guards against taking an established connection for a sign of life of the instance: something in
+// between may accept it, and reset it or pass nothing on.
+func TestAcceptedConnectionIsNoAnswer(t *testing.T) {
+	for name, serve := range map[string]func(net.Conn){
+		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
+		"silent": func(net.Conn) {},
+		"answer": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				for {
+					c, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					serve(c)
+				}
+			}()
+			paths := &countingPaths{}
+			ctx, cancel := context.WithTimeout(t.Context(), DialTimeout)
+			defer cancel()
+			err = NewPool(NewDialer(), paths).Check(ctx, Target{Address: listener.Addr().String()}, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: noHeader})
+			if name == "answer" {
+				require.NoError(t, err)
+				require.EqualValues(t, 1, paths.answers.Load())
+				require.Zero(t, paths.failures.Load())
+				return
+			}
+			require.Error(t, err)
+			require.Zero(t, paths.answers.Load())
+			require.EqualValues(t, 1, paths.failures.Load())
+		})
+	}
+}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -63,8 +64,18 @@
 	Tunneled(service string) (since time.Time, ok bool)
 	// OpenTunnel opens a tunnel to an instance.
 	OpenTunnel(ctx context.Context, to Target) (Tunnel, error)
-	// NoteDial records the result of a direct connection.
-	NoteDial(to Target, err error)
+	// NoteFailure records that a direct connection could not be opened, or broke before an answer began.
+	// NoteAnswer records that an answer began. That a connection is established says nothing of the
+	// instance: it may have been accepted by something in between.
+	NoteFailure(to Target, l Link)
+	NoteAnswer(to Target, l Link)
+}
+
+// Link is what is known of a direct connection.
+type Link struct {
+	// OpenedAt is when it was opened, and Reused is set if it has given an answer before.
+	OpenedAt time.Time
+	Reused   bool
 }
 
 // Tunnel is a connection to an instance through another daemon.
@@ -89,16 +100,19 @@
 	reader *bufio.Reader
 	// tunnel is Conn if that is a tunnel, and otherwise nil.
 	tunnel Tunnel
-	// usableUntil is until when an idle connection may be used again, and idleSince since when it is
-	// idle.
-	usableUntil, idleSince time.Time
+	// usableUntil is until when an idle connection may be used again, and answeredAt when it last gave
+	// a whole answer.
+	usableUntil, answeredAt time.Time
+	openedAt                time.Time
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, openedAt time.Time) *conn {
 	tunnel, _ := raw.(Tunnel)
-	return &conn{Conn: raw, tunnel: tunnel, reader: bufio.NewReaderSize(raw, bufferSize)}
+	return &conn{Conn: raw, tunnel: tunnel, reader: bufio.NewReaderSize(raw, bufferSize), openedAt: openedAt}
 }
 
+func (c *conn) link() Link { return Link{OpenedAt: c.openedAt, Reused: !c.answeredAt.IsZero()} }
+
 type host struct {
 	idle []*conn
 	open int
@@ -148,12 +162,12 @@
 		case !dial:
 			return nil, ErrNoConnection
 		}
-		raw, err := p.open(ctx, to, tunneled)
+		c, err := p.open(ctx, to, tunneled)
 		if err != nil {
 			p.removeConn(to.Address)
 			return nil, err
 		}
-		return newConn(raw), nil
+		return c, nil
 	}
 }
 
@@ -171,47 +185,83 @@
 	if c.tunnel != nil {
 		return tunneled
 	}
-	return !tunneled || c.idleSince.After(tunneledSince)
+	return !tunneled || c.answeredAt.After(tunneledSince)
 }
 
 // open opens a tunnel or a direct connection.
-func (p *Pool) open(ctx context.Context, to Target, tunneled bool) (net.Conn, error) {
+func (p *Pool) open(ctx context.Context, to Target, tunneled bool) (*conn, error) {
+	openedAt := time.Now()
 	if tunneled {
-		return p.paths.OpenTunnel(ctx, to)
+		raw, err := p.paths.OpenTunnel(ctx, to)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(raw, openedAt), nil
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", to.Address)
-	if err == nil {
-		p.dials.Add(1)
+	if err != nil {
+		if ctx.Err() == nil {
+			p.noteFailure(to, Link{OpenedAt: openedAt})
+		}
+		return nil, err
 	}
-	if p.paths != nil && ctx.Err() == nil {
-		p.paths.NoteDial(to, err)
+	p.dials.Add(1)
+	return newConn(raw, openedAt), nil
+}
+
+func (p *Pool) noteFailure(to Target, l Link) {
+	if p.paths != nil {
+		p.paths.NoteFailure(to, l)
 	}
-	return raw, err
 }
 
-// Probe opens a direct connection to an instance and keeps it for the next request.
-func (p *Pool) Probe(ctx context.Context, to Target) error {
+// openUncounted opens a direct connection beyond the limit.
+func (p *Pool) openUncounted(ctx context.Context, to Target) (*conn, error) {
 	p.mu.Lock()
 	p.hostOf(to.Address).open++
 	p.mu.Unlock()
-	raw, err := p.open(ctx, to, false)
+	c, err := p.open(ctx, to, false)
 	if err != nil {
 		p.removeConn(to.Address)
+	}
+	return c, err
+}
+
+// Check opens a direct connection to an instance and sends it a request that any answer will do for.
+// It returns an error if none begins before the context ends. The connection is kept for the next
+// request if possible.
+func (p *Pool) Check(ctx context.Context, to Target, r *Request) error {
+	c, err := p.openUncounted(ctx, to)
+	if err != nil {
+		return err
+	}
+	e, err := p.exchange(ctx, to, c, r, func(int, http.Header) bool { return true })
+	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.noteFailure(to, c.link())
+		}
 		return err
 	}
-	p.putUnused(to.Address, newConn(raw))
+	// If the rest of the answer cannot be read, the connection is not kept.
+	_, _ = io.CopyN(io.Discard, e, maxSkippedBytes)
+	e.Close()
 	return nil
 }
 
 // ProcessEnded reports whether the process that listened at an address refuses connections: no
 // direct connection to it is alive, and a new one is refused. A server that only resets some
-// connections, or does not answer, has not ended. If the check opens a connection, that is kept for
-// the next request.
+// connections, or does not answer, has not ended. A connection that it opens is kept for the next
+// request.
 func (p *Pool) ProcessEnded(ctx context.Context, to Target) bool {
 	for {
 		c, _ := p.takeIdle(to.Address, noDial)
 		if c == nil {
-			return errors.Is(p.Probe(ctx, to), syscall.ECONNREFUSED)
+			opened, err := p.openUncounted(ctx, to)
+			if err != nil {
+				return errors.Is(err, syscall.ECONNREFUSED)
+			}
+			p.putUnused(to.Address, opened)
+			return false
 		}
 		if c.tunnel == nil && c.isReusable() {
 			p.put(to.Address, c)
@@ -221,23 +271,24 @@
 	}
 }
 
-// ReachedSince reports whether an idle direct connection to an address has given an answer or was
-// established after a time, and is still open.
+// ReachedSince reports whether an idle direct connection to an address has given an answer after a
+// time, and is still open.
 func (p *Pool) ReachedSince(address string, after time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[address]
-	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.idleSince.After(after) && c.isReusable() })
+	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.answeredAt.After(after) && c.isReusable() })
 }
 
 // DialDirect opens a direct connection to an instance for requests of another daemon. It does not
 // belong to the pool.
 func (p *Pool) DialDirect(ctx context.Context, to Target) (net.Conn, error) {
 	c, err := p.open(ctx, to, false)
-	if err == nil {
-		_ = dial.SetBusy(c, true)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	_ = dial.SetBusy(c.Conn, true)
+	return c.Conn, nil
 }
 
 // hostOf returns the entry of an address, which it adds if there is none. The lock is held.
@@ -299,7 +350,6 @@
 
 // put returns a connection to the pool for the next exchange.
 func (p *Pool) put(address string, c *conn) {
-	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
