entry, soak: an answer that ends with its connection is whole if its instance still answers

The soak has new faults: the part that crashes servers, alone and beside a crashing request, power losses, cuts behind an acceptor, streams without framing.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
+	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 )
 
 const (
@@ -90,23 +91,31 @@
 }
 
 // EndedWithAnswer implements forward.Quarantine. The answer of an instance that is leaving is whole:
-// its end is planned.
+// its end is planned. One that gives a sign of life has not ended. Others are probed when a process that
+// exits has closed its listener.
 func (q *quarantineManager) EndedWithAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) bool {
 	if q.table.IsLeaving(i.Incarnation()) {
 		return false
 	}
-	if q.InstanceEnded(i) || q.paths.instanceEnded(ctx, i) {
+	if q.InstanceEnded(i) {
 		return true
 	}
-	go func() {
-		q.clock.Sleep(secondProbeDelay)
-		if q.paths.instanceEnded(context.Background(), i) {
-			q.ConnectionBroken(i, *s)
-			return
-		}
+	if q.isAlive(ctx, i) {
 		q.Finished(s)
-	}()
-	return false
+		return false
+	}
+	if q.paths.instanceEnded(ctx, i) {
+		return true
+	}
+	q.clock.Sleep(secondProbeDelay)
+	return q.paths.instanceEnded(ctx, i)
+}
+
+// isAlive reports whether an instance answers over a direct connection.
+func (q *quarantineManager) isAlive(ctx context.Context, i inventory.Instance) bool {
+	call, cancel := context.WithTimeout(ctx, upconn.DialTimeout)
+	defer cancel()
+	return q.askInstance(call, targetOf(i)) == nil
 }
 
 // judgeLoop decides after crash reports, and again later while there are undecided suspects.
--- a/internal/upconn/exchange_test.go
+++ b/internal/upconn/exchange_test.go
@@ -81,7 +81,9 @@
 	for name, serve := range map[string]func(net.Conn){
 		"reset":  func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() },
 		"silent": func(net.Conn) {},
-		"answer": func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n") },
+		"answer": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -39,7 +39,7 @@
 )
 
 // soakFaultKinds is the number of kinds of faults in injectFault.
-const soakFaultKinds = 20
+const soakFaultKinds = 23
 
 // soakCase is a seed with the number of kinds of faults. The draws depend on both, so the
 // number of a listed seed does not change when injectFault gets more kinds.
@@ -105,6 +105,9 @@
 	// serversCrashed counts the servers that the poison request crashed, and daemonsStarted
 	// the daemons that were started.
 	serversCrashed, daemonsStarted int
+	// serversKilled counts the servers that lost power, and partRuns the runs of requests with the part
+	// that crashes servers.
+	serversKilled, partRuns int
 	// serverIDs has the ID of the running server of each place. leaving has, for each leaving
 	// server, how many requests it had received when it began to leave.
 	serverIDs map[string]string
@@ -161,6 +164,7 @@
 	}
 	if strings.HasPrefix(place, "eng-") {
 		o.Service, o.Events, o.Confidence = engineService, 8, map[string]int{"small": 80}
+		o.Unframed = s.hasUnframedStreams()
 	}
 	s.serverIDs[place] = o.ID
 	s.mu.Unlock()
@@ -176,6 +180,12 @@
 		if received.Header.Get("X-Poison") != "" {
 			return platformtest.Crash
 		}
+		if hasCrashingPart(received) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.partRuns++
+			return []platformtest.Behaviour{platformtest.Crash, platformtest.CrashInAnswer}[seed%2]
+		}
 		draw := seed
 		for _, c := range place + received.ID + received.Header.Get(wire.HeaderLastEvent) {
 			draw = draw*1099511628211 + uint64(c)
@@ -192,6 +202,12 @@
 	s.servers[o.ID] = server
 }
 
+// hasUnframedStreams reports whether the streams of this seed end with their connections.
+func (s *soak) hasUnframedStreams() bool { return s.kinds > unframedKinds && s.seed%3 == 0 }
+
+// unframedKinds is the number of kinds of faults of the soaks in which all answers have lengths.
+const unframedKinds = 20
+
 // replaceServer starts a new server in a place restartTime after the old one has crashed.
 func (s *soak) replaceServer(place string, seed uint64) {
 	s.mu.Lock()
@@ -371,13 +387,45 @@
 		}
 	case 19:
 		s.silenceServer(s.serverAt(s.drawPlace()).Address())
+	case 20:
+		prompt := []string{"aa:100,ee:200,OWN:50", "ee:100,ff:200,OWN:50", "aa:100,bb:200,ee:30,OWN:50"}[s.random.IntN(3)]
+		s.undoing.Go(func() { s.sendCrashingParts(prompt) })
+	case 21:
+		s.killServers()
+	case 22:
+		s.undoing.Go(s.repeatPoisonCall)
+		s.undoing.Go(func() { s.sendCrashingParts("aa:100,ee:200,OWN:50") })
+	}
+}
+
+// sendCrashingParts sends different requests with a prompt that has the part which crashes servers.
+func (s *soak) sendCrashingParts(prompt string) {
+	for range soakRepeats {
+		c := s.newCall(pathStream)
+		c.Prompt, c.Body = strings.Replace(prompt, "OWN", fmt.Sprintf("%x", 0x100000+s.lastID.Load()), 1), "body of "+c.ID
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		c.Send(ctx, s.client, s.pickDaemon(rand.New(rand.NewPCG(rand.Uint64(), 4))).callerAddress)
+		cancel()
+		<-time.After(restartTime)
+	}
+}
+
+// killServers ends two engines and a plain server at the same moment, as the loss of a rack's power does.
+func (s *soak) killServers() {
+	for _, place := range []string{"eng-1", "eng-2", "cat-1"} {
+		s.mu.Lock()
+		s.serversKilled++
+		s.mu.Unlock()
+		server := s.serverAt(place)
+		s.undoing.Go(server.Kill)
 	}
 }
 
 // cutOff cuts a daemon off from all servers, or from those of one service, in one of the ways in which
 // networks fail. A third of the cuts come and go.
 func (s *soak) cutOff(d *daemon) {
-	f := []faultdial.Fault{faultdial.Reset, faultdial.Refuse, faultdial.Hang}[s.random.IntN(3)]
+	kinds := []faultdial.Fault{faultdial.Reset, faultdial.Refuse, faultdial.Hang, faultdial.ResetAccepted, faultdial.ResetNew, faultdial.HangAccepted}
+	f := kinds[s.random.IntN(len(kinds))]
 	var addresses []string
 	if s.random.IntN(3) == 0 {
 		for i := range 3 {
@@ -590,7 +638,8 @@
 	runs := map[string]int{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	require.LessOrEqual(s.t, s.serversCrashed, maxSoakCrashes, "servers crashed by the poison request")
+	require.LessOrEqual(s.t, s.partRuns, maxSoakCrashes, "runs of requests with the part that crashes servers")
+	require.LessOrEqual(s.t, s.serversCrashed-s.serversKilled-s.partRuns, maxSoakCrashes, "servers crashed by the poison request")
 	for server, before := range s.leaving {
 		// Allows the requests that each daemon had in progress when it got the first answer
 		// that announced the leave.
@@ -631,7 +680,7 @@
 			require.LessOrEqual(s.t, runs[id], 1, "%s ran more than once", id)
 		}
 	}
-	s.t.Logf("%d requests, %d served, %d servers crashed, %d left", len(s.exchanges), served, s.serversCrashed, len(s.leaving))
+	s.t.Logf("%d requests, %d served, %d servers crashed, %d of them killed, %d runs with the crashing part, %d left", len(s.exchanges), served, s.serversCrashed, s.serversKilled, s.partRuns, len(s.leaving))
 	require.Positive(s.t, served)
 }
 
