--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -66,6 +66,8 @@
 	instance inventory.Instance
 	at       time.Time
 	suspects []quarantine.Suspect
+	// parts is the number of parts of all suspects.
+	parts int
 	// sent is the number of suspects already reported to each judge, by incarnation.
 	sent map[string]int
 }
@@ -92,7 +94,7 @@
 	}
 	w.channels = append(w.channels, decided)
 	if r := c.reportOf(i); r != nil {
-		r.suspects = append(r.suspects, s)
+		r.add(s)
 		c.gate.Hold(suspectParts)
 		c.signal()
 		return decided
@@ -197,9 +199,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endedCount++
-	c.reports = append(c.reports, &report{instance: i, at: at, suspects: suspects, sent: map[string]int{}})
+	r := &report{instance: i, at: at, sent: map[string]int{}}
+	c.reports = append(c.reports, r)
 	c.reports = c.reports[max(len(c.reports)-maxReports, 0):]
 	for _, s := range suspects {
+		r.add(s)
 		c.gate.Hold(c.completions.SuspectParts(s.Parts))
 	}
 	c.signal()
@@ -242,6 +246,12 @@
 	return out
 }
 
+func (r *report) add(s quarantine.Suspect) {
+	s.Parts = quarantine.TrimParts(s.Parts, r.parts)
+	r.parts += len(s.Parts)
+	r.suspects = append(r.suspects, s)
+}
+
 func (r *report) crash(age time.Duration) quarantine.Crash {
 	return quarantine.Crash{
 		Instance: r.instance.Hash(), ID: r.instance.ID, Age: age, Suspects: slices.Clone(r.suspects),
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -15,14 +15,23 @@
 	// remembered for at least half of it; see Finished. It covers repeated attempts: a caller
 	// retries a request for some ten seconds, and the caller's user for some minutes.
 	EvidenceTTL = 5 * time.Minute
-	// maxCrashes bounds the remembered crashes, maxSuspects the suspects of each, and maxCrashParts
-	// their parts. maxTotalParts bounds the parts of all crashes together.
+	// maxCrashes bounds the remembered crashes, and maxSuspects the suspects of each. Beyond
+	// maxCrashParts parts of a crash, suspects have minParts at most. maxTotalParts bounds the parts of
+	// all crashes together.
 	maxCrashes    = 1024
 	maxSuspects   = 1024
 	maxCrashParts = 8192
+	minParts      = 16
 	maxTotalParts = 256 << 10
 )
 
+// TrimParts returns the parts that are kept of a suspect of a crash whose other suspects have known
+// parts. Parts are in the order of Completions.OrderParts, so that those are left out that have
+// completed recently.
+func TrimParts(parts []string, known int) []string {
+	return parts[:min(len(parts), maxParts, max(maxCrashParts-known, minParts))]
+}
+
 // Digests returns the digests of the suspects.
 func Digests(all []Suspect) []Digest {
 	out := make([]Digest, len(all))
@@ -93,7 +102,7 @@
 		if _, known := c.suspects[s.Digest]; known || len(c.suspects) >= maxSuspects {
 			continue
 		}
-		s.Parts = s.Parts[:min(len(s.Parts), maxParts, maxCrashParts-c.parts)]
+		s.Parts = TrimParts(s.Parts, c.parts)
 		c.suspects[s.Digest] = &s
 		c.parts += len(s.Parts)
 		e.parts += len(s.Parts)
--- a/internal/quarantine/gate.go
+++ b/internal/quarantine/gate.go
@@ -119,12 +119,15 @@
 		if changed == nil {
 			return func() { g.leave(entered) }
 		}
+		timer := g.clock.NewTimer(wait)
 		select {
 		case <-changed:
-		case <-g.clock.After(wait):
+		case <-timer.Chan():
 		case <-ctx.Done():
+			timer.Stop()
 			return func() {}
 		}
+		timer.Stop()
 	}
 }
 
