--- a/test/routes/part_test.go
+++ b/test/routes/part_test.go
@@ -1,17 +1,23 @@
 package routes_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/entry"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
 )
 
 // crashingPart is the part of a prompt that crashes servers, wherever it stands but at the end.
@@ -50,8 +56,10 @@
 	soundAfter     = 1 * time.Second
 )
 
-// Guards against requests that have nothing in common but a part of their prompts, and crash each
-// server that runs one of them.
+// TestPartThatCrashesServersIsRefused guards against requests that have nothing in common but a part
+// of their prompts, and crash each server that runs one of them. PART_DAEMONS is the number of daemons.
+//
+//	PART_DAEMONS=80 go test -count=1 -run TestPartThatCrashesServersIsRefused/second ./test/routes
 func TestPartThatCrashesServersIsRefused(t *testing.T) {
 	const often, seldom = 150 * time.Millisecond, 1200 * time.Millisecond
 	for name, c := range map[string]partCase{
@@ -68,7 +76,8 @@
 }
 
 func runCrashingPart(t *testing.T, c partCase) {
-	const size, daemons, workers, calm, phase = 14, 6, 8, 4 * time.Second, 5 * time.Second
+	const size, workers, calm, phase = 14, 8, 4 * time.Second, 5 * time.Second
+	daemons := envInt("PART_DAEMONS", 6)
 	if c.behaviour == platformtest.Answer {
 		c.behaviour = platformtest.Crash
 	}
@@ -88,12 +97,6 @@
 	for range daemons {
 		s.startReadyDaemon()
 	}
-	call := func(prompt string) platformtest.Call {
-		one := s.newCall(pathStream)
-		one.Prompt = strings.Replace(prompt, "OWN", fmt.Sprintf("%x", 0x100000+s.lastID.Load()), 1)
-		one.Body = "body of " + one.ID
-		return one
-	}
 	type result struct {
 		at     time.Time
 		served bool
@@ -101,7 +104,7 @@
 	var sound []result
 	refused := 0
 	stop := runWorkers(workers, func(worker int) {
-		one, at := call(c.sound), time.Now()
+		one, at := s.promptCall(c.sound), time.Now()
 		reply := s.send(one, s.daemons[worker%daemons])
 		mu.Lock()
 		defer mu.Unlock()
@@ -114,7 +117,7 @@
 	begin := time.Now()
 	var all sync.WaitGroup
 	for i := 0; time.Since(begin) < phase; i++ {
-		all.Go(func() { s.send(call(c.crashing), s.daemons[i%daemons]) })
+		all.Go(func() { s.send(s.promptCall(c.crashing), s.daemons[i%daemons]) })
 		<-time.After(c.interval)
 	}
 	all.Wait()
@@ -151,3 +154,194 @@
 		require.LessOrEqual(t, len(runs), 3)
 	}
 }
+
+// promptCall returns a call with a prompt, in which OWN stands for the part of the request itself.
+func (s *testbed) promptCall(prompt string) platformtest.Call {
+	c := s.newCall(pathStream)
+	c.Prompt = strings.Replace(prompt, "OWN", fmt.Sprintf("%x", 0x100000+s.lastID.Load()), 1)
+	c.Body = "body of " + c.ID
+	return c
+}
+
+// startPartPool starts a pool whose servers crash of the part.
+func (s *testbed) startPartPool(size int, behaviour platformtest.Behaviour, unframed bool) *pool {
+	return s.startPool(&pool{service: engineService, events: 8, unframed: unframed,
+		crashes: func(received platformtest.ReceivedRequest) (platformtest.Behaviour, bool) {
+			return behaviour, hasCrashingPart(received)
+		}}, size)
+}
+
+// crashPartUntilRefused sends different requests with the part through a daemon until they are refused,
+// and returns how many servers have ended.
+func (p *pool) crashPartUntilRefused(size int, through *daemon) int {
+	p.t.Helper()
+	p.eventually(func() error {
+		reply := p.send(p.promptCall("aa:100,ee:200,OWN:50"), through)
+		p.waitRestored(size)
+		if !strings.Contains(reply.Body, "request_quarantined") {
+			return trace.Errorf("the request is not refused: %d %s", reply.Status, reply.Body)
+		}
+		return nil
+	})
+	return p.endedServers()
+}
+
+// Guards against a burst of requests with a crashing part that ends all servers before the first crash is
+// known.
+func TestBurstWithCrashingPartLeavesServers(t *testing.T) {
+	const size, daemons, burst, in = 14, 6, 200, time.Second
+	s := newTestbed(t)
+	p := s.startPartPool(size, platformtest.Crash, false)
+	for range daemons {
+		s.startReadyDaemon()
+	}
+	for i := range 3 * daemons {
+		s.send(s.promptCall("aa:100,bb:200,OWN:50"), s.daemons[i%daemons])
+	}
+	var all sync.WaitGroup
+	for i := range burst {
+		all.Go(func() { s.send(s.promptCall("aa:100,ee:200,OWN:50"), s.daemons[i%daemons]) })
+		<-time.After(in / burst)
+	}
+	all.Wait()
+	t.Logf("%d of %d servers ended by %d requests", p.endedServers(), size, burst)
+	require.Less(t, p.endedServers(), burst/4)
+	p.waitRestored(size)
+	for _, d := range s.daemons {
+		reply := s.send(s.promptCall("aa:100,bb:200,OWN:50"), d)
+		require.Equal(t, http.StatusOK, reply.Status, reply.Body)
+	}
+}
+
+// Guards against parts that are refused because of power losses. Four times, a rack of three servers
+// ends under a load of 24 users, each with a part of its own.
+func TestPowerLossQuarantinesNoPart(t *testing.T) {
+	const size, rack, users, losses = 9, 3, 24, 4
+	s := newTestbed(t)
+	p := s.newPool(engineService, 20, size)
+	for range 3 {
+		s.startReadyDaemon()
+	}
+	var mu sync.Mutex
+	var refused []string
+	stop := runWorkers(users, func(user int) {
+		reply := s.send(s.promptCall(fmt.Sprintf("aa:100,b%x:200,OWN:50", user)), s.daemons[user%len(s.daemons)])
+		if strings.Contains(reply.Body, "request_quarantined") {
+			mu.Lock()
+			defer mu.Unlock()
+			refused = append(refused, reply.Body)
+		}
+	})
+	for range losses {
+		p.killServers(rack)
+		p.wg.Wait()
+		p.waitRestored(size)
+	}
+	stop()
+	require.Empty(t, refused)
+}
+
+// Guards against a verdict on a part that is lost when all daemons are killed, that a frozen daemon does
+// not learn, or that an operator cannot see and end.
+func TestPartQuarantineIsKeptAndReleased(t *testing.T) {
+	const size = 9
+	s := newTestbed(t)
+	// No request with the part aa alone ever completes, so that it is a companion of ee.
+	p := s.startPartPool(size, platformtest.Crash, false)
+	old := []*daemon{s.startReadyDaemon(), s.startReadyDaemon(), s.startReadyDaemon()}
+	require.NoError(t, old[2].Pause())
+	p.crashPartUntilRefused(size, old[0])
+	old[2].Resume()
+	s.waitForLog(old[2], "quarantine.learned", "parts=aa,ee")
+	ended := p.endedServers()
+	s.send(s.promptCall("ee:200,aa:10,OWN:50"), old[2])
+	require.Equal(t, ended, p.endedServers())
+	digest := cluster.LogField(s.waitForLog(old[2], "quarantine.learned", "parts=aa,ee"), "digest")
+	s.eventually(func() error {
+		if s.store.Value("hornbeamsill", "quarantine/"+digest) == nil {
+			return trace.Errorf("the store has no row of the verdict")
+		}
+		return nil
+	})
+	for _, d := range old {
+		d.Kill()
+	}
+	s.daemons = nil
+	d := s.startReadyDaemon()
+	s.waitForLog(d, "quarantine.learned", "source=store", "parts=aa,ee")
+	reply := s.send(s.promptCall("aa:100,ee:200,OWN:50"), d)
+	require.Equal(t, http.StatusServiceUnavailable, reply.Status, reply.Body)
+	require.Contains(t, reply.Body, "ee")
+	require.NotEmpty(t, reply.RetryAfter)
+	require.Equal(t, ended, p.endedServers())
+
+	out, err := exec.Command(binaries.Path("hornbeamsill"), "--output", "json", "entry", "quarantine", "--metrics", d.metricsAddress).Output()
+	require.NoError(t, err)
+	var list entry.QuarantineReply
+	require.NoError(t, json.Unmarshal(out, &list))
+	require.True(t, slices.ContainsFunc(list.Requests, func(r entry.QuarantinedRequest) bool {
+		return r.Digest.String() == digest && slices.Equal(r.Parts, []string{"aa", "ee"})
+	}), "%s", out)
+	require.NoError(t, exec.Command(binaries.Path("hornbeamsill"), "entry", "release", "--metrics", d.metricsAddress, digest).Run())
+	require.NotContains(t, s.send(s.promptCall("aa:100,ee:200,OWN:50"), d).Body, "request_quarantined")
+}
+
+// Guards against prompts that cost their callers the answer although no server crashes: the same part
+// twice, thousands of parts, odd identifiers, and a single part, which is never compared.
+func TestOddPromptsAreServed(t *testing.T) {
+	s := newTestbed(t)
+	s.startPartPool(3, platformtest.Crash, false)
+	d := s.startReadyDaemon()
+	var many strings.Builder
+	for n := range 1500 {
+		fmt.Fprintf(&many, "%x:1,", 0x1000+n)
+	}
+	for name, prompt := range map[string]string{
+		"none": "", "single": "ee:100", "twice": "aa:1,aa:1,bb:1", "last": "aa:1,ee:1", "case": "AA:1,00aa:1,zz:1,OWN:1", "many": many.String() + "OWN:1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			reply := s.send(s.promptCall(prompt), d)
+			require.NoError(t, reply.Err)
+			require.Equal(t, http.StatusOK, reply.Status, reply.Body)
+		})
+	}
+	for name, prompt := range map[string]string{"empty part": "aa:1,,OWN:1", "no tokens": "aa,OWN:1", "no id": ":1,OWN:1"} {
+		t.Run(name, func(t *testing.T) {
+			reply := s.send(s.promptCall(prompt), d)
+			require.Equal(t, http.StatusBadRequest, reply.Status, reply.Body)
+			require.Contains(t, reply.Body, wire.HeaderPromptPrefix)
+		})
+	}
+}
+
+// Guards against answers without framing that look whole although their server ended, and against
+// whole ones that are lost or sent twice because that is checked.
+func TestUnframedAnswersAreWholeOrResumed(t *testing.T) {
+	const size, workers = 6, 8
+	s := newTestbed(t)
+	p := s.startPartPool(size, platformtest.Crash, true)
+	s.startReadyDaemon()
+	s.startReadyDaemon()
+	var mu sync.Mutex
+	var failed []string
+	sent := 0
+	stop := runWorkers(workers, func(worker int) {
+		c := s.promptCall("aa:100,bb:200,OWN:50")
+		reply := s.send(c, s.daemons[worker%2])
+		mu.Lock()
+		defer mu.Unlock()
+		sent++
+		if reply.Err != nil || reply.Status != http.StatusOK || reply.Body != eventStream(c.ID, 8) {
+			failed = append(failed, fmt.Sprintf("%d %v %s", reply.Status, reply.Err, reply.Body))
+		}
+	})
+	for range 3 {
+		<-time.After(400 * time.Millisecond)
+		p.killServers(1)
+		p.wg.Wait()
+		p.waitRestored(size)
+	}
+	stop()
+	t.Logf("%d streams", sent)
+	require.Empty(t, failed)
+}
