quarantine: a part that was sound is refused only for ends that nothing new explains

Cause: a part that comes with it and a request had ended two or three instances each. Neither was on five, which is what incomplete evidence asks for, but the part that both come with was.

Change: for a part with which requests have completed, only crashes count on which nothing new is: a part on two crashes, or a request on three, that is not known to have completed. And only one verdict may explain others of its crashes.

--- a/internal/quarantine/weigh.go
+++ b/internal/quarantine/weigh.go
@@ -241,8 +241,8 @@
 // on the same runs and that no request has completed with since.
 //
 // A crash that a quarantined request explains counts only if that request has the trait, too: then the
-// verdict may have been too narrow. It does not count if the evidence is not complete, or for traits that
-// several verdicts have in common: then something else may have crashed the others.
+// verdict may have been too narrow. It does not count if the evidence is not complete: then something
+// else may have crashed the others.
 func (e *Evidence) hypotheses(v Verdicts, complete time.Duration) []*hypothesis {
 	counts := e.countCrashes()
 	byTrait := map[Trait]*hypothesis{}
@@ -309,7 +309,7 @@
 	var out []*hypothesis
 	for _, t := range slices.SortedFunc(maps.Keys(byTrait), compareTraits) {
 		h := byTrait[t]
-		if len(h.crashes) < minCrashes || h.unexplained < minUnexplained || len(h.verdicts) > 1 {
+		if len(h.crashes) < minCrashes || h.unexplained < minUnexplained {
 			continue
 		}
 		i := slices.IndexFunc(out, func(o *hypothesis) bool { return len(o.runs) == len(h.runs) && o.includes(h) })
@@ -367,6 +367,10 @@
 	if h.isSharedOnly() && !h.isOfSeveralOrganisations() {
 		return false
 	}
+	wasSound := e.wasSound(h)
+	if wasSound && (len(h.verdicts) > 1 || e.countOwnCrashes(h) < minCrashesConfounded) {
+		return false
+	}
 	h.unrelated = 0
 	others := 0
 	for _, c := range unexplained {
@@ -383,11 +387,11 @@
 	if h.isOfParts() {
 		known -= settledTime
 	}
-	if others == 0 && weight.single >= minCrashes && e.clock.Since(h.first()) <= known && !e.wasSound(h) {
+	if others == 0 && weight.single >= minCrashes && e.clock.Since(h.first()) <= known && !wasSound {
 		return true
 	}
 	sum := weight.sum
-	if h.isOfParts() && !e.wasSound(h) {
+	if h.isOfParts() && !wasSound {
 		// Sound parts complete somewhere. One that never has is not on five ends at different times by
 		// chance.
 		sum = weight.moments
@@ -413,6 +417,32 @@
 	})
 }
 
+// countOwnCrashes returns the number of crashes of h that nothing new is on: a part of several crashed
+// requests, or a request on enough crashes to be judged, that is not known to have completed. That is
+// more likely the cause than a part with which requests have completed, although h is on all crashes.
+func (e *Evidence) countOwnCrashes(h *hypothesis) int {
+	counts := e.countCrashes()
+	isNew := func(t Trait) bool {
+		_, completed := e.cleared[t.completionKey()]
+		enough := 2
+		if t.Part == "" {
+			enough = minCrashes
+		}
+		return counts[t] >= enough && !completed
+	}
+	own := 0
+	for _, c := range h.crashes {
+		explained := false
+		for _, s := range c.suspects {
+			s.traits(func(t Trait) { explained = explained || isNew(t) })
+		}
+		if !explained {
+			own++
+		}
+	}
+	return own
+}
+
 // isOfParts reports whether none of the traits is a single request.
 func (h *hypothesis) isOfParts() bool {
 	return !slices.ContainsFunc(h.traits, func(t Trait) bool { return t.Part == "" })
