--- /dev/null
+++ b/internal/quarantine/judge.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxJudged is the number of crashes, the latest, that a decision is based on. A trait on fewer than a
+// third of them would not be refused anyway.
+const maxJudged = 128
+
+// Verdicts are the decisions made so far. *List implements it.
+type Verdicts interface {
+	// Explains reports whether the request is refused, so that it explains the end of an instance, and
+	// the digest of the verdict.
+	Explains(s *Suspect) (verdict Digest, yes bool)
+	// OnProbation returns the entry that refused the request until recently.
+	OnProbation(s *Suspect) (Entry, bool)
+}
+
+// Running is for how long answers of requests that are running now have run, by trait: the longest
+// time since the head of the answer.
+type Running map[Trait]time.Duration
+
+// Verdict is a set of requests to refuse, with the crashes that count against them.
+type Verdict struct {
+	Entry
+	// Since is the time since the first of the instances ended, Unrelated the number of those that
+	// ended in the same period without such a request, and Requests the number of different requests
+	// that were on the ended instances.
+	Since               time.Duration
+	Unrelated, Requests int
+}
+
+// Suspected returns the traits that were on enough ended instances to be judged. The caller must ask
+// all daemons about them, then call Culprits.
+func (e *Evidence) Suspected(v Verdicts) []Trait {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire(e.clock.Now())
+	known := map[Trait]bool{}
+	for _, h := range e.hypotheses(v, EvidenceTTL) {
+		for _, t := range h.traits {
+			known[t.completionKey()] = true
+		}
+	}
+	out := slices.SortedFunc(maps.Keys(known), compareTraits)
+	for _, again := range e.onProbation(v) {
+		if t := again.trait(); !known[t] {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func compareTraits(a, b Trait) int {
+	return cmp.Or(slices.Compare(a.Request[:], b.Request[:]), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Organisation, b.Organisation))
+}
+
+// Culprits returns what to refuse on the present evidence.
+//
+// complete is how far back the evidence includes the reports of all daemons. If the first crash of a
+// suspect is older, another may be the cause, or the suspect may have completed unnoticed, so it needs
+// minCrashesConfounded crashes.
+func (e *Evidence) Culprits(complete time.Duration, v Verdicts, running Running) []Verdict {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire(e.clock.Now())
+	out := e.onProbation(v)
+	decided := decidedVerdicts{Verdicts: v}
+	for {
+		verdict, ok := e.nextCulprit(complete, &decided, running)
+		if !ok || decided.has(verdict.Digest) {
+			return out
+		}
+		decided.all = append(decided.all, verdict.Entry)
+		if !slices.ContainsFunc(out, func(o Verdict) bool { return o.Digest == verdict.Digest }) {
+			out = append(out, verdict)
+		}
+	}
+}
+
+// decidedVerdicts are Verdicts with those that were decided a moment ago.
+type decidedVerdicts struct {
+	Verdicts
+	all []Entry
+}
+
+func (d *decidedVerdicts) has(digest Digest) bool {
+	return slices.ContainsFunc(d.all, func(e Entry) bool { return e.Digest == digest })
+}
+
+// Explains implements Verdicts.
+func (d *decidedVerdicts) Explains(s *Suspect) (verdict Digest, yes bool) {
+	for i := range d.all {
+		if d.all[i].Refuses(s) {
+			return d.all[i].Digest, true
+		}
+	}
+	return d.Verdicts.Explains(s)
+}
+
+// nextCulprit returns the verdict with the fewest runs for which the evidence suffices. What it explains
+// is no evidence for others: verdicts are taken one after the other.
+func (e *Evidence) nextCulprit(complete time.Duration, v Verdicts, running Running) (verdict Verdict, ok bool) {
+	all := slices.DeleteFunc(e.hypotheses(v, complete), func(h *hypothesis) bool { return h.dropRefuted(running) })
+	unexplained := e.unexplained(v)
+	var best *hypothesis
+	for _, h := range all {
+		if (best == nil || len(h.runs) < len(best.runs)) && e.isSufficient(h, unexplained, complete) && !hasRival(h, all) {
+			best = h
+		}
+	}
+	if best == nil {
+		return verdict, false
+	}
+	return Verdict{Entry: best.entry(all), Since: e.clock.Since(best.first()), Unrelated: best.unrelated, Requests: best.requests()}, true
+}
+
+// onProbation returns the entries that are over, and under whose requests an instance has ended again.
+func (e *Evidence) onProbation(v Verdicts) []Verdict {
+	var out []Verdict
+	for _, c := range e.unexplained(v) {
+		for _, s := range c.suspects {
+			entry, ok := v.OnProbation(s)
+			if !ok || e.isCleared(entry.trait(), c.at) || slices.ContainsFunc(out, func(o Verdict) bool { return o.Digest == entry.Digest }) {
+				continue
+			}
+			entry.Ended = []string{c.id}
+			out = append(out, Verdict{Entry: entry, Since: e.clock.Since(c.at), Requests: 1})
+		}
+	}
+	return out
+}
+
+// judged returns the crashes that a decision is based on, oldest first.
+func (e *Evidence) judged() []*crash {
+	latest := e.order[max(len(e.order)-maxJudged, 0):]
+	out := make([]*crash, len(latest))
+	for i, n := range latest {
+		out[i] = e.crashes[n]
+	}
+	return out
+}
+
+func (e *Evidence) isCleared(t Trait, since time.Time) bool {
+	return e.cleared[t.completionKey()].After(since)
+}
+
+// unexplained returns the crashes of instances that had no quarantined request, oldest first.
+func (e *Evidence) unexplained(v Verdicts) []*crash {
+	var out []*crash
+	for _, c := range e.judged() {
+		if len(c.explainers(v)) == 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
