--- a/test/routes/tunnel_test.go
+++ b/test/routes/tunnel_test.go
@@ -340,7 +340,7 @@
 // Guards against streams that stand still until their connection times out, though they can be resumed
 // through another daemon, and against streams that are resumed though their connection lives on.
 func TestStreamsUnderWayAreResumedThroughGateways(t *testing.T) {
-	for _, f := range []faultdial.Fault{faultdial.Hang, faultdial.Refuse} {
+	for _, f := range []faultdial.Fault{faultdial.Hang, faultdial.Refuse, faultdial.HangAccepted} {
 		t.Run(string(f), func(t *testing.T) {
 			s := newTestbed(t)
 			for i := range 2 {
@@ -442,6 +442,12 @@
 // Guards against sound instances and innocent requests that a daemon condemns for all others because
 // its own links reset its connections.
 func TestCutCondemnsNobody(t *testing.T) {
+	for _, f := range []faultdial.Fault{faultdial.Reset, faultdial.ResetAccepted} {
+		t.Run(string(f), func(t *testing.T) { runCutThatCondemnsNobody(t, f) })
+	}
+}
+
+func runCutThatCondemnsNobody(t *testing.T, f faultdial.Fault) {
 	s := newTestbed(t)
 	for i := range 4 {
 		s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("cat-", i), Service: plainService, Delay: 200 * time.Millisecond})
@@ -455,7 +461,7 @@
 	load := s.startCallerLoad(s.daemons, pathSafe, pathUnsafe)
 	for range 3 {
 		<-time.After(time.Second)
-		s.setFault(s.daemons[0], faultdial.Reset)
+		s.setFault(s.daemons[0], f)
 		<-time.After(time.Second)
 		s.setFault(s.daemons[0], faultdial.None)
 	}
@@ -539,7 +545,7 @@
 
 // Guards against a daemon that loses requests with each change of a link that comes and goes.
 func TestFlappingCutServesCallers(t *testing.T) {
-	for _, f := range []faultdial.Fault{faultdial.Reset, faultdial.Refuse} {
+	for _, f := range []faultdial.Fault{faultdial.Reset, faultdial.Refuse, faultdial.ResetAccepted} {
 		t.Run(string(f), func(t *testing.T) {
 			s := newTestbed(t)
 			for i := range 4 {
