quarantine, entry: judges ask all daemons only if a verdict would follow, and pause after weighing

Suspected cause: popular parts are on three ended instances whenever a rack loses power, so that judges asked all daemons again and again, and each answered with all crashes of 30 seconds. Not shown by itself.

Change: a judge adds what it knows itself first, and asks only if the evidence would suffice for a verdict. Daemons answer with the crashes that they have not reported to this judge. After weighing for a time a judge pauses for ten times as long, at most 0.4 s.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -233,14 +233,15 @@
 	}
 }
 
-// recent returns the crashes that this daemon detected within the given time.
-func (c *crashReporter) recent(within time.Duration) []quarantine.Crash {
+// unreported returns the recent crashes that this daemon has not yet reported to the judge which asks.
+func (c *crashReporter) unreported(r peer.QuarantineEvidenceRequest) []quarantine.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []quarantine.Crash
-	for _, r := range c.reports {
-		if age := c.clock.Since(r.at); age <= within {
-			out = append(out, r.crash(age))
+	for _, one := range c.reports {
+		sent, known := one.sent[r.From]
+		if age := c.clock.Since(one.at); age <= r.Within && (!known || sent < len(one.suspects)) {
+			out = append(out, one.crash(age))
 		}
 	}
 	return out
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -34,6 +34,10 @@
 	// maxPendingReleases limits the releases that are queued. A dropped one is queued again
 	// when the request next finishes.
 	maxPendingReleases = 16
+	// judgePauseFactor is the ratio of a pause after a decision to the time that weighing took, and
+	// maxJudgePause the longest pause.
+	judgePauseFactor = 10
+	maxJudgePause    = 400 * time.Millisecond
 	// inquiryWindow is the maximum age of the crashes that daemons are asked for.
 	inquiryWindow = 30 * time.Second
 )
@@ -126,7 +130,11 @@
 func (q *quarantineManager) judgeLoop(ctx context.Context) {
 	var again <-chan time.Time
 	tries := 0
+	var busy time.Duration
 	for {
+		// A judge with much evidence, as after the loss of a failure domain, must serve its callers, too.
+		q.sleep(ctx, min(judgePauseFactor*busy, maxJudgePause))
+		busy = 0
 		select {
 		case <-ctx.Done():
 			return
@@ -139,7 +147,8 @@
 		case <-again:
 		}
 		again = nil
-		if q.judge(ctx) && tries < maxRejudges {
+		var undecided bool
+		if undecided, busy = q.judge(ctx); undecided && tries < maxRejudges {
 			again = q.clock.After(rejudgeDelay << tries)
 			tries++
 		}
@@ -167,15 +176,28 @@
 }
 
 // judge quarantines the requests that crash instances according to the evidence of all daemons.
-// It reports whether suspects are left for which the evidence does not suffice yet.
-func (q *quarantineManager) judge(ctx context.Context) (undecided bool) {
+// It reports whether suspects are left for which the evidence does not suffice yet, and how long
+// weighing took.
+func (q *quarantineManager) judge(ctx context.Context) (undecided bool, busy time.Duration) {
+	began := q.clock.Now()
 	suspected := q.evidence.Suspected(q.list)
 	if len(suspected) == 0 {
-		return false
+		return false, q.clock.Since(began)
+	}
+	request := q.evidenceRequest(suspected)
+	own := q.OnQuarantineEvidence(request)
+	q.addEvidence(own)
+	mayDecide := q.evidence.MayDecide(q.list, own.Running)
+	busy = q.clock.Since(began)
+	if !mayDecide {
+		return true, busy
 	}
-	complete, running := q.collectEvidence(ctx, suspected)
+	complete, running := q.collectEvidence(ctx, request, own)
+	began = q.clock.Now()
+	verdicts, undecided := q.evidence.Culprits(complete, q.list, running)
+	busy += q.clock.Since(began)
 	var decided []quarantine.Entry
-	for _, v := range q.evidence.Culprits(complete, q.list, running) {
+	for _, v := range verdicts {
 		e := q.list.Quarantine(v)
 		decided = append(decided, e)
 		q.resumeDecided(e)
@@ -184,21 +206,15 @@
 			"requests", v.Requests, "unrelated", v.Unrelated, "suspected", len(suspected), "running", len(running))
 	}
 	q.sendDecisions(ctx, decided)
-	return len(q.evidence.Suspected(q.list)) > 0
+	return undecided, busy
 }
 
 // maxInquiredTraits bounds the traits that daemons are asked about.
 const maxInquiredTraits = 2048
 
-// collectEvidence asks all daemons with which of the suspected traits requests have finished or run
-// now, and for crashes that they may have been unable to report. It returns how far back the evidence
-// is complete.
-//
-// A request that only ran beside the culprit is cleared by having finished, or by the crash of
-// an instance that did not run it. A daemon that does not answer may know of either, so complete is 0
-// then.
-func (q *quarantineManager) collectEvidence(ctx context.Context, suspected []quarantine.Trait) (complete time.Duration, running quarantine.Running) {
-	request := peer.QuarantineEvidenceRequest{Within: inquiryWindow, HasTraits: true}
+// evidenceRequest returns the question about the suspected traits.
+func (q *quarantineManager) evidenceRequest(suspected []quarantine.Trait) peer.QuarantineEvidenceRequest {
+	request := peer.QuarantineEvidenceRequest{Within: inquiryWindow, HasTraits: true, From: q.registry.Self().Incarnation}
 	for _, t := range suspected[:min(len(suspected), maxInquiredTraits)] {
 		if t.Part == "" {
 			request.Digests = append(request.Digests, t.Request)
@@ -206,7 +222,17 @@
 			request.Parts = append(request.Parts, t.Part)
 		}
 	}
-	own := q.OnQuarantineEvidence(request)
+	return request
+}
+
+// collectEvidence asks all daemons with which of the suspected traits requests have finished or run
+// now, and for crashes that they may have been unable to report. own is this daemon's answer. It returns
+// how far back the evidence is complete.
+//
+// A request that only ran beside the culprit is cleared by having finished, or by the crash of
+// an instance that did not run it. A daemon that does not answer may know of either, so complete is 0
+// then.
+func (q *quarantineManager) collectEvidence(ctx context.Context, request peer.QuarantineEvidenceRequest, own peer.QuarantineEvidence) (complete time.Duration, running quarantine.Running) {
 	running = quarantine.Running{}
 	var mu sync.Mutex
 	complete = own.Up
@@ -325,7 +351,7 @@
 	q := n.quarantine
 	answer := peer.QuarantineEvidence{
 		Up: n.clock.Since(n.startedAt), Finished: map[quarantine.Digest]time.Duration{}, FinishedParts: map[string]time.Duration{},
-		Crashes: q.recent(r.Within), HasTraits: r.HasTraits,
+		Crashes: q.unreported(r), HasTraits: r.HasTraits,
 	}
 	var traits []quarantine.Trait
 	for _, d := range r.Digests {
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -28,6 +28,8 @@
 	Parts   []string
 	// HasTraits is set by daemons that know of parts.
 	HasTraits bool
+	// From is the incarnation of the judge that asks. Crashes that were reported to it are left out.
+	From string
 	// Within is the maximum age of the crashes to return.
 	Within time.Duration
 }
@@ -44,8 +46,7 @@
 	FinishedParts map[string]time.Duration
 	Running       quarantine.Running
 	HasTraits     bool
-	// Crashes are the recent crashes that this daemon observed, including those already
-	// reported.
+	// Crashes are the recent crashes that this daemon observed and has not reported to the judge.
 	Crashes []quarantine.Crash
 }
 
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -42,7 +42,7 @@
 
 // decide quarantines the culprits and returns their number.
 func (h *harness) decide(complete time.Duration) int {
-	culprits := h.evidence.Culprits(complete, h.list, nil)
+	culprits, _ := h.evidence.Culprits(complete, h.list, nil)
 	for _, c := range culprits {
 		h.list.Quarantine(c)
 	}
--- a/internal/quarantine/hypothesis.go
+++ b/internal/quarantine/hypothesis.go
@@ -105,20 +105,34 @@
 	}
 }
 
-// countCrashes returns the number of crashes that each trait was on.
+// countCrashes returns the number of crashes that each trait was on, of those on several.
 func (e *Evidence) countCrashes() map[Trait]int {
-	counts := map[Trait]int{}
-	last := map[Trait]*crash{}
+	type count struct {
+		last *crash
+		n    int
+	}
+	all := map[Trait]*count{}
 	for _, c := range e.judged() {
 		for _, s := range c.suspects {
 			s.traits(func(t Trait) {
-				if last[t] != c {
-					last[t] = c
-					counts[t]++
+				one := all[t]
+				if one == nil {
+					one = &count{}
+					all[t] = one
+				}
+				if one.last != c {
+					one.last = c
+					one.n++
 				}
 			})
 		}
 	}
+	counts := map[Trait]int{}
+	for t, one := range all {
+		if one.n > 1 {
+			counts[t] = one.n
+		}
+	}
 	return counts
 }
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -34,8 +34,8 @@
 	Unrelated, Requests int
 }
 
-// Suspected returns the traits that were on enough ended instances to be judged. The caller must ask
-// all daemons about them, then call Culprits.
+// Suspected returns the traits that were on enough ended instances to be judged. The caller must add what
+// is known of them, ask all daemons about them if MayDecide says so, and then call Culprits.
 func (e *Evidence) Suspected(v Verdicts) []Trait {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -63,17 +63,18 @@
 //
 // complete is how far back the evidence includes the reports of all daemons. If the first crash of a
 // suspect is older, another may be the cause, or the suspect may have completed unnoticed, so it needs
-// minCrashesConfounded crashes.
-func (e *Evidence) Culprits(complete time.Duration, v Verdicts, running Running) []Verdict {
+// minCrashesConfounded crashes. undecided is set if suspects are left for which the evidence does not
+// suffice yet.
+func (e *Evidence) Culprits(complete time.Duration, v Verdicts, running Running) (out []Verdict, undecided bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.expire(e.clock.Now())
-	out := e.onProbation(v)
+	out = e.onProbation(v)
 	decided := decidedVerdicts{Verdicts: v}
 	for {
-		verdict, ok := e.nextCulprit(complete, &decided, running)
+		verdict, ok, left := e.nextCulprit(complete, &decided, running)
 		if !ok || decided.has(verdict.Digest) {
-			return out
+			return out, left
 		}
 		decided.all = append(decided.all, verdict.Entry)
 		if !slices.ContainsFunc(out, func(o Verdict) bool { return o.Digest == verdict.Digest }) {
@@ -104,8 +105,8 @@
 
 // nextCulprit returns the verdict with the fewest runs for which the evidence suffices. What it explains
 // is no evidence for others: verdicts are taken one after the other.
-func (e *Evidence) nextCulprit(complete time.Duration, v Verdicts, running Running) (verdict Verdict, ok bool) {
-	all := slices.DeleteFunc(e.hypotheses(v, complete), func(h *hypothesis) bool { return h.dropRefuted(running) })
+func (e *Evidence) nextCulprit(complete time.Duration, v Verdicts, running Running) (verdict Verdict, ok, undecided bool) {
+	all := e.unrefuted(v, complete, running)
 	unexplained := e.unexplained(v)
 	var best *hypothesis
 	for _, h := range all {
@@ -114,9 +115,25 @@
 		}
 	}
 	if best == nil {
-		return verdict, false
+		return verdict, false, len(all) > 0
 	}
-	return Verdict{Entry: best.entry(all), Since: e.clock.Since(best.first()), Unrelated: best.unrelated, Requests: best.requests()}, true
+	return Verdict{Entry: best.entry(all), Since: e.clock.Since(best.first()), Unrelated: best.unrelated, Requests: best.requests()}, true, true
+}
+
+// unrefuted returns the hypotheses that no running answer refutes.
+func (e *Evidence) unrefuted(v Verdicts, complete time.Duration, running Running) []*hypothesis {
+	return slices.DeleteFunc(e.hypotheses(v, complete), func(h *hypothesis) bool { return h.dropRefuted(running) })
+}
+
+// MayDecide reports whether the evidence would suffice for a verdict if all daemons confirmed it. Only
+// then is it worth asking them.
+func (e *Evidence) MayDecide(v Verdicts, running Running) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	unexplained := e.unexplained(v)
+	return len(e.onProbation(v)) > 0 || slices.ContainsFunc(e.unrefuted(v, EvidenceTTL, running), func(h *hypothesis) bool {
+		return e.isSufficient(h, unexplained, EvidenceTTL)
+	})
 }
 
 // onProbation returns the entries that are over, and under whose requests an instance has ended again.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -143,9 +143,11 @@
 		h.clock.Advance(200 * time.Millisecond)
 	}
 	running := Running{{Part: "aa", Shared: true}: 3 * time.Second}
-	require.Empty(t, h.evidence.Culprits(allDaemonsKnown, h.list, running))
+	verdicts, _ := h.evidence.Culprits(allDaemonsKnown, h.list, running)
+	require.Empty(t, verdicts)
 	running[Trait{Part: "aa", Shared: true}] = time.Second
-	require.Len(t, h.evidence.Culprits(allDaemonsKnown, h.list, running), 1, "answers that run for as long as the others ended refute nothing")
+	verdicts, _ = h.evidence.Culprits(allDaemonsKnown, h.list, running)
+	require.Len(t, verdicts, 1, "answers that run for as long as the others ended refute nothing")
 }
 
 // Guards against a popular request, such as a look-up that all callers send, that is refused because a
@@ -410,7 +412,8 @@
 			r.traits(func(t Trait) { running[t] = max(running[t], now.Sub(r.began)) })
 		}
 	}
-	for _, v := range m.evidence.Culprits(m.clock.Since(m.startedAt), m.list, running) {
+	verdicts, _ := m.evidence.Culprits(m.clock.Since(m.startedAt), m.list, running)
+	for _, v := range verdicts {
 		m.list.Quarantine(v)
 		if !slices.ContainsFunc(m.crashing, func(part string) bool { return slices.Contains(v.RefusedParts, part) }) {
 			m.wrong = append(m.wrong, fmt.Sprintf("%v %+v", m.clock.Now(), v))
--- a/test/routes/soak_test.go
+++ b/test/routes/soak_test.go
@@ -166,7 +166,6 @@
 		o.Service, o.Events, o.Confidence = engineService, 8, map[string]int{"small": 80}
 		o.Unframed = s.hasUnframedStreams()
 	}
-	s.serverIDs[place] = o.ID
 	s.mu.Unlock()
 	o.OnCrash = func() { s.replaceServer(place, seed) }
 	bad := []platformtest.Behaviour{
@@ -200,6 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.servers[o.ID] = server
+	s.serverIDs[place] = o.ID
 }
 
 // hasUnframedStreams reports whether the streams of this seed end with their connections.
