forward, entry: the cut answer of a leaving instance is asked for again

Its server had announced that it leaves, and a request that crashes servers ended it.

Cause: the end of a leaving instance was taken for planned, and its answer for whole.

Change: an answer that can be asked for again counts as cut, also then: a stream is resumed after its last event, which loses and doubles nothing if it was whole. Others of a leaving instance are still taken for whole.

TestUnframedStreamOfLeavingServerIsResumed fails before and passes.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -94,13 +94,9 @@
 	}
 }
 
-// EndedWithAnswer implements forward.Quarantine. The answer of an instance that is leaving is whole:
-// its end is planned. One that gives a sign of life has not ended. Others are probed when a process that
-// exits has closed its listener.
+// EndedWithAnswer implements forward.Quarantine. An instance that gives a sign of life has not ended.
+// Others are probed twice, since a process that exits may not have closed its listener yet.
 func (q *quarantineManager) EndedWithAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) bool {
-	if q.table.IsLeaving(i.Incarnation()) {
-		return false
-	}
 	if q.InstanceEnded(i) {
 		return true
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/quarantine"
@@ -146,13 +147,16 @@
 var errInstanceEnded = fmt.Errorf("the instance ended with the answer: %w", io.ErrUnexpectedEOF)
 
 // finish records that the instance has run the request to its end. It returns an error if the answer
-// may have been cut: the end of a connection ends an answer only if the instance lives on.
+// may have been cut: the end of a connection ends an answer only if the instance lives on. The end of an
+// instance that is leaving may be planned, so that its answer is taken for whole if it cannot be asked
+// for again.
 func (a *attempt) finish() error {
 	if a.exchange.IsSelfDelimited() {
 		a.Quarantine.Finished(a.suspect())
 		return nil
 	}
-	if a.Quarantine.EndedWithAnswer(a.r.Context(), a.instance, a.suspect()) {
+	mayAskAgain := a.route.Idempotent() && (a.route.Kind == catalog.Stream || !a.headSent)
+	if a.Quarantine.EndedWithAnswer(a.r.Context(), a.instance, a.suspect()) && (mayAskAgain || !a.Table.IsLeaving(a.instance.Incarnation())) {
 		return fmt.Errorf("%w: %w", errAnswerCut, errInstanceEnded)
 	}
 	return nil
--- a/test/routes/part_test.go
+++ b/test/routes/part_test.go
@@ -345,3 +345,25 @@
 	t.Logf("%d streams", sent)
 	require.Empty(t, failed)
 }
+
+// Guards against a part of a stream without framing that looks whole because its server, which ended in
+// the middle of it, had announced that it leaves.
+func TestUnframedStreamOfLeavingServerIsResumed(t *testing.T) {
+	s := newTestbed(t)
+	engine := func(id string) *platformtest.Server {
+		return s.startServer(platformtest.ServerOptions{ID: id, Service: engineService, Events: 40, Delay: 30 * time.Millisecond, Unframed: true, Confidence: map[string]int{"small": 90}})
+	}
+	leaving := engine("eng-1")
+	d := s.startReadyDaemon()
+	leaving.Leave()
+	c := s.newCall(pathStream)
+	answered := make(chan platformtest.Reply, 1)
+	go func() { answered <- s.send(c, d) }()
+	s.waitForLog(d, "instance.leaving", "instance=eng-1")
+	engine("eng-2")
+	<-time.After(400 * time.Millisecond)
+	leaving.Kill()
+	reply := <-answered
+	require.NoError(t, reply.Err)
+	require.Equal(t, eventStream(c.ID, 40), reply.Body)
+}
