quarantine, entry: the counts of a decision are made once; a judge takes its own evidence over once

Found by reading the whole change. Weighing a part that was sound counted the traits of all judged crashes again, once for each such part, which is the usual case when a rack loses power; a decision now has one basis (counts, unexplained crashes, completeness). A judge added its own answer to the evidence twice.

No decision and no assertion is changed.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -230,6 +230,7 @@
 // then.
 func (q *quarantineManager) collectEvidence(ctx context.Context, request peer.QuarantineEvidenceRequest, own peer.QuarantineEvidence) (complete time.Duration, running quarantine.Running) {
 	running = quarantine.Running{}
+	running.Merge(own.Running)
 	var mu sync.Mutex
 	complete = own.Up
 	add := func(answer peer.QuarantineEvidence) {
@@ -243,7 +244,6 @@
 		}
 		running.Merge(answer.Running)
 	}
-	add(own)
 	q.callEach(ctx, inquiryTimeout, q.otherRunningDaemons(), func(call context.Context, address string) {
 		answer, err := q.peers.QuarantineEvidence(call, address, request)
 		if err != nil {
--- a/internal/quarantine/hypothesis.go
+++ b/internal/quarantine/hypothesis.go
@@ -61,17 +61,16 @@
 // A crash that a quarantined request explains counts only if that request has the trait, too: then the
 // verdict may have been too narrow. It does not count if the evidence is not complete: then something
 // else may have crashed the others.
-func (e *Evidence) hypotheses(v Verdicts, complete time.Duration) []*hypothesis {
-	counts := e.countCrashes()
+func (e *Evidence) hypotheses(v Verdicts, b basis) []*hypothesis {
 	byTrait := map[Trait]*hypothesis{}
 	for _, c := range e.judged() {
 		explainers := c.explainers(v)
-		if len(explainers) > 0 && e.clock.Since(c.at) > complete {
+		if len(explainers) > 0 && e.clock.Since(c.at) > b.complete {
 			continue
 		}
 		for _, s := range c.suspects {
 			s.traits(func(t Trait) {
-				if counts[t] < minCrashes || e.isCleared(t, c.at) || slices.ContainsFunc(explainers, func(x explainer) bool { return !x.suspect.holds(t) }) {
+				if b.counts[t] < minCrashes || e.isCleared(t, c.at) || slices.ContainsFunc(explainers, func(x explainer) bool { return !x.suspect.holds(t) }) {
 					return
 				}
 				h := byTrait[t]
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -41,7 +41,7 @@
 	defer e.mu.Unlock()
 	e.expire(e.clock.Now())
 	known := map[Trait]bool{}
-	for _, h := range e.hypotheses(v, EvidenceTTL) {
+	for _, h := range e.hypotheses(v, e.newBasis(v, EvidenceTTL)) {
 		for _, t := range h.traits {
 			known[t.completionKey()] = true
 		}
@@ -106,11 +106,11 @@
 // nextCulprit returns the verdict with the fewest runs for which the evidence suffices. What it explains
 // is no evidence for others: verdicts are taken one after the other.
 func (e *Evidence) nextCulprit(complete time.Duration, v Verdicts, running Running) (verdict Verdict, ok, undecided bool) {
-	all := e.unrefuted(v, complete, running)
-	unexplained := e.unexplained(v)
+	b := e.newBasis(v, complete)
+	all := e.unrefuted(v, b, running)
 	var best *hypothesis
 	for _, h := range all {
-		if (best == nil || len(h.runs) < len(best.runs)) && e.isSufficient(h, unexplained, complete) && !hasRival(h, all) {
+		if (best == nil || len(h.runs) < len(best.runs)) && e.isSufficient(h, b) && !hasRival(h, all) {
 			best = h
 		}
 	}
@@ -121,8 +121,8 @@
 }
 
 // unrefuted returns the hypotheses that no running answer refutes.
-func (e *Evidence) unrefuted(v Verdicts, complete time.Duration, running Running) []*hypothesis {
-	return slices.DeleteFunc(e.hypotheses(v, complete), func(h *hypothesis) bool { return h.dropRefuted(running) })
+func (e *Evidence) unrefuted(v Verdicts, b basis, running Running) []*hypothesis {
+	return slices.DeleteFunc(e.hypotheses(v, b), func(h *hypothesis) bool { return h.dropRefuted(running) })
 }
 
 // MayDecide reports whether the evidence would suffice for a verdict if all daemons confirmed it. Only
@@ -130,10 +130,8 @@
 func (e *Evidence) MayDecide(v Verdicts, running Running) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	unexplained := e.unexplained(v)
-	return len(e.onProbation(v)) > 0 || slices.ContainsFunc(e.unrefuted(v, EvidenceTTL, running), func(h *hypothesis) bool {
-		return e.isSufficient(h, unexplained, EvidenceTTL)
-	})
+	b := e.newBasis(v, EvidenceTTL)
+	return len(e.onProbation(v)) > 0 || slices.ContainsFunc(e.unrefuted(v, b, running), func(h *hypothesis) bool { return e.isSufficient(h, b) })
 }
 
 // onProbation returns the entries that are over, and under whose requests an instance has ended again.
@@ -152,6 +150,19 @@
 	return out
 }
 
+// basis is what all hypotheses of a decision are weighed with.
+type basis struct {
+	// complete is how far back the evidence includes the reports of all daemons.
+	complete time.Duration
+	// unexplained are the crashes that no verdict explains, and counts the crashes of each trait.
+	unexplained []*crash
+	counts      map[Trait]int
+}
+
+func (e *Evidence) newBasis(v Verdicts, complete time.Duration) basis {
+	return basis{complete: complete, unexplained: e.unexplained(v), counts: e.countCrashes()}
+}
+
 // judged returns the crashes that a decision is based on, oldest first.
 func (e *Evidence) judged() []*crash {
 	latest := e.order[max(len(e.order)-maxJudged, 0):]
--- a/internal/quarantine/weigh.go
+++ b/internal/quarantine/weigh.go
@@ -42,17 +42,17 @@
 
 // isSufficient reports whether the evidence suffices to refuse requests with the traits of h, if there
 // is no rival. It also sets h.unrelated.
-func (e *Evidence) isSufficient(h *hypothesis, unexplained []*crash, complete time.Duration) bool {
+func (e *Evidence) isSufficient(h *hypothesis, b basis) bool {
 	if h.isSharedOnly() && !h.isOfSeveralOrganisations() {
 		return false
 	}
 	wasSound := e.wasSound(h)
-	if wasSound && (len(h.verdicts) > 1 || e.countOwnCrashes(h) < minCrashesConfounded) {
+	if wasSound && (len(h.verdicts) > 1 || e.countOwnCrashes(h, b.counts) < minCrashesConfounded) {
 		return false
 	}
-	confounding := h.countUnrelated(unexplained)
-	weight := h.weigh(unexplained)
-	known := complete
+	confounding := h.countUnrelated(b.unexplained)
+	weight := h.weigh(b.unexplained)
+	known := b.complete
 	if h.isOfParts() {
 		known -= settledTime
 	}
@@ -104,8 +104,7 @@
 // countOwnCrashes returns the number of crashes of h that nothing new is on: a part of several crashed
 // requests, or a request on enough crashes to be judged, that is not known to have completed. That is
 // more likely the cause than a part with which requests have completed, although h is on all crashes.
-func (e *Evidence) countOwnCrashes(h *hypothesis) int {
-	counts := e.countCrashes()
+func (e *Evidence) countOwnCrashes(h *hypothesis, counts map[Trait]int) int {
 	isNew := func(t Trait) bool {
 		_, completed := e.cleared[t.completionKey()]
 		enough := 2
--- a/test/routes/part_test.go
+++ b/test/routes/part_test.go
@@ -175,15 +175,7 @@
 // and returns how many servers have ended.
 func (p *pool) crashPartUntilRefused(size int, through *daemon) int {
 	p.t.Helper()
-	p.eventually(func() error {
-		reply := p.send(p.promptCall("aa:100,ee:200,OWN:50"), through)
-		p.waitRestored(size)
-		if !strings.Contains(reply.Body, "request_quarantined") {
-			return trace.Errorf("the request is not refused: %d %s", reply.Status, reply.Body)
-		}
-		return nil
-	})
-	return p.endedServers()
+	return p.sendUntilRefused(size, through, func() platformtest.Call { return p.promptCall("aa:100,ee:200,OWN:50") })
 }
 
 // Guards against a burst of requests with a crashing part that ends all servers before the first crash is
--- a/test/routes/pool_test.go
+++ b/test/routes/pool_test.go
@@ -146,9 +146,16 @@
 // crashUntilRefused sends the poison request through a daemon until it is refused, and returns
 // how many servers have ended.
 func (p *pool) crashUntilRefused(size int, through *daemon) int {
+	p.t.Helper()
+	return p.sendUntilRefused(size, through, func() platformtest.Call { return p.poisonCall(pathStream) })
+}
+
+// sendUntilRefused sends calls through a daemon until one is refused as quarantined, and returns how many
+// servers have ended.
+func (p *pool) sendUntilRefused(size int, through *daemon, newCall func() platformtest.Call) int {
 	p.t.Helper()
 	p.eventually(func() error {
-		reply := p.send(p.poisonCall(pathStream), through)
+		reply := p.send(newCall(), through)
 		p.waitRestored(size)
 		if !strings.Contains(reply.Body, "request_quarantined") {
 			return trace.Errorf("the request is not refused: %d %s", reply.Status, reply.Body)
