test/routes: gateways are killed or stopped once the cut-off daemon knows another

Cause, from the daemons' logs of a failure: the second gateway had been ready for 36 ms, and the cut-off daemon had not heard of it ("daemons.changed live=3" is missing), since a daemon that starts tells the one that it reads the configuration from, and the others with its heartbeats. So the only daemon it knew of was the one that had just been killed. The test did not bring about what it states, that there is another gateway.

The daemon is now started while both requests run at the first gateway, and the gateway is killed once the cut-off daemon knows the other. This is stricter: with a gateway known earlier the request or the stream could have been at the one that stays.

--- a/test/routes/tunnel_test.go
+++ b/test/routes/tunnel_test.go
@@ -47,6 +47,13 @@
 	return b
 }
 
+// addGateway starts another daemon, and waits until the daemon that is cut off knows it.
+func (b *cutBed) addGateway() {
+	b.t.Helper()
+	b.gateways = append(b.gateways, b.startFaultDaemon())
+	b.waitForLog(b.cutOff, "daemons.changed", fmt.Sprintf("live=%d", len(b.daemons)))
+}
+
 // cut cuts the first daemon off, and waits until it knows that.
 func (b *cutBed) cut(f faultdial.Fault) {
 	b.t.Helper()
@@ -145,11 +152,10 @@
 // Guards against a request that runs twice, or is said not to have run, because its gateway was
 // killed while it ran.
 func TestKilledGatewayLosesNoPromise(t *testing.T) {
-	b := newCutBed(t, 2, faultdial.Reset, 40, 50*time.Millisecond, nil)
-	b.startFaultDaemon()
+	b := newCutBed(t, 2, faultdial.Reset, stopEvents, 50*time.Millisecond, nil)
 	once, stream := b.newCall(pathUnsafe), b.newCall(pathStream)
 	for _, server := range b.servers {
-		server.SetDelay(400 * time.Millisecond)
+		server.SetDelay(4 * time.Second)
 	}
 	replies := make(chan platformtest.Reply, 1)
 	go func() { replies <- b.send(once, b.cutOff) }()
@@ -160,13 +166,14 @@
 	streams := make(chan platformtest.Reply, 1)
 	go func() { streams <- b.send(stream, b.cutOff) }()
 	b.waitRuns(stream.ID)
+	b.addGateway()
 	b.gateways[0].Kill()
 	r := <-replies
 	require.NoError(t, r.Err)
 	require.Equal(t, http.StatusBadGateway, r.Status, r.Body)
 	require.Len(t, b.serversThatRan(once.ID), 1)
 	// The stream is resumed through the other daemon.
-	require.Equal(t, eventStream(stream.ID, 40), (<-streams).Body)
+	require.Equal(t, eventStream(stream.ID, stopEvents), (<-streams).Body)
 }
 
 // waitRuns waits until a server runs a request.
@@ -189,7 +196,6 @@
 	for _, stopsGateway := range []bool{true, false} {
 		t.Run(fmt.Sprint("gateway=", stopsGateway), func(t *testing.T) {
 			b := newCutBed(t, 2, faultdial.Hang, stopEvents, 50*time.Millisecond, nil)
-			b.startFaultDaemon()
 			streams := make(chan platformtest.Reply, 4)
 			var calls []platformtest.Call
 			for range cap(streams) {
@@ -198,6 +204,7 @@
 				go func() { streams <- b.send(c, b.cutOff) }()
 				b.waitRuns(c.ID)
 			}
+			b.addGateway()
 			stopping := b.cutOff
 			if stopsGateway {
 				stopping = b.gateways[0]
