--- a/test/routes/pool_test.go
+++ b/test/routes/pool_test.go
@@ -22,6 +22,8 @@
 type pool struct {
 	*testbed
 	service string
+	// version is that of the servers; "v1" if empty.
+	version string
 	events  int
 	// unframed is set if answers end with their connections, and crashes returns how a server crashes
 	// of a request; nil means that only the poison request crashes it.
@@ -47,6 +49,9 @@
 // startPool starts the servers of a pool whose options are set.
 func (s *testbed) startPool(p *pool, size int) *pool {
 	p.testbed, p.crashing = s, map[string]bool{}
+	if p.version == "" {
+		p.version = "v1"
+	}
 	if p.restart == 0 {
 		p.restart = restartTime
 	}
@@ -62,10 +67,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.next++
-	id := fmt.Sprint(p.service, "-", p.next)
+	id := fmt.Sprint(p.service, "-", p.version, "-", p.next)
 	var server *platformtest.Server
 	server = platformtest.NewServer(platformtest.ServerOptions{
-		ID: id, Service: p.service, Version: "v1", Slots: 8, Delay: 20 * time.Millisecond, Events: p.events,
+		ID: id, Service: p.service, Version: p.version, Slots: 8, Delay: 20 * time.Millisecond, Events: p.events,
 		Confidence: map[string]int{"small": 90}, Unframed: p.unframed,
 		Behave: func(received platformtest.ReceivedRequest) platformtest.Behaviour {
 			behaviour, crashes := platformtest.Crash, received.Header.Get("X-Poison") != ""
