quarantine: a decision on requests with hundreds of parts counts most parts once

Prompts may name hundreds of parts, nearly all of them new.

Cause: crashes were counted for each trait, two of each part, in a map of structures with two strings, twice in each pass. Now they are counted by part first, and by trait only for parts that are on several crashes.

--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -40,3 +40,26 @@
 		leave()
 	}
 }
+
+// BenchmarkJudgeManyParts measures a decision on twelve crashes of four requests with 200 parts each, of
+// which two are on several crashes.
+func BenchmarkJudgeManyParts(b *testing.B) {
+	h := newHarness()
+	for range 12 {
+		var suspects []Suspect
+		for k := range 4 {
+			parts := []string{"aa", []string{"ee", "bb"}[min(k, 1)]}
+			for range 198 {
+				h.next++
+				parts = append(parts, fmt.Sprint("p", h.next))
+			}
+			suspects = append(suspects, h.suspectWith("visrad", parts...))
+		}
+		h.end(suspects...)
+		h.clock.Advance(200 * time.Millisecond)
+	}
+	for b.Loop() {
+		h.evidence.Suspected(h.list)
+		h.evidence.Culprits(allDaemonsKnown, h.list, nil)
+	}
+}
--- a/internal/quarantine/hypothesis.go
+++ b/internal/quarantine/hypothesis.go
@@ -69,8 +69,8 @@
 			continue
 		}
 		for _, s := range c.suspects {
-			s.traits(func(t Trait) {
-				if b.counts[t] < minCrashes || e.isCleared(t, c.at) || slices.ContainsFunc(explainers, func(x explainer) bool { return !x.suspect.holds(t) }) {
+			b.repeated.of(s, func(t Trait) {
+				if b.repeated.crashes(t) < minCrashes || e.isCleared(t, c.at) || slices.ContainsFunc(explainers, func(x explainer) bool { return !x.suspect.holds(t) }) {
 					return
 				}
 				h := byTrait[t]
@@ -104,37 +104,56 @@
 	}
 }
 
-// countCrashes returns the number of crashes that each trait was on, of those on several.
-func (e *Evidence) countCrashes() map[Trait]int {
-	type count struct {
-		last *crash
-		n    int
+// crashCount is the number of crashes that something was on.
+type crashCount struct {
+	last *crash
+	n    int
+}
+
+func addCrash[K comparable](counts map[K]crashCount, k K, c *crash) {
+	if one := counts[k]; one.last != c {
+		counts[k] = crashCount{last: c, n: one.n + 1}
 	}
-	all := map[Trait]*count{}
-	for _, c := range e.judged() {
+}
+
+// repeatedTraits are the traits that were on several crashes, with the number of these.
+type repeatedTraits struct {
+	parts  map[string]crashCount
+	traits map[Trait]crashCount
+}
+
+// repeatedTraits counts crashes by part first. Most parts are on one crash only, and these are never
+// counted by trait.
+func (e *Evidence) repeatedTraits() repeatedTraits {
+	r := repeatedTraits{parts: map[string]crashCount{}, traits: map[Trait]crashCount{}}
+	judged := e.judged()
+	for _, c := range judged {
 		for _, s := range c.suspects {
-			s.traits(func(t Trait) {
-				one := all[t]
-				if one == nil {
-					one = &count{}
-					all[t] = one
-				}
-				if one.last != c {
-					one.last = c
-					one.n++
-				}
-			})
+			for _, part := range s.Parts {
+				addCrash(r.parts, part, c)
+			}
+		}
+	}
+	for _, c := range judged {
+		for _, s := range c.suspects {
+			r.of(s, func(t Trait) { addCrash(r.traits, t, c) })
 		}
 	}
-	counts := map[Trait]int{}
-	for t, one := range all {
-		if one.n > 1 {
-			counts[t] = one.n
+	return r
+}
+
+// of calls yield for the traits of a request that may be on several crashes.
+func (r *repeatedTraits) of(s *Suspect, yield func(Trait)) {
+	yield(Trait{Request: s.Digest})
+	for _, part := range s.Parts {
+		if r.parts[part].n > 1 {
+			s.partTraits(part, yield)
 		}
 	}
-	return counts
 }
 
+func (r *repeatedTraits) crashes(t Trait) int { return r.traits[t].n }
+
 // mergeEqual joins the hypotheses with the same runs, and leaves out those with too few crashes.
 func mergeEqual(byTrait map[Trait]*hypothesis) []*hypothesis {
 	var out []*hypothesis
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -154,13 +154,13 @@
 type basis struct {
 	// complete is how far back the evidence includes the reports of all daemons.
 	complete time.Duration
-	// unexplained are the crashes that no verdict explains, and counts the crashes of each trait.
+	// unexplained are the crashes that no verdict explains.
 	unexplained []*crash
-	counts      map[Trait]int
+	repeated    repeatedTraits
 }
 
 func (e *Evidence) newBasis(v Verdicts, complete time.Duration) basis {
-	return basis{complete: complete, unexplained: e.unexplained(v), counts: e.countCrashes()}
+	return basis{complete: complete, unexplained: e.unexplained(v), repeated: e.repeatedTraits()}
 }
 
 // judged returns the crashes that a decision is based on, oldest first.
--- a/internal/quarantine/trait.go
+++ b/internal/quarantine/trait.go
@@ -68,11 +68,16 @@
 func (s *Suspect) traits(yield func(Trait)) {
 	yield(Trait{Request: s.Digest})
 	for _, part := range s.Parts {
-		yield(Trait{Part: part, Organisation: s.Organisation})
-		yield(Trait{Part: part, Shared: true})
+		s.partTraits(part, yield)
 	}
 }
 
+// partTraits calls yield for the traits that a part of the request is.
+func (s *Suspect) partTraits(part string, yield func(Trait)) {
+	yield(Trait{Part: part, Organisation: s.Organisation})
+	yield(Trait{Part: part, Shared: true})
+}
+
 // completionKey is the trait whose completions acquit t. Any answer with a part acquits the part.
 func (t Trait) completionKey() Trait {
 	if t.Part == "" {
--- a/internal/quarantine/weigh.go
+++ b/internal/quarantine/weigh.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	wasSound := e.wasSound(h)
-	if wasSound && (len(h.verdicts) > 1 && !h.explainsRequests() || e.countOwnCrashes(h, b.counts) < minCrashesConfounded) {
+	if wasSound && (len(h.verdicts) > 1 && !h.explainsRequests() || e.countOwnCrashes(h, b.repeated) < minCrashesConfounded) {
 		return false
 	}
 	confounding := h.countUnrelated(b.unexplained)
@@ -123,19 +123,19 @@
 // nothing new is on: a part of several crashed requests, or a request on enough crashes to be judged, that
 // is not known to have completed. That is more likely the cause than h, although h is on all crashes. Many
 // such requests, however, are more likely to crash instances by what they have in common.
-func (e *Evidence) countOwnCrashes(h *hypothesis, counts map[Trait]int) int {
+func (e *Evidence) countOwnCrashes(h *hypothesis, repeated repeatedTraits) int {
 	own, byRequest := 0, 0
 	requests := map[Digest]bool{}
 	for _, c := range h.crashes {
-		part, repeated := e.newTraits(c, counts)
-		for _, s := range repeated {
+		part, again := e.newTraits(c, repeated)
+		for _, s := range again {
 			if h.runs[run{crash: c, suspect: s}] {
 				requests[s.Digest] = true
 			}
 		}
 		switch {
 		case part:
-		case len(repeated) > 0:
+		case len(again) > 0:
 			byRequest++
 		default:
 			own++
@@ -149,20 +149,20 @@
 
 // newTraits reports whether a part of several crashes is on c, and returns the requests there that are on
 // enough crashes to be judged, without those that are known to have completed.
-func (e *Evidence) newTraits(c *crash, counts map[Trait]int) (part bool, repeated []*Suspect) {
+func (e *Evidence) newTraits(c *crash, repeated repeatedTraits) (part bool, requests []*Suspect) {
 	for _, s := range c.suspects {
-		s.traits(func(t Trait) {
+		repeated.of(s, func(t Trait) {
 			_, completed := e.cleared[t.completionKey()]
 			switch {
 			case completed:
 			case t.Part != "":
-				part = part || counts[t] > 1
-			case counts[t] >= minCrashes:
-				repeated = append(repeated, s)
+				part = part || repeated.crashes(t) > 1
+			case repeated.crashes(t) >= minCrashes:
+				requests = append(requests, s)
 			}
 		})
 	}
-	return part, repeated
+	return part, requests
 }
 
 // isOfSeveralOrganisations reports whether enough instances have ended without the organisation that
--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -211,6 +211,17 @@
 	return ""
 }
 
+// readVars reads the daemon's part of /debug/vars.
+func (s *testbed) readVars(d *daemon, vars any) {
+	s.t.Helper()
+	resp, err := s.client.Get("http://" + d.metricsAddress + "/debug/vars")
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&struct {
+		Hornbeamsill any `json:"hornbeamsill"`
+	}{vars}))
+}
+
 // waitForLog waits for a line of the log of a daemon that contains all parts, and returns it.
 func (s *testbed) waitForLog(d *daemon, parts ...string) string {
 	s.t.Helper()
--- a/test/routes/part_test.go
+++ b/test/routes/part_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/entry"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 	"github.com/hornbeamsill/hornbeamsill/test/cluster"
@@ -36,7 +37,7 @@
 }
 
 // partCase is a way in which a part of prompts crashes servers. OWN in a prompt stands for the part of
-// the request itself.
+// the request itself, and NEW for a hundred parts that no other request has.
 type partCase struct {
 	crashing, sound string
 	behaviour       platformtest.Behaviour
@@ -76,6 +77,7 @@
 		"unframed":          {crashing: "aa:100,ee:200,OWN:50", sound: "aa:100,bb:200,OWN:50", behaviour: platformtest.CrashInAnswer, unframed: true, interval: often},
 		"seldom":            {crashing: "aa:100,ee:200,OWN:50", sound: "aa:100,bb:200,OWN:50", interval: seldom},
 		"was sound":         {crashing: "aa:100,ee:200,OWN:50", sound: "aa:100,bb:200,OWN:50", wasSound: true, interval: often},
+		"many parts":        {crashing: "aa:100,NEW,ee:20,NEW,OWN:50", sound: "aa:100,NEW,bb:20,NEW,OWN:50", interval: often},
 		"was sound, seldom": {crashing: "aa:100,ee:200,OWN:50", sound: "aa:100,bb:200,OWN:50", wasSound: true, interval: seldom},
 	} {
 		t.Run(name, func(t *testing.T) { runCrashingPart(t, c) })
@@ -163,6 +165,8 @@
 			t.Log(d.Name, line)
 		}
 	}
+	mean, most := s.crashTraffic()
+	t.Logf("%d daemons: %d bytes sent about crashes in the mean, %d at most", daemons, mean, most)
 	if c.wasSound {
 		require.LessOrEqual(t, late, maxLateOnceSound)
 	} else {
@@ -175,10 +179,38 @@
 	}
 }
 
-// promptCall returns a call with a prompt, in which OWN stands for the part of the request itself.
+// crashTraffic returns how many bytes daemons have sent in calls about crashes, and replies to them.
+func (s *testbed) crashTraffic() (mean, most int64) {
+	s.t.Helper()
+	sum := int64(0)
+	for _, d := range s.daemons {
+		var vars struct {
+			Calls  map[string]peer.MethodTraffic `json:"peer_calls"`
+			Served map[string]peer.MethodTraffic `json:"peer_served"`
+		}
+		s.readVars(d, &vars)
+		sent := int64(0)
+		for _, method := range []string{"Routes.Crashes", "Routes.Inquire", "Routes.Quarantine"} {
+			sent += vars.Calls[method].Sent + vars.Served[method].Sent
+		}
+		sum, most = sum+sent, max(most, sent)
+	}
+	return sum / int64(len(s.daemons)), most
+}
+
+// promptCall returns a call with a prompt, with the words of a partCase.
 func (s *testbed) promptCall(prompt string) platformtest.Call {
+	const newParts = 100
 	c := s.newCall(pathStream)
-	c.Prompt = strings.Replace(prompt, "OWN", fmt.Sprintf("%x", 0x100000+s.lastID.Load()), 1)
+	own := 0x100000 + s.lastID.Load()
+	c.Prompt = strings.Replace(prompt, "OWN", fmt.Sprintf("%x", own), 1)
+	for set := 0; strings.Contains(c.Prompt, "NEW"); set++ {
+		var parts []string
+		for n := range newParts {
+			parts = append(parts, fmt.Sprintf("%x:1", own<<16+int64(set*newParts+n)))
+		}
+		c.Prompt = strings.Replace(c.Prompt, "NEW", strings.Join(parts, ","), 1)
+	}
 	c.Body = "body of " + c.ID
 	return c
 }
--- a/test/routes/restart_test.go
+++ b/test/routes/restart_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -105,14 +104,9 @@
 // surveyCounts returns how many engines a daemon has asked, and of how many others told it.
 func (s *testbed) surveyCounts(d *daemon) (counts struct{ Asked, Received int }) {
 	s.t.Helper()
-	resp, err := s.client.Get("http://" + d.metricsAddress + "/debug/vars")
-	require.NoError(s.t, err)
-	defer resp.Body.Close()
 	var vars struct {
-		Hornbeamsill struct {
-			Survey struct{ Asked, Received int } `json:"survey"`
-		} `json:"hornbeamsill"`
+		Survey struct{ Asked, Received int } `json:"survey"`
 	}
-	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&vars))
-	return vars.Hornbeamsill.Survey
+	s.readVars(d, &vars)
+	return vars.Survey
 }
