quarantine: two requests that each end three instances condemn the once sound part they share

Cause: after a part had completed, three different requests that each ended three instances were needed, nine ends or more, where five ends suffice for all other evidence. What the crashed requests have in common and no completed one has had since is the cause by definition; that it had completed before the first of them says nothing.

Change: two such requests suffice.

--- a/internal/quarantine/weigh.go
+++ b/internal/quarantine/weigh.go
@@ -17,8 +17,8 @@
 	// broader verdict replaces one.
 	minUnexplained = 2
 	// minRequests is the number of different requests, each of which may have crashed instances by
-	// itself, from which on a part is taken for the cause that was sound in other requests.
-	minRequests = 3
+	// itself, from which on a part is taken for the cause that was sound before.
+	minRequests = 2
 	// minOutside is the number of crashes without the organisation that has most of them, from which
 	// on a part is refused for all organisations. With minCrashesConfounded, one suffices.
 	minOutside = 2
@@ -104,7 +104,7 @@
 	})
 }
 
-// explainsRequests reports whether the crashes of h are otherwise explained by verdicts on many different
+// explainsRequests reports whether the crashes of h are otherwise explained by verdicts on several
 // requests, each by itself, so that what they have in common is more likely the cause.
 func (h *hypothesis) explainsRequests() bool {
 	if len(h.verdicts) < minRequests {
@@ -121,7 +121,7 @@
 
 // countOwnCrashes returns the number of crashes of h, of parts with which requests have completed, that
 // nothing new is on: a part of several crashed requests, or a request on enough crashes to be judged, that
-// is not known to have completed. That is more likely the cause than h, although h is on all crashes. Many
+// is not known to have completed. That is more likely the cause than h, although h is on all crashes. Several
 // such requests, however, are more likely to crash instances by what they have in common.
 func (e *Evidence) countOwnCrashes(h *hypothesis, repeated repeatedTraits) int {
 	own, byRequest := 0, 0
