--- /dev/null
+++ b/internal/upconn/conn.go
@@ -0,0 +1,82 @@
+package upconn
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Link is what is known of a direct connection.
+type Link struct {
+	// OpenedAt is when it was opened, and Reused is set if it has given an answer before.
+	OpenedAt time.Time
+	Reused   bool
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// tunnel is Conn if that is a tunnel, and otherwise nil.
+	tunnel Tunnel
+	// usableUntil is until when an idle connection may be used again, and answeredAt when it last gave
+	// a whole answer.
+	usableUntil, answeredAt time.Time
+	openedAt                time.Time
+}
+
+func newConn(raw net.Conn, openedAt time.Time) *conn {
+	tunnel, _ := raw.(Tunnel)
+	return &conn{Conn: raw, tunnel: tunnel, reader: bufio.NewReaderSize(raw, bufferSize), openedAt: openedAt}
+}
+
+func (c *conn) link() Link { return Link{OpenedAt: c.openedAt, Reused: !c.answeredAt.IsZero()} }
+
+// isOnPath reports whether an idle connection may be used now. While instances are reached through
+// tunnels, that is a direct one only if it has given a whole answer since then: others may have lost
+// their link without a sign. Otherwise it is any direct one.
+func (c *conn) isOnPath(tunneledSince time.Time, tunneled bool) bool {
+	if c.tunnel != nil {
+		return tunneled
+	}
+	return !tunneled || c.answeredAt.After(tunneledSince)
+}
+
+// isReusable reports whether an idle connection has not expired, is open and has no unread
+// bytes. Unread bytes belong to a second answer to an earlier request and would be taken for
+// the answer to the next request. If the server has closed the connection, a request sent now
+// would be lost with an unknown outcome.
+func (c *conn) isReusable() bool {
+	if time.Now().After(c.usableUntil) || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		_, _, peekErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(peekErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// idleTimeout returns how long a connection may be kept unused, given the headers of the last
+// answer.
+func idleTimeout(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return min(time.Duration(seconds)*time.Second-idleMargin, maxIdleTime)
+		}
+	}
+	return maxIdleTime
+}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -5,18 +5,11 @@
 package upconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
-	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
@@ -71,13 +64,6 @@
 	NoteAnswer(to Target, l Link)
 }
 
-// Link is what is known of a direct connection.
-type Link struct {
-	// OpenedAt is when it was opened, and Reused is set if it has given an answer before.
-	OpenedAt time.Time
-	Reused   bool
-}
-
 // Tunnel is a connection to an instance through another daemon.
 type Tunnel interface {
 	net.Conn
@@ -95,24 +81,6 @@
 	NotPassedOn()
 }
 
-type conn struct {
-	net.Conn
-	reader *bufio.Reader
-	// tunnel is Conn if that is a tunnel, and otherwise nil.
-	tunnel Tunnel
-	// usableUntil is until when an idle connection may be used again, and answeredAt when it last gave
-	// a whole answer.
-	usableUntil, answeredAt time.Time
-	openedAt                time.Time
-}
-
-func newConn(raw net.Conn, openedAt time.Time) *conn {
-	tunnel, _ := raw.(Tunnel)
-	return &conn{Conn: raw, tunnel: tunnel, reader: bufio.NewReaderSize(raw, bufferSize), openedAt: openedAt}
-}
-
-func (c *conn) link() Link { return Link{OpenedAt: c.openedAt, Reused: !c.answeredAt.IsZero()} }
-
 type host struct {
 	idle []*conn
 	open int
@@ -178,16 +146,6 @@
 	return p.paths.Tunneled(to.Service)
 }
 
-// isOnPath reports whether an idle connection may be used now. While instances are reached through
-// tunnels, that is a direct one only if it has given a whole answer since then: others may have lost
-// their link without a sign. Otherwise it is any direct one.
-func (c *conn) isOnPath(tunneledSince time.Time, tunneled bool) bool {
-	if c.tunnel != nil {
-		return tunneled
-	}
-	return !tunneled || c.answeredAt.After(tunneledSince)
-}
-
 // open opens a tunnel or a direct connection.
 func (p *Pool) open(ctx context.Context, to Target, tunneled bool) (*conn, error) {
 	openedAt := time.Now()
@@ -227,70 +185,6 @@
 	return c, err
 }
 
-// Check opens a direct connection to an instance and sends it a request that any answer will do for.
-// It returns an error if none begins before the context ends. The connection is kept for the next
-// request if possible.
-func (p *Pool) Check(ctx context.Context, to Target, r *Request) error {
-	c, err := p.openUncounted(ctx, to)
-	if err != nil {
-		return err
-	}
-	e, err := p.exchange(ctx, to, c, r, func(int, http.Header) bool { return true })
-	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.noteFailure(to, c.link())
-		}
-		return err
-	}
-	// If the rest of the answer cannot be read, the connection is not kept.
-	_, _ = io.CopyN(io.Discard, e, maxSkippedBytes)
-	e.Close()
-	return nil
-}
-
-// ProcessEnded reports whether the process that listened at an address refuses connections: no
-// direct connection to it is alive, and a new one is refused. A server that only resets some
-// connections, or does not answer, has not ended. A connection that it opens is kept for the next
-// request.
-func (p *Pool) ProcessEnded(ctx context.Context, to Target) bool {
-	for {
-		c, _ := p.takeIdle(to.Address, noDial)
-		if c == nil {
-			opened, err := p.openUncounted(ctx, to)
-			if err != nil {
-				return errors.Is(err, syscall.ECONNREFUSED)
-			}
-			p.putUnused(to.Address, opened)
-			return false
-		}
-		if c.tunnel == nil && c.isReusable() {
-			p.put(to.Address, c)
-			return false
-		}
-		p.discard(to.Address, c)
-	}
-}
-
-// ReachedSince reports whether an idle direct connection to an address has given an answer after a
-// time, and is still open.
-func (p *Pool) ReachedSince(address string, after time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h, ok := p.hosts[address]
-	return ok && slices.ContainsFunc(h.idle, func(c *conn) bool { return c.tunnel == nil && c.answeredAt.After(after) && c.isReusable() })
-}
-
-// DialDirect opens a direct connection to an instance for requests of another daemon. It does not
-// belong to the pool.
-func (p *Pool) DialDirect(ctx context.Context, to Target) (net.Conn, error) {
-	c, err := p.open(ctx, to, false)
-	if err != nil {
-		return nil, err
-	}
-	_ = dial.SetBusy(c.Conn, true)
-	return c.Conn, nil
-}
-
 // hostOf returns the entry of an address, which it adds if there is none. The lock is held.
 func (p *Pool) hostOf(address string) *host {
 	h, ok := p.hosts[address]
@@ -380,38 +274,3 @@
 		}
 	}
 }
-
-// isReusable reports whether an idle connection has not expired, is open and has no unread
-// bytes. Unread bytes belong to a second answer to an earlier request and would be taken for
-// the answer to the next request. If the server has closed the connection, a request sent now
-// would be lost with an unknown outcome.
-func (c *conn) isReusable() bool {
-	if time.Now().After(c.usableUntil) || c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
-
-// idleTimeout returns how long a connection may be kept unused, given the headers of the last
-// answer.
-func idleTimeout(h http.Header) time.Duration {
-	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		seconds, err := strconv.Atoi(value)
-		if strings.EqualFold(name, "timeout") && err == nil {
-			return min(time.Duration(seconds)*time.Second-idleMargin, maxIdleTime)
-		}
-	}
-	return maxIdleTime
-}
