forward, entry: a stream without a length is resumed unless its instance is known to live

Cause: at the end of an answer that ends with its connection, "not known to have ended" counted as alive. The daemon was cut off, so it asked its peers; the instance had left their lists by then (the daemon had been frozen for 1.6 s), so that they neither reached it nor were refused. And a peer's word could be up to half a second older than the end.

Change: what is known of the instance is alive, ended or unknown. An answer that can be asked for again (a stream, which goes on at its last event, or an idempotent request of which nothing was passed on) is, unless the instance is alive. Others are lost by that, so they still count as cut only if it has ended and had not announced to leave. Peers ask the instance anew for this.

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -48,7 +48,7 @@
 		if !ok || i.Service != r.Service {
 			continue
 		}
-		if n.pool.ReachedSince(i.Address, time.Now().Add(-reachedRecently)) {
+		if !r.Anew && n.pool.ReachedSince(i.Address, time.Now().Add(-reachedRecently)) {
 			reply.Reached = true
 			break
 		}
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -273,21 +274,35 @@
 	return "/"
 }
 
-// instanceEnded reports whether the process of an instance has certainly ended. Connections that are
+// instanceEnded reports whether the process of an instance has certainly ended.
+func (p *pathManager) instanceEnded(ctx context.Context, i inventory.Instance) bool {
+	return p.liveness(ctx, i) == forward.Ended
+}
+
+// liveness returns what is known of the process of an instance that may have ended. Connections that are
 // refused here may be refused by this daemon's own network, so that another daemon must not reach the
 // instance.
-func (p *pathManager) instanceEnded(ctx context.Context, i inventory.Instance) bool {
+func (p *pathManager) liveness(ctx context.Context, i inventory.Instance) forward.Liveness {
 	to := targetOf(i)
 	_, cut := p.tracker.CutOff(i.Service)
 	if !cut && !p.pool.ProcessEnded(ctx, to) {
-		return false
+		return forward.Unknown
 	}
 	peers := p.peersToAsk(i.Service, nil, askedPeers)
 	if len(peers) == 0 {
-		return !cut
+		if cut {
+			return forward.Unknown
+		}
+		return forward.Ended
+	}
+	reached, ended := p.ask(ctx, peers, peer.ReachRequest{Service: i.Service, Instances: []string{i.ID}, Anew: true})
+	switch {
+	case len(reached) > 0:
+		return forward.Alive
+	case ended || !cut:
+		return forward.Ended
 	}
-	reached, ended := p.ask(ctx, peers, peer.ReachRequest{Service: i.Service, Instances: []string{i.ID}})
-	return len(reached) == 0 && (ended || !cut)
+	return forward.Unknown
 }
 
 // AwaitCheck implements forward.Paths.
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -94,21 +95,29 @@
 	}
 }
 
-// EndedWithAnswer implements forward.Quarantine. An instance that gives a sign of life has not ended.
-// Others are probed twice, since a process that exits may not have closed its listener yet.
-func (q *quarantineManager) EndedWithAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) bool {
+// CheckAfterAnswer implements forward.Quarantine.
+func (q *quarantineManager) CheckAfterAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) forward.Liveness {
+	liveness := q.livenessAfterAnswer(ctx, i)
+	if liveness == forward.Alive {
+		q.Finished(s)
+	}
+	return liveness
+}
+
+// livenessAfterAnswer asks an instance for a sign of life. If it gives none, it is probed twice, since a
+// process that exits may not have closed its listener yet.
+func (q *quarantineManager) livenessAfterAnswer(ctx context.Context, i inventory.Instance) forward.Liveness {
 	if q.InstanceEnded(i) {
-		return true
+		return forward.Ended
 	}
 	if q.isAlive(ctx, i) {
-		q.Finished(s)
-		return false
+		return forward.Alive
 	}
-	if q.paths.instanceEnded(ctx, i) {
-		return true
+	if liveness := q.paths.liveness(ctx, i); liveness != forward.Unknown {
+		return liveness
 	}
 	q.clock.Sleep(secondProbeDelay)
-	return q.paths.instanceEnded(ctx, i)
+	return q.paths.liveness(ctx, i)
 }
 
 // isAlive reports whether an instance answers over a direct connection.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -145,8 +145,8 @@
 func (noQuarantine) Answering(*quarantine.Suspect) func()                           { return func() {} }
 func (noQuarantine) Finished(*quarantine.Suspect)                                   {}
 func (noQuarantine) InstanceEnded(inventory.Instance) bool                          { return false }
-func (noQuarantine) EndedWithAnswer(context.Context, inventory.Instance, *quarantine.Suspect) bool {
-	return false
+func (noQuarantine) CheckAfterAnswer(context.Context, inventory.Instance, *quarantine.Suspect) Liveness {
+	return Alive
 }
 func (noQuarantine) ConnectionBroken(inventory.Instance, quarantine.Suspect) <-chan struct{} {
 	return nil
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -29,9 +29,9 @@
 	Answering(s *quarantine.Suspect) (ended func())
 	// Finished is called when an instance has run a request to its end.
 	Finished(s *quarantine.Suspect)
-	// EndedWithAnswer is called instead if only the end of the connection marks the end of the answer.
-	// It reports whether the instance has ended, too, so that the answer may be cut.
-	EndedWithAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) bool
+	// CheckAfterAnswer is called instead if only the end of the connection marks the end of the answer.
+	// It returns what is known of the instance after that. Unless it is alive, the answer may be cut.
+	CheckAfterAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect) Liveness
 	// ConnectionBroken is called when the connection on which an instance ran a request broke.
 	// The channel is closed once the request may be tried again: when the instance turns out not
 	// to have ended, when no other instance has ended under the request, or when the quarantine
@@ -41,6 +41,17 @@
 	InstanceEnded(i inventory.Instance) bool
 }
 
+// Liveness is what is known of the process of an instance.
+type Liveness int
+
+// Liveness of an instance.
+const (
+	// Unknown means that neither this daemon nor its peers could find out.
+	Unknown Liveness = iota
+	Alive
+	Ended
+)
+
 // quarantineDecisionTimeout bounds how long a request under which two or more instances have
 // ended waits for the quarantine decision before its next attempt.
 const quarantineDecisionTimeout = 300 * time.Millisecond
@@ -142,21 +153,23 @@
 	return s
 }
 
-// errInstanceEnded means that an answer that ends with its connection did so because the instance
-// ended.
+// errInstanceEnded means that an answer that ends with its connection may have done so because the
+// instance ended.
 var errInstanceEnded = fmt.Errorf("the instance ended with the answer: %w", io.ErrUnexpectedEOF)
 
 // finish records that the instance has run the request to its end. It returns an error if the answer
-// may have been cut: the end of a connection ends an answer only if the instance lives on. The end of an
-// instance that is leaving may be planned, so that its answer is taken for whole if it cannot be asked
-// for again.
+// may have been cut: the end of a connection ends an answer only if the instance lives on. An answer that
+// cannot be asked for again is lost by that, so it is taken for whole unless the instance has certainly
+// ended, and that was not planned.
 func (a *attempt) finish() error {
 	if a.exchange.IsSelfDelimited() {
 		a.Quarantine.Finished(a.suspect())
 		return nil
 	}
+	liveness := a.Quarantine.CheckAfterAnswer(a.r.Context(), a.instance, a.suspect())
 	mayAskAgain := a.route.Idempotent() && (a.route.Kind == catalog.Stream || !a.headSent)
-	if a.Quarantine.EndedWithAnswer(a.r.Context(), a.instance, a.suspect()) && (mayAskAgain || !a.Table.IsLeaving(a.instance.Incarnation())) {
+	isLost := liveness == Ended && !a.Table.IsLeaving(a.instance.Incarnation())
+	if isLost || mayAskAgain && liveness != Alive {
 		return fmt.Errorf("%w: %w", errAnswerCut, errInstanceEnded)
 	}
 	return nil
--- a/internal/peer/reach.go
+++ b/internal/peer/reach.go
@@ -8,6 +8,8 @@
 	// Instances are those to reach, the most important first; at most MaxReachInstances of them are
 	// looked at.
 	Instances []string
+	// Anew is set if the receiver must ask the instances now: an earlier sign of life does not suffice.
+	Anew bool
 }
 
 // MaxReachInstances is the number of instances in a ReachRequest that are looked at. Each may cost
--- a/test/routes/part_test.go
+++ b/test/routes/part_test.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+	"github.com/hornbeamsill/hornbeamsill/test/faultdial"
 )
 
 // crashingPart is the part of a prompt that crashes servers, wherever it stands but at the end.
@@ -405,3 +406,43 @@
 	require.NoError(t, reply.Err)
 	require.Equal(t, eventStream(c.ID, 40), reply.Body)
 }
+
+// Guards against a part of a stream without framing that looks whole because nobody knows what has become
+// of its server: the daemon is cut off, and the server has left the list of its peers.
+func TestUnframedStreamOfUnknownInstanceIsResumed(t *testing.T) {
+	s := newTestbed(t)
+	for n := range 2 {
+		s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("eng-", n), Service: engineService, Events: 60, Delay: 30 * time.Millisecond, Unframed: true, Confidence: map[string]int{"small": 90}})
+	}
+	cutOff, gateway := s.startFaultDaemon(), s.startFaultDaemon()
+	s.setFault(cutOff, faultdial.Reset)
+	s.send(s.newCall(pathStream), cutOff)
+	s.waitForLog(cutOff, "service.cut_off")
+	c := s.newCall(pathStream)
+	answered := make(chan platformtest.Reply, 1)
+	go func() { answered <- s.send(c, cutOff) }()
+	var id string
+	s.eventually(func() error {
+		if ran := s.serversThatRan(c.ID); len(ran) > 0 {
+			id = ran[0]
+			return nil
+		}
+		return trace.Errorf("%s does not run", c.ID)
+	})
+	s.store.Remove(wire.TableInstances, id)
+	s.eventually(func() error {
+		status, err := s.fetchStatus(gateway)
+		if err != nil {
+			return err
+		}
+		if n := len(status.List.Instances[engineService]); n != 1 {
+			return trace.Errorf("the gateway lists %d servers", n)
+		}
+		return nil
+	})
+	<-time.After(600 * time.Millisecond)
+	s.servers[id].Kill()
+	reply := <-answered
+	require.NoError(t, reply.Err)
+	require.Equal(t, eventStream(c.ID, 60), reply.Body)
+}
