--- a/test/routes/part_test.go
+++ b/test/routes/part_test.go
@@ -421,14 +421,8 @@
 	c := s.newCall(pathStream)
 	answered := make(chan platformtest.Reply, 1)
 	go func() { answered <- s.send(c, cutOff) }()
-	var id string
-	s.eventually(func() error {
-		if ran := s.serversThatRan(c.ID); len(ran) > 0 {
-			id = ran[0]
-			return nil
-		}
-		return trace.Errorf("%s does not run", c.ID)
-	})
+	s.waitRuns(c.ID)
+	id := s.serversThatRan(c.ID)[0]
 	s.store.Remove(wire.TableInstances, id)
 	s.eventually(func() error {
 		status, err := s.fetchStatus(gateway)
--- a/test/routes/tunnel_test.go
+++ b/test/routes/tunnel_test.go
@@ -177,10 +177,10 @@
 }
 
 // waitRuns waits until a server runs a request.
-func (b *cutBed) waitRuns(id string) {
-	b.t.Helper()
-	b.eventually(func() error {
-		if len(b.serversThatRan(id)) == 0 {
+func (s *testbed) waitRuns(id string) {
+	s.t.Helper()
+	s.eventually(func() error {
+		if len(s.serversThatRan(id)) == 0 {
 			return trace.Errorf("%s does not run", id)
 		}
 		return nil
