review: the cut stream needs one disruption

Cause of the change: the first form froze a daemon while a server crashed, two disruptions. Now the server is cut off and crashes behind the cut, one.

--- a/review/rig/stream.go
+++ b/review/rig/stream.go
@@ -108,10 +108,11 @@
 // heartbeat is the interval at which servers write their entry; three of them without one remove it.
 const heartbeat = 1200 * time.Millisecond
 
-// StartServer starts this program again with the given words as a server, and lists it in the store.
-func (b *Bed) StartServer(id, service, address string, words ...string) (*ServerProcess, error) {
-	p := &ServerProcess{ID: id, Service: service, address: address, record: b.Record, stop: make(chan struct{}), done: make(chan struct{})}
-	p.cmd = exec.Command(os.Args[0], append([]string{"serve", id, address}, words...)...)
+// StartServer starts this program again as a server at an address, and lists it in the store with the
+// address for daemons.
+func (b *Bed) StartServer(id, service, address, listed string) (*ServerProcess, error) {
+	p := &ServerProcess{ID: id, Service: service, address: listed, record: b.Record, stop: make(chan struct{}), done: make(chan struct{})}
+	p.cmd = exec.Command(os.Args[0], "serve", id, address)
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
