forward: request.done tells the attempts of a stream and how each ended

Change: request.done has attempts= for streams, incomplete answers and answers without framing: instance, last event ID, framing, end, and what was known of the instance from whom. Counters ends_confirmed, ends_planned, ends_unconfirmed. No decision is changed.

Tests of forward, entry and upconn pass.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -274,20 +275,20 @@
 
 // instanceEnded reports whether the process of an instance has certainly ended.
 func (p *pathManager) instanceEnded(ctx context.Context, i inventory.Instance) bool {
-	return p.liveness(ctx, i) == upconn.Ended
+	return p.signOfLife(ctx, i).Liveness == upconn.Ended
 }
 
-// liveness asks an instance that may have ended for a sign of life; the result is never older than the
+// signOfLife asks an instance that may have ended for a sign of life; the result is never older than the
 // call. Connections that are refused here may be refused by this daemon's own network, so that another
 // daemon must not reach the instance.
-func (p *pathManager) liveness(ctx context.Context, i inventory.Instance) upconn.Liveness {
+func (p *pathManager) signOfLife(ctx context.Context, i inventory.Instance) forward.SignOfLife {
 	_, cut := p.tracker.CutOff(i.Service)
-	direct := upconn.Unknown
+	direct := forward.SignOfLife{Source: forward.FromCheck}
 	if !cut {
 		check, cancel := context.WithTimeout(ctx, upconn.DialTimeout)
 		defer cancel()
 		var err error
-		if direct, err = p.checkInstance(check, targetOf(i)); direct != upconn.Ended || err == nil {
+		if direct.Liveness, err = p.checkInstance(check, targetOf(i)); direct.Liveness != upconn.Ended || err == nil {
 			return direct
 		}
 	}
@@ -298,10 +299,10 @@
 	reached, told := p.ask(ctx, peers, peer.ReachRequest{Service: i.Service, Instances: []string{i.ID}, Anew: true})
 	switch {
 	case told != upconn.Unknown:
-		return told
+		return forward.SignOfLife{Liveness: told, Source: forward.FromPeers}
 	case len(reached) > 0:
 		// Daemons of an earlier build take any answer for that of the instance.
-		return upconn.Unknown
+		return forward.SignOfLife{Source: forward.FromPeers}
 	}
 	return direct
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -95,32 +96,32 @@
 }
 
 // CheckAfterAnswer implements forward.Quarantine.
-func (q *quarantineManager) CheckAfterAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect, patience time.Duration) upconn.Liveness {
-	liveness := q.livenessAfterAnswer(ctx, i, patience)
-	if liveness == upconn.Alive {
+func (q *quarantineManager) CheckAfterAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect, patience time.Duration) forward.SignOfLife {
+	sign := q.signAfterAnswer(ctx, i, patience)
+	if sign.Liveness == upconn.Alive {
 		q.Finished(s)
 	}
-	return liveness
+	return sign
 }
 
 // maxProbeDelay is the longest time between two probes of an instance that is silent.
 const maxProbeDelay = 8 * secondProbeDelay
 
-// livenessAfterAnswer asks an instance for a sign of life until one is known or patience is over, but at
+// signAfterAnswer asks an instance for a sign of life until one is known or patience is over, but at
 // least twice, since a process that exits may not have closed its listener yet. An answer to a request
 // that was sent since is a sign of life, too.
-func (q *quarantineManager) livenessAfterAnswer(ctx context.Context, i inventory.Instance, patience time.Duration) upconn.Liveness {
+func (q *quarantineManager) signAfterAnswer(ctx context.Context, i inventory.Instance, patience time.Duration) forward.SignOfLife {
 	begin, delay := q.clock.Now(), secondProbeDelay
 	for again := false; ; again = true {
 		if q.InstanceEnded(i) {
-			return upconn.Ended
+			return forward.SignOfLife{Liveness: upconn.Ended, Source: forward.FromReport}
 		}
 		if q.pool.AliveSince(targetOf(i), begin) {
-			return upconn.Alive
+			return forward.SignOfLife{Liveness: upconn.Alive, Source: forward.FromAnswer}
 		}
-		liveness := q.paths.liveness(ctx, i)
-		if liveness != upconn.Unknown || ctx.Err() != nil || again && q.clock.Since(begin) >= patience {
-			return liveness
+		sign := q.paths.signOfLife(ctx, i)
+		if sign.Liveness != upconn.Unknown || ctx.Err() != nil || again && q.clock.Since(begin) >= patience {
+			return sign
 		}
 		q.clock.Sleep(delay)
 		delay = min(2*delay, maxProbeDelay)
--- a/internal/forward/ahead.go
+++ b/internal/forward/ahead.go
@@ -201,7 +201,7 @@
 	err := q.relayAhead(a, func() (event, error) {
 		e, err := events.next()
 		if err == nil {
-			a.noteEvent()
+			a.noteEvent(e.id)
 		}
 		return e, err
 	})
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,6 +61,10 @@
 	// withdrawn is set once the attempt is ended because the request has been quarantined.
 	withdrawn atomic.Bool
 	span      oteltrace.Span
+	// failure is why the answer could not be relayed, and sign what was known of the instance after an
+	// answer without framing.
+	failure error
+	sign    SignOfLife
 	// leave and answerEnded tell the quarantine of the end of the attempt; answerEnded is nil until an
 	// answer has begun.
 	leave, answerEnded func()
@@ -320,6 +324,7 @@
 
 // fail ends an attempt whose answer cannot be relayed.
 func (a *attempt) fail(err error) {
+	a.failure = err
 	outcome := inventory.OutcomeFailed
 	var refused *refusedError
 	switch {
@@ -354,6 +359,7 @@
 		return
 	}
 	a.ended = true
+	a.recordRun(outcome)
 	a.leave()
 	if a.answerEnded != nil {
 		a.answerEnded()
--- a/internal/forward/done.go
+++ b/internal/forward/done.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 )
 
@@ -51,6 +52,9 @@
 	if q.escalationRefused {
 		attrs = append(attrs, slog.String("no_escalation", "no_retry"))
 	}
+	if len(q.runRecords) > 0 && (q.route.Kind == catalog.Stream || q.incomplete != "" || q.runRecords[len(q.runRecords)-1].framing == byClose) {
+		attrs = append(attrs, slog.String("attempts", q.loggedRuns()))
+	}
 	if q.incomplete != "" {
 		attrs = append(attrs, slog.String("incomplete", string(q.incomplete)))
 	}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -19,6 +19,8 @@
 	// eventCount is the number of events that have arrived; lastEventAt is when the last one did.
 	eventCount  int
 	lastEventAt time.Time
+	// readEventID is the ID of the last event that had one.
+	readEventID string
 	// reported is what has been reported of the attempt while it was in flight.
 	reported shift.Reported
 	// paceReported is set once the pace has been reported and will not be reported again.
@@ -191,12 +193,15 @@
 	}
 }
 
-// noteEvent counts an event of the answer, and reports the pace once there are
-// earlyPaceEvents.
-func (a *attempt) noteEvent() {
+// noteEvent counts an event of the answer with the given ID, which may be empty, and reports the pace once
+// there are earlyPaceEvents.
+func (a *attempt) noteEvent(id string) {
 	a.noteHeard()
 	a.mu.Lock()
 	a.eventCount++
+	if id != "" {
+		a.readEventID = id
+	}
 	a.lastEventAt = time.Now()
 	if a.eventCount != earlyPaceEvents {
 		a.mu.Unlock()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -147,8 +147,8 @@
 func (noQuarantine) Finished(*quarantine.Suspect)                                   {}
 func (noQuarantine) Abandoned(inventory.Instance, quarantine.Suspect)               {}
 func (noQuarantine) InstanceEnded(inventory.Instance) bool                          { return false }
-func (noQuarantine) CheckAfterAnswer(context.Context, inventory.Instance, *quarantine.Suspect, time.Duration) upconn.Liveness {
-	return upconn.Alive
+func (noQuarantine) CheckAfterAnswer(context.Context, inventory.Instance, *quarantine.Suspect, time.Duration) SignOfLife {
+	return SignOfLife{Liveness: upconn.Alive}
 }
 func (noQuarantine) ConnectionBroken(inventory.Instance, quarantine.Suspect) <-chan struct{} {
 	return nil
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -185,6 +185,8 @@
 	lastEventID string
 	// noRetryReason is why no other attempt followed; empty if nothing prevented one.
 	noRetryReason string
+	// runRecords tells of the attempts that were sent.
+	runRecords []runRecord
 	// escalationRefused is set if the answer was kept only because no retry was left to run the
 	// largest model.
 	escalationRefused bool
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -61,6 +61,10 @@
 	// ErrorAnswers counts the answers with an error status of the instance itself, where these count
 	// as evidence.
 	ErrorAnswers atomic.Int64
+	// EndsConfirmed counts the answers without framing that were taken for whole because their instance gave a
+	// sign of life, EndsPlanned those because the end of their instance was planned, and EndsUnconfirmed
+	// those that were not.
+	EndsConfirmed, EndsPlanned, EndsUnconfirmed atomic.Int64
 	// StalledCallers counts the callers that were dropped because they did not take their answer,
 	// and AbortedCallers those that were dropped to free memory.
 	StalledCallers, AbortedCallers atomic.Int64
--- a/internal/forward/pace_test.go
+++ b/internal/forward/pace_test.go
@@ -36,7 +36,7 @@
 	v := &observationRecorder{}
 	a := newStreamAttempt(v)
 	for range 2 * earlyPaceEvents {
-		a.noteEvent()
+		a.noteEvent("")
 	}
 	require.Len(t, v.all, 1)
 	require.True(t, v.all[0].Unfinished, "neither a success nor a failure yet")
@@ -51,11 +51,11 @@
 // outcome of that stream says nothing about the version, but its pace does.
 func TestAbandonedStreamReportsPace(t *testing.T) {
 	a := newStreamAttempt(&observationRecorder{})
-	a.noteEvent()
+	a.noteEvent("")
 	_, ok := a.finalObservation(inventory.OutcomeNone)
 	require.False(t, ok, "one event has no pace")
 	for a.eventCount < minPaceEvents {
-		a.noteEvent()
+		a.noteEvent("")
 	}
 	o, ok := a.finalObservation(inventory.OutcomeNone)
 	require.True(t, ok)
@@ -95,7 +95,7 @@
 	_, ok := a.overdueObservation(time.Now())
 	require.False(t, ok)
 	for range minPaceEvents {
-		a.noteEvent()
+		a.noteEvent("")
 	}
 	o, ok := a.finalObservation(inventory.OutcomeSuccess)
 	require.True(t, ok)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -33,7 +33,7 @@
 	// CheckAfterAnswer is called instead if only the end of the connection marks the end of the answer.
 	// It returns what is known of the instance after that. Unless it is alive, the answer may be cut.
 	// patience is for how long an instance that is silent is asked again.
-	CheckAfterAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect, patience time.Duration) upconn.Liveness
+	CheckAfterAnswer(ctx context.Context, i inventory.Instance, s *quarantine.Suspect, patience time.Duration) SignOfLife
 	// ConnectionBroken is called when the connection on which an instance ran a request broke.
 	// The channel is closed once the request may be tried again: when the instance turns out not
 	// to have ended, when no other instance has ended under the request, or when the quarantine
@@ -170,10 +170,16 @@
 	}
 	ctx, cancel := context.WithDeadline(a.r.Context(), a.deadline)
 	defer cancel()
-	liveness := a.Quarantine.CheckAfterAnswer(ctx, a.instance, a.suspect(), patience)
-	if liveness == upconn.Alive || liveness == upconn.Ended && !mayAskAgain && a.endIsPlanned() {
+	a.sign = a.Quarantine.CheckAfterAnswer(ctx, a.instance, a.suspect(), patience)
+	switch {
+	case a.sign.Liveness == upconn.Alive:
+		a.Metrics.EndsConfirmed.Add(1)
+		return nil
+	case a.sign.Liveness == upconn.Ended && !mayAskAgain && a.endIsPlanned():
+		a.Metrics.EndsPlanned.Add(1)
 		return nil
 	}
+	a.Metrics.EndsUnconfirmed.Add(1)
 	return fmt.Errorf("%w: %w", errAnswerCut, errInstanceEnded)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -98,7 +98,7 @@
 			return nil, q.failStream(a, err)
 		}
 		stall.Reset(q.stallTimeout())
-		a.noteEvent()
+		a.noteEvent(e.id)
 		if !q.headSent {
 			q.sendHead(a.exchange.Status(), a.exchange.Header())
 			q.setWriteDeadline()
--- a/internal/upconn/check.go
+++ b/internal/upconn/check.go
@@ -26,6 +26,17 @@
 	Ended
 )
 
+// String returns the name in the log.
+func (l Liveness) String() string {
+	switch l {
+	case Alive:
+		return "alive"
+	case Ended:
+		return "ended"
+	}
+	return "unknown"
+}
+
 // StatusCheck is the request with which an instance is asked for a sign of life.
 type StatusCheck struct {
 	Path string
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -239,6 +239,9 @@
 	return e.resp.ContentLength >= 0 || len(e.resp.TransferEncoding) > 0
 }
 
+// HasLength reports whether the answer states the length of its body.
+func (e *Exchange) HasLength() bool { return e.resp.ContentLength >= 0 }
+
 // Read reads the body. If the answer marks the end of its body, Read returns io.EOF only
 // there, and io.ErrUnexpectedEOF if the body is shorter than stated. Otherwise it returns io.EOF
 // when the server closes the connection, and an error if the connection is reset.
