forward: part of a long line is not a line of an event

Cause: eventReader looked at each part of a line that fills its buffer as at a line. Where a line ends at the edge of the buffer, its line break alone counted as the blank line that ends an event; a part that begins with "id:" counted as an ID.

Change: the line is taken from the event, from its first byte on.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -231,9 +231,10 @@
 func (s *eventReader) next() (event, error) {
 	s.reset()
 	var e event
+	lineStart := 0
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		if tooLong := s.append(line); tooLong != nil {
+		part, err := s.reader.ReadSlice('\n')
+		if tooLong := s.append(part); tooLong != nil {
 			return e, tooLong
 		}
 		switch {
@@ -244,7 +245,8 @@
 		case err != nil:
 			return e, err
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
+		trimmed := bytes.TrimRight(s.buffer[lineStart:], "\r\n")
+		lineStart = len(s.buffer)
 		if id, ok := bytes.CutPrefix(trimmed, idField); ok {
 			e.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
