forward: a stream is resumed only by an answer that continues it

Cause: the answer to a resumed request was treated like a first one. A status of 300 or more went the way of plain answers, which sent the body into the stream that had begun; any status below counted as the stream.

Change: once the head has been sent, an answer counts only with the status and the media type of the first one. Else the attempt has failed: the stream is resumed elsewhere or breaks off.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
@@ -69,10 +70,14 @@
 // stream can be resumed after q.lastEventID. If the server answered with an error, relayStream
 // also returns that answer.
 func (q *request) relayStream(a *attempt) (*answer, error) {
-	if a.exchange.Status() >= http.StatusMultipleChoices {
+	if !q.headSent && a.exchange.Status() >= http.StatusMultipleChoices {
 		return q.relay(a)
 	}
-	if err := checkHead(a); err != nil {
+	err := checkHead(a)
+	if err == nil {
+		err = q.checkContinuation(a)
+	}
+	if err != nil {
 		a.fail(err)
 		return nil, err
 	}
@@ -110,6 +115,28 @@
 	}
 }
 
+// errOtherContent means that the answer to a resumed request is not of the type of the stream that has begun.
+var errOtherContent = errors.New("the answer is not of the type of the stream")
+
+// checkContinuation returns an error if part of the stream has been sent and the answer does not continue it.
+func (q *request) checkContinuation(a *attempt) error {
+	switch {
+	case !q.headSent:
+		return nil
+	case a.exchange.Status() != q.status:
+		return &serverError{status: a.exchange.Status()}
+	case mediaType(a.exchange.Header()) != mediaType(q.w.Header()):
+		return errOtherContent
+	}
+	return nil
+}
+
+// mediaType returns the type of a body without its parameters; empty if it is not stated.
+func mediaType(h http.Header) string {
+	text, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(text))
+}
+
 func (q *request) endStream(a *attempt) error {
 	if err := a.finish(); err != nil {
 		return q.failStream(a, err)
