forward: events are passed on only if they follow those before

Cause: sendEvent and sendPieces passed on whatever came.

Change: eventSequence. An ID that is not greater than the one before ends the run as failed, within a run, too. So does the first ID of a resumed run that leaves others out, as far as the IDs before tell their step. IDs that are no numbers must only differ. It holds on both ways, with and without reading ahead. Counted in events_out_of_order; attempts= shows out_of_order, attempt.failed the IDs.

Left: a run that goes on after a caller's own Last-Event-Id and leaves events out, since the step is not known.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -319,6 +319,9 @@
 	ErrorAnswers int64 `json:"error_answers"`
 	// ForeignAnswers is the number of answers that did not belong to the request that was open.
 	ForeignAnswers int64 `json:"foreign_answers"`
+	// OutOfOrder is the number of runs of streams that were ended because their events did not follow those
+	// before.
+	OutOfOrder int64 `json:"events_out_of_order"`
 	// EndsConfirmed is the number of answers without framing that were taken for whole because their instance
 	// gave a sign of life, EndsPlanned because its end was planned, and EndsUnconfirmed that of those that
 	// were not.
@@ -360,7 +363,7 @@
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
 			Capacity:    n.capacityVars(),
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(), ErrorAnswers: n.metrics.ErrorAnswers.Load(), ForeignAnswers: n.metrics.ForeignAnswers.Load(),
-			EndsConfirmed: n.metrics.EndsConfirmed.Load(), EndsPlanned: n.metrics.EndsPlanned.Load(), EndsUnconfirmed: n.metrics.EndsUnconfirmed.Load(),
+			OutOfOrder: n.metrics.OutOfOrder.Load(), EndsConfirmed: n.metrics.EndsConfirmed.Load(), EndsPlanned: n.metrics.EndsPlanned.Load(), EndsUnconfirmed: n.metrics.EndsUnconfirmed.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
 			Closed: p.callerMetrics.vars(),
 			Survey: n.survey.vars(), Paths: n.paths.vars(), Directory: n.directory.vars(),
--- a/internal/forward/ahead.go
+++ b/internal/forward/ahead.go
@@ -199,7 +199,7 @@
 	events := q.readEvents(a)
 	defer events.close()
 	err := q.relayAhead(a, func() (event, error) {
-		e, err := events.next()
+		e, err := q.nextEvent(events)
 		if err == nil {
 			a.noteEvent(e.id)
 		}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -183,6 +183,8 @@
 	headSent    bool
 	firstByte   time.Duration
 	lastEventID string
+	// sequence is the order of the events that were read.
+	sequence eventSequence
 	// noRetryReason is why no other attempt followed; empty if nothing prevented one.
 	noRetryReason string
 	// runRecords tells of the attempts that were sent.
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -61,6 +61,8 @@
 	// ErrorAnswers counts the answers with an error status of the instance itself, where these count
 	// as evidence.
 	ErrorAnswers atomic.Int64
+	// OutOfOrder counts the runs of streams that were ended because their events did not follow those before.
+	OutOfOrder atomic.Int64
 	// EndsConfirmed counts the answers without framing that were taken for whole because their instance gave a
 	// sign of life, EndsPlanned those because the end of their instance was planned, and EndsUnconfirmed
 	// those that were not.
--- a/internal/forward/resolve.go
+++ b/internal/forward/resolve.go
@@ -51,6 +51,7 @@
 	}
 	q.deadline = q.startedAt.Add(timeout)
 	q.lastEventID = q.headers.LastEventID
+	q.sequence = newEventSequence(q.lastEventID)
 	return nil
 }
 
--- a/internal/forward/runs.go
+++ b/internal/forward/runs.go
@@ -94,6 +94,8 @@
 		return "refused"
 	case errors.As(err, &status):
 		return fmt.Sprint("status_", status.status)
+	case errors.Is(err, errOutOfOrder):
+		return "out_of_order"
 	case errors.Is(err, errHeadTimeout):
 		return "no_head_in_time"
 	case errors.Is(err, errPartialEvent):
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -95,7 +95,7 @@
 	events := q.readEvents(a)
 	defer events.close()
 	for {
-		e, err := events.next()
+		e, err := q.nextEvent(events)
 		if err == io.EOF {
 			return nil, q.endStream(a)
 		}
@@ -191,6 +191,8 @@
 type event struct {
 	bytes []byte
 	id    string
+	// hasData is set if the event has data, and is not only a comment, say.
+	hasData bool
 }
 
 // eventReader splits a stream into events. Bytes after the last blank line are not an event: a
@@ -205,10 +207,23 @@
 	counted int
 }
 
+// nextEvent returns the next event of an attempt if it follows those before.
+func (q *request) nextEvent(events *eventReader) (event, error) {
+	e, err := events.next()
+	if err == nil {
+		err = q.sequence.add(e)
+	}
+	if errors.Is(err, errOutOfOrder) {
+		q.Metrics.OutOfOrder.Add(1)
+	}
+	return e, err
+}
+
 // readEvents returns a reader of the events of an attempt, which the caller closes.
 func (q *request) readEvents(a *attempt) *eventReader {
 	events := newEventReader(a.exchange)
 	events.budget = q.AnswerBytes
+	q.sequence.beginRun()
 	return events
 }
 
@@ -251,7 +266,7 @@
 // close ends the use of the reader and of its last event.
 func (s *eventReader) close() { s.reset() }
 
-var idField = []byte("id:")
+var idField, dataField = []byte("id:"), []byte("data")
 
 // next returns the next event, or io.EOF at the proper end of the stream. The bytes of the
 // event are valid until the next call.
@@ -277,6 +292,9 @@
 		if id, ok := bytes.CutPrefix(trimmed, idField); ok {
 			e.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
+		if bytes.HasPrefix(trimmed, dataField) {
+			e.hasData = true
+		}
 		if len(trimmed) == 0 {
 			e.bytes = s.buffer
 			return e, nil
--- a/test/routes/stream_order_test.go
+++ b/test/routes/stream_order_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/overload"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 )
 
@@ -23,9 +25,12 @@
 	return out
 }
 
-// startScripted starts engines that share a script. It gets the number of the run of the request,
-// beginning at 1.
-func (s *testbed) startScripted(script func(r platformtest.ReceivedRequest, run int) *platformtest.Script) *daemon {
+// readModes are the ways in which a daemon relays streams: at the pace of the caller, or reading ahead of it.
+var readModes = map[string]overload.Mode{"at the caller's pace": overload.Off, "ahead": overload.On}
+
+// startScripted starts engines that share a script, and a daemon. The script gets the number of the run of
+// the request, beginning at 1.
+func (s *testbed) startScripted(slowCallers overload.Mode, script func(r platformtest.ReceivedRequest, run int) *platformtest.Script) *daemon {
 	var runs atomic.Int64
 	for n := range 3 {
 		s.startServer(platformtest.ServerOptions{
@@ -33,7 +38,27 @@
 			Script: func(r platformtest.ReceivedRequest) *platformtest.Script { return script(r, int(runs.Add(1))) },
 		})
 	}
-	return s.startReadyDaemon()
+	d := s.startDaemon(func(r *settings.Routes) { r.Overload.SlowCallers = slowCallers })
+	s.waitReady(d)
+	return d
+}
+
+// resumption is how a stream whose first run was cut, and whose second one fails, is relayed.
+type resumption struct {
+	name        string
+	slowCallers overload.Mode
+	// recovers is set if the third run is sound.
+	recovers bool
+}
+
+func resumptions() []resumption {
+	var out []resumption
+	for name, mode := range readModes {
+		for _, recovers := range []bool{true, false} {
+			out = append(out, resumption{name: fmt.Sprintf("%s, recovers=%v", name, recovers), slowCallers: mode, recovers: recovers})
+		}
+	}
+	return out
 }
 
 // requireWholeOrBroken requires that a stream is whole, or breaks off visibly after a part of it.
@@ -61,23 +86,74 @@
 		if failure.Pieces == nil && failure.Status != 204 {
 			failure.Pieces = []string{"no such run\n\n"}
 		}
-		for _, recovers := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s, recovers=%v", name, recovers), func(t *testing.T) {
+		for _, c := range resumptions() {
+			t.Run(name+", "+c.name, func(t *testing.T) {
 				s := newTestbed(t)
-				d := s.startScripted(func(r platformtest.ReceivedRequest, run int) *platformtest.Script {
+				d := s.startScripted(c.slowCallers, func(r platformtest.ReceivedRequest, run int) *platformtest.Script {
 					switch {
 					case run == 1:
 						return &platformtest.Script{Pieces: events(r.ID, 1, 3), Cut: true}
-					case run == 2 || !recovers:
+					case run == 2 || !c.recovers:
 						return &failure
 					}
 					return nil
 				})
-				c := s.newCall(pathStream)
-				requireWholeOrBroken(t, recovers, c, s.send(c, d))
-				require.Len(t, s.serversThatRan(c.ID), 3)
-				require.Contains(t, s.waitForLog(d, "request.done", "request="+c.ID), "attempts=")
+				call := s.newCall(pathStream)
+				requireWholeOrBroken(t, c.recovers, call, s.send(call, d))
+				require.Len(t, s.serversThatRan(call.ID), 3)
+				require.Contains(t, s.waitForLog(d, "request.done", "request="+call.ID), "attempts=")
+			})
+		}
+	}
+}
+
+// Guards against runs that do not go on after the last event, so that a caller gets pieces twice, in
+// another order, or not at all.
+func TestRunThatDoesNotGoOnIsNoPartOfAStream(t *testing.T) {
+	for name, resumed := range map[string]func(id string) []string{
+		"begins anew":      func(id string) []string { return events(id, 1, scriptedEvents) },
+		"begins with last": func(id string) []string { return events(id, 3, scriptedEvents) },
+		"skips one":        func(id string) []string { return events(id, 5, scriptedEvents) },
+		"goes back": func(id string) []string {
+			return append(events(id, 4, 6), events(id, 5, scriptedEvents)...)
+		},
+	} {
+		for _, c := range resumptions() {
+			t.Run(name+", "+c.name, func(t *testing.T) {
+				s := newTestbed(t)
+				d := s.startScripted(c.slowCallers, func(r platformtest.ReceivedRequest, run int) *platformtest.Script {
+					switch {
+					case run == 1:
+						return &platformtest.Script{Pieces: events(r.ID, 1, 3), Cut: true}
+					case run == 2 || !c.recovers:
+						return &platformtest.Script{Pieces: resumed(r.ID)}
+					}
+					return nil
+				})
+				call := s.newCall(pathStream)
+				requireWholeOrBroken(t, c.recovers, call, s.send(call, d))
+				s.waitForLog(d, "request.done", "request="+call.ID, "out_of_order")
 			})
 		}
 	}
 }
+
+// Guards against the same in an answer to a caller that resumes its stream itself.
+func TestResumedStreamThatBeginsAnewIsNotPassedOn(t *testing.T) {
+	for name, mode := range readModes {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			d := s.startScripted(mode, func(r platformtest.ReceivedRequest, run int) *platformtest.Script {
+				if run == 1 {
+					return &platformtest.Script{Pieces: events(r.ID, 1, scriptedEvents)}
+				}
+				return nil
+			})
+			c := s.newCall(pathStream)
+			c.LastEvent = "5"
+			r := s.send(c, d)
+			require.NoError(t, r.Err)
+			require.Equal(t, strings.Join(events(c.ID, 6, scriptedEvents), ""), r.Body)
+		})
+	}
+}
