forward: a stream whose events have no IDs does not begin anew

Cause: a retry resumes after the last ID. If the events that were passed on have none, that is the beginning of the stream, or an earlier event.

Change: after an event with data and without an ID, the stream is not resumed and breaks off visibly (no_retry=no_event_id).

--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -44,6 +44,8 @@
 		return "no_instance"
 	case ctx.Err() != nil || time.Until(q.deadline) < minTimeLeft:
 		return "no_time"
+	case !q.sequence.mayResume():
+		return "no_event_id"
 	case len(q.tried) >= maxInstances:
 		return "tried_enough"
 	case notSent && q.ran == fault.RanNo:
--- a/test/routes/stream_order_test.go
+++ b/test/routes/stream_order_test.go
@@ -157,3 +157,21 @@
 		})
 	}
 }
+
+// Guards against streams that are sent twice: their events have no IDs, so that there is nothing to resume
+// after.
+func TestStreamWithoutIDsDoesNotBeginAnew(t *testing.T) {
+	for name, mode := range readModes {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			d := s.startScripted(mode, func(r platformtest.ReceivedRequest, run int) *platformtest.Script {
+				return &platformtest.Script{Pieces: []string{"data: one\n\n", "data: two\n\n"}, Cut: run == 1}
+			})
+			c := s.newCall(pathStream)
+			r := s.send(c, d)
+			require.Error(t, r.Err)
+			require.Equal(t, "data: one\n\ndata: two\n\n", r.Body)
+			s.waitForLog(d, "request.done", "request="+c.ID, "no_retry=no_event_id")
+		})
+	}
+}
