entry: a cut answer to a caller in HTTP/1.0 is reset

Cause: an answer is aborted by closing the connection without the last chunk. In HTTP/1.0 there are no chunks, and the close itself ends the answer; so does the end of this daemon's process.

Change: while a request in HTTP/1.0 is served, any close resets the connection (SO_LINGER 0), also the kernel's. Once the handler has returned, the answer is whole and closes as before.

--- a/internal/entry/caller_conn.go
+++ b/internal/entry/caller_conn.go
@@ -79,6 +79,21 @@
 	return err
 }
 
+// resetOnClose determines whether a close resets the connection, also that by the end of the process. An answer
+// in HTTP/1.0 may have neither a length nor chunks, so that any other close would end it like a whole one.
+func (c *callerConn) resetOnClose(reset bool) {
+	tcp, ok := c.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	// An error means that the connection is closed already.
+	_ = tcp.SetLinger(linger)
+}
+
 // noteBytes starts the header timeout when the first bytes of a request arrive. It returns false if the
 // connection is being closed.
 func (c *callerConn) noteBytes() bool {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -215,6 +215,12 @@
 			<-c.closed
 			panic(http.ErrAbortHandler)
 		}
+		if ok && !r.ProtoAtLeast(1, 1) {
+			c.resetOnClose(true)
+			handler.ServeHTTP(w, r)
+			c.resetOnClose(false)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/test/routes/stream_order_test.go
+++ b/test/routes/stream_order_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/overload"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
+	"github.com/hornbeamsill/hornbeamsill/platform/wire"
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
 )
 
 const scriptedEvents = 8
@@ -175,3 +181,63 @@
 		})
 	}
 }
+
+// Guards against parts of answers that look whole to callers in HTTP/1.0: neither a length nor chunks show
+// that they are cut, by this daemon or by its end.
+func TestCutAnswerInHTTP10IsReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		path  string
+		whole bool
+		// kill ends the daemon in the midst of the answer.
+		kill bool
+	}{
+		"whole stream": {path: pathStream, whole: true}, "cut stream": {path: pathStream}, "killed daemon": {path: pathStream, kill: true},
+		"whole plain answer": {path: pathSafe, whole: true}, "cut plain answer": {path: pathUnsafe},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			hold := make(chan struct{})
+			defer close(hold)
+			s.startServer(platformtest.ServerOptions{ID: "cat-1", Service: plainService, Padding: 400 << 10, Behave: func(r platformtest.ReceivedRequest) platformtest.Behaviour {
+				if !c.whole {
+					return platformtest.Truncate
+				}
+				return platformtest.Answer
+			}})
+			d := s.startScripted(overload.Off, func(r platformtest.ReceivedRequest, _ int) *platformtest.Script {
+				if c.whole {
+					return nil
+				}
+				script := &platformtest.Script{Pieces: events(r.ID, 1, 3), Cut: true}
+				if c.kill {
+					script.Until = hold
+				}
+				return script
+			})
+			call := s.newCall(c.path)
+			conn, err := net.Dial("tcp", d.callerAddress)
+			require.NoError(t, err)
+			defer conn.Close()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(cluster.WaitTimeout)))
+			method := http.MethodPost
+			if c.path == pathSafe {
+				method = http.MethodGet
+			}
+			_, err = fmt.Fprintf(conn, "%s %s HTTP/1.0\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: *\r\n\r\n", method, c.path, host,
+				wire.HeaderRequestID, call.ID, wire.HeaderCredential, key, wire.HeaderModel)
+			require.NoError(t, err)
+			if c.kill {
+				_, err = io.ReadAtLeast(conn, make([]byte, 1), 1)
+				require.NoError(t, err)
+				d.Kill()
+			}
+			answer, err := io.ReadAll(conn)
+			if c.whole {
+				require.NoError(t, err)
+				require.True(t, strings.HasSuffix(string(answer), platformtest.Event(call.ID, scriptedEvents)) || c.path == pathSafe, string(answer))
+				return
+			}
+			require.ErrorIs(t, err, syscall.ECONNRESET, "ends as complete after %d bytes", len(answer))
+		})
+	}
+}
