endings, forward, entry: an announced end is planned only if nothing else was under way

Cause: an announcement alone made the end of an instance a planned one (endIsPlanned).

Evidence that tells them apart: a killed process ends all its connections at the same moment; one that ends as planned has nothing else under way. What is under way elsewhere only the other daemons know.

Change: package endings keeps, for each instance, the exchanges under way and whether one broke off within 3 s. Before an answer that cannot be asked for again is taken for whole on a planned end, this daemon's log and, by a new call, those of all daemons that are not suspected are asked; one that does not answer may have had an exchange. Daemons of an earlier build do not know the call, so that such an answer breaks off while both run. instance.end_weighed tells.

Left: a server that has announced its end and is killed under a single answer in the whole fleet cannot be told from one that ends after it.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/capacity"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/endings"
 	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
@@ -113,6 +114,7 @@
 	codec      platform.HeaderCodec
 	// quarantine refuses requests that crash upstream instances.
 	quarantine *quarantineManager
+	endings    endingsLog
 	// overload decides which parts of the handling of overload apply.
 	overload *overload.Policy
 	// meter counts the work of this daemon, and account holds that of all daemons, which usage
@@ -197,11 +199,12 @@
 	n.pool = upconn.NewPool(dialer, n.paths)
 	n.gateway = peer.NewGateway(tunnelLimit(s), n)
 	n.quarantine = newQuarantineManager(n)
+	n.endings = endingsLog{Log: endings.NewLog(clock), node: n}
 	bodyMemory := s.MemoryMB << 20 / bodyMemoryDivisor
 	n.held = limit.NewHeldBytes(bodyMemory)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, IsCurrent: n.configIsCurrent, AwaitNewer: n.awaitNewerConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Paths: n.paths, Versions: n.rollouts,
-		Quarantine: n.quarantine, CallerLeft: callerLeft, NotifyPeers: n.requestHeartbeat, RefusesLate: n.refusesLate, IsLeaving: n.leaving.Load, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
+		Quarantine: n.quarantine, Endings: n.endings, CallerLeft: callerLeft, NotifyPeers: n.requestHeartbeat, RefusesLate: n.refusesLate, IsLeaving: n.leaving.Load, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
 		Meter: n.meter, Account: n.account,
 		BodyBytes: limit.NewByteBudget(bodyMemory), AnswerBytes: limit.NewByteBudget(bodyMemory), Held: n.held,
 	})
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -167,6 +167,7 @@
 	}
 	q.running = a
 	q.Table.Begin(instance, a.prefill)
+	q.Endings.Begin(instance.Hash())
 	q.countUnproven(picked)
 	a.holdMemory()
 	q.releaseGrant()
@@ -375,6 +376,7 @@
 	a.cancel()
 	a.removeWaiting()
 	a.Table.End(a.instance, outcome)
+	a.Endings.End(a.instance.Hash(), isConnectionBroken(a.failure))
 	a.releaseMemory()
 	a.noteEnded(outcome)
 	a.observeLatency(outcome)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/cascade"
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
+	"github.com/hornbeamsill/hornbeamsill/internal/endings"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
@@ -71,6 +72,8 @@
 	Versions   Versions
 	Retries    *limit.FleetRetryBudget
 	Quarantine Quarantine
+	// Endings is nil if no other daemon has exchanges with the instances.
+	Endings Endings
 	// FailureDomain is the failure domain of this daemon.
 	FailureDomain string
 	// DaemonCount returns the number of daemons that share the capacity of the instances.
@@ -116,6 +119,9 @@
 	if d.Paths == nil {
 		d.Paths = directPaths{}
 	}
+	if d.Endings == nil {
+		d.Endings = ownEndings{endings.NewLog(d.Clock)}
+	}
 	if d.IsLeaving == nil {
 		d.IsLeaving = func() bool { return false }
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -175,7 +175,7 @@
 	case a.sign.Liveness == upconn.Alive:
 		a.Metrics.EndsConfirmed.Add(1)
 		return nil
-	case a.sign.Liveness == upconn.Ended && !mayAskAgain && a.endIsPlanned():
+	case a.sign.Liveness == upconn.Ended && !mayAskAgain && a.endIsPlanned(ctx):
 		a.Metrics.EndsPlanned.Add(1)
 		return nil
 	}
@@ -183,10 +183,13 @@
 	return fmt.Errorf("%w: %w", errAnswerCut, errInstanceEnded)
 }
 
-// endIsPlanned reports whether the instance has announced its end. A successor that rejects requests
-// announces nothing, although it takes the instance out of use.
-func (a *attempt) endIsPlanned() bool {
-	return a.answerHeaders.Leaving || a.Table.IsListedAsLeaving(a.instance.Incarnation())
+// endIsPlanned reports whether the instance has announced its end, and ended with nothing else under way. A
+// successor that rejects requests announces nothing, although it takes the instance out of use.
+func (a *attempt) endIsPlanned(ctx context.Context) bool {
+	if !a.answerHeaders.Leaving && !a.Table.IsListedAsLeaving(a.instance.Incarnation()) {
+		return false
+	}
+	return a.Endings.EndedIdle(ctx, a.instance, 1)
 }
 
 // noteAbandoned records an attempt that was sent and given up before its answer was complete.
--- a/internal/peer/routes.go
+++ b/internal/peer/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/endings"
 	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
@@ -176,6 +177,7 @@
 	OnQuarantineUpdate(u QuarantineUpdate)
 	OnTermsUpdate(u TermsUpdate)
 	OnReach(r ReachRequest) ReachReply
+	OnEndings(r EndingsRequest) endings.Evidence
 }
 
 // routesService exposes a RoutesHandler with the method signatures that net/rpc requires.
--- a/test/routes/successor_test.go
+++ b/test/routes/successor_test.go
@@ -165,3 +165,67 @@
 	d.Resume()
 	s.requireWholeAnswer(c, <-answered, "cat-1")
 }
+
+// Guards against parts of answers without framing that look whole because their server, which has announced that
+// it leaves, is killed: its other requests break off at the same moment.
+func TestUnframedAnswerOfKilledLeavingServerBreaksOff(t *testing.T) {
+	const wholeEvents = 8
+	notResumable := newManifest(3)
+	for i := range notResumable.Routes {
+		notResumable.Routes[i].Resumable = false
+	}
+	for name, c := range map[string]struct {
+		// framed is set if the other stream has chunks, and headless if it has no head yet. sameDaemon is set if
+		// both go through one daemon.
+		framed, headless, sameDaemon bool
+	}{
+		"two streams":                 {sameDaemon: true},
+		"two streams, two daemons":    {},
+		"beside chunks":               {framed: true, sameDaemon: true},
+		"beside chunks, two daemons":  {framed: true},
+		"beside no head":              {headless: true, sameDaemon: true},
+		"beside no head, two daemons": {headless: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			s.store.PutManifest(notResumable)
+			hold := make(chan struct{})
+			defer close(hold)
+			leaving := s.startServer(platformtest.ServerOptions{
+				ID: "eng-1", Service: engineService, Events: wholeEvents, Confidence: map[string]int{"small": 90},
+				Script: func(r platformtest.ReceivedRequest) *platformtest.Script {
+					script := &platformtest.Script{Pieces: events(r.ID, 1, 3), Unframed: true, Until: hold}
+					if r.Header.Get("X-Behaviour") == "other" {
+						script.Unframed = !c.framed
+						script.HeadAfter = hold
+						if !c.headless {
+							script.HeadAfter = nil
+						}
+					}
+					return script
+				},
+			})
+			first := s.startReadyDaemon()
+			second := first
+			if !c.sameDaemon {
+				second = s.startReadyDaemon()
+			}
+			replies := make(chan platformtest.Reply, 2)
+			for i, d := range []*daemon{first, second} {
+				call := s.newCall(pathStream)
+				if i == 1 {
+					call.ExtraHeaders = http.Header{"X-Behaviour": {"other"}}
+				}
+				go func() { replies <- s.send(call, d) }()
+				s.waitRuns(call.ID)
+			}
+			leaving.Register(s.store, wire.StateDraining)
+			<-time.After(500 * time.Millisecond)
+			leaving.Kill()
+			for range 2 {
+				r := <-replies
+				require.False(t, r.Err == nil && r.Status == http.StatusOK, "ends as complete: %q", r.Body)
+			}
+		})
+	}
+}
