--- a/internal/forward/done.go
+++ b/internal/forward/done.go
@@ -18,6 +18,9 @@
 		kind = string(f.Kind)
 	}
 	q.Metrics.count(q.route, kind, took, q.firstByte)
+	if q.route != nil && q.route.Kind == catalog.Stream {
+		q.steps.note(q.route.Name, &q.sequence)
+	}
 	attrs := []slog.Attr{
 		slog.String("request", q.headers.ID),
 		slog.Int("status", q.status),
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -106,6 +106,8 @@
 	// answers estimates how long whole answers take, for admission control.
 	answers   *cascade.LatencyEstimator
 	admission *admission
+	// steps are those of the IDs of streams.
+	steps *stepTable
 	// direct are the attempts over direct connections that may be made again, and unanswered those whose
 	// answers have not begun.
 	direct, unanswered attemptSet
@@ -130,7 +132,7 @@
 	}
 	return &Handler{
 		Deps: d, latencies: cascade.NewLatencyEstimator(), spreads: cascade.NewSpreads(), confidences: cascade.NewConfidenceMeans(), prefillRate: &cascade.PrefillRate{},
-		answers: cascade.NewLatencyEstimator(), admission: newAdmission(d.Clock),
+		answers: cascade.NewLatencyEstimator(), admission: newAdmission(d.Clock), steps: newStepTable(),
 	}
 }
 
--- a/internal/forward/resolve.go
+++ b/internal/forward/resolve.go
@@ -51,7 +51,7 @@
 	}
 	q.deadline = q.startedAt.Add(timeout)
 	q.lastEventID = q.headers.LastEventID
-	q.sequence = newEventSequence(q.lastEventID)
+	q.sequence = newEventSequence(q.lastEventID, q.steps.of(q.route.Name))
 	return nil
 }
 
--- a/internal/forward/sequence.go
+++ b/internal/forward/sequence.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // errOutOfOrder means that an event does not follow those that were passed on before.
@@ -20,8 +21,9 @@
 	step   uint64
 	steps  int
 	varies bool
-	// first is the first ID of a stream that has begun here, which stands for the step while none is known.
-	first uint64
+	// assumed stands for the step while none is known: the first ID of a stream that has begun here, or the step
+	// of the other streams of the route.
+	assumed uint64
 	// begins is set until the first ID of a run.
 	begins bool
 	// unidentified is set once an event with data has come that no ID says to be resumed after.
@@ -29,8 +31,10 @@
 }
 
 // newEventSequence returns the sequence of a stream that goes on after the event with an ID; empty for its
-// beginning.
-func newEventSequence(after string) eventSequence { return eventSequence{last: after, begins: true} }
+// beginning. step is that of the streams of its route; 0 if it is not known.
+func newEventSequence(after string, step uint64) eventSequence {
+	return eventSequence{last: after, begins: true, assumed: step}
+}
 
 // beginRun is called before the first event of a run.
 func (s *eventSequence) beginRun() { s.begins = true }
@@ -52,7 +56,7 @@
 	next, isNumber := eventNumber(e.id)
 	switch {
 	case isNumber && s.last == "":
-		s.first = next
+		s.assumed = next
 	case isNumber && lastIsNumber:
 		switch {
 		case next <= last:
@@ -70,7 +74,7 @@
 // isGap reports whether an ID at a distance from the one before leaves others out.
 func (s *eventSequence) isGap(distance uint64) bool {
 	if s.steps == 0 {
-		return s.first > 0 && distance > s.first
+		return s.assumed > 0 && distance > s.assumed
 	}
 	return !s.varies && distance > s.step
 }
@@ -86,3 +90,52 @@
 	n, err := strconv.ParseUint(strings.TrimSpace(id), 10, 64)
 	return n, err == nil
 }
+
+// minStepStreams is the number of streams of a route after which their common step is used for others.
+const minStepStreams = 8
+
+// stepTable knows the step of the IDs of each route's streams.
+//
+// Lock order: mu is taken alone.
+type stepTable struct {
+	mu     sync.Mutex
+	routes map[string]*routeStep
+}
+
+type routeStep struct {
+	streams int
+	step    uint64
+	varies  bool
+}
+
+func newStepTable() *stepTable { return &stepTable{routes: map[string]*routeStep{}} }
+
+// of returns the step of a route's streams; 0 if it is not known or not always the same.
+func (t *stepTable) of(route string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[route]
+	if r == nil || r.varies || r.streams < minStepStreams {
+		return 0
+	}
+	return r.step
+}
+
+// note records a stream that has ended.
+func (t *stepTable) note(route string, s *eventSequence) {
+	if s.steps == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[route]
+	if r == nil {
+		if len(t.routes) >= maxRoutes {
+			return
+		}
+		r = &routeStep{step: s.step}
+		t.routes[route] = r
+	}
+	r.streams++
+	r.varies = r.varies || s.varies || s.step != r.step
+}
