entry: all daemons without updates ask the store during an outage, at most 1.6 s apart

Cause: daemons that are not readers paused for 2 to 4 s after a failed call, since the readers would inform them; the readers are chosen by rank and may be those that the store does not serve yet. A silent call takes 1.5 s on top. And a daemon that gets updates keeps its belief that the store is lost, and the count of its failures, until it calls itself.

Change: after the first failed call, each daemon without updates begins one every 0.6 to 1.2 s, or 0.1 s after a silent one. A failure after five seconds without one begins a new outage. A daemon relays calls for the holder of a duty again three seconds after its last failed call. In quiet times nobody calls more: only daemons without updates call at all.

Not covered: 77 and 300 daemons; drains, evacuations and roll-outs in that time; readers that stop or freeze at that moment.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -24,7 +24,7 @@
 
 // watchInstances keeps the list of upstream instances up to date.
 func (n *Node) watchInstances(ctx context.Context) {
-	var wait backoff
+	var failed retries
 	whole := false
 	n.startup.awaitContact(ctx, n.peers.HasConnections)
 	for ctx.Err() == nil {
@@ -36,6 +36,7 @@
 			continue
 		}
 		whole = whole || n.staleWindow.takeListDue(n.clock.Now())
+		asked := n.clock.Now()
 		err := n.readList(ctx, whole)
 		compacted := errors.Is(err, platform.ErrCompacted)
 		whole = compacted || whole && err != nil
@@ -47,9 +48,9 @@
 			// only a read of the whole list shows it.
 			slog.Warn("store.history_gone", "table", "instances", "revision", n.table.Revision())
 		case err != nil:
-			n.backOff(ctx, &wait)
+			n.backOff(ctx, &failed, asked)
 		default:
-			wait.failures = 0
+			failed.failures = 0
 			n.publishCallerURL()
 			n.sleep(ctx, n.listInterval())
 		}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -25,7 +25,7 @@
 
 // watchOperator keeps the operator's rows up to date.
 func (n *Node) watchOperator(ctx context.Context) {
-	var wait backoff
+	var failed retries
 	n.startup.awaitContact(ctx, n.peers.HasConnections)
 	for ctx.Err() == nil {
 		if !n.mustReadOperator() || n.freshness.view().confirmedAt.IsZero() && n.mustAwaitPeers() {
@@ -35,14 +35,15 @@
 		if n.catchesUp() && n.catchUpOperator(ctx) {
 			continue
 		}
+		asked := n.clock.Now()
 		err := n.readOperator(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			n.backOff(ctx, &wait)
+			n.backOff(ctx, &failed, asked)
 		default:
-			wait.failures = 0
+			failed.failures = 0
 		}
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -24,6 +24,9 @@
 	// peer, unless the store has answered another call of this daemon since. A call to a store
 	// that does not respond takes 1.5 s.
 	directRetryDelay = 6 * time.Second
+	// relayDoubt is how long a failed call keeps this daemon from relaying. One that gets its updates from
+	// others makes no call of its own that could show that the store answers again.
+	relayDoubt = 3 * time.Second
 )
 
 // relayedTable is access to this product's rows for the holder of a roll-out duty. If the
@@ -125,7 +128,7 @@
 
 // OnStoreCall implements peer.RoutesHandler.
 func (n *Node) OnStoreCall(call peer.StoreCall) peer.StoreReply {
-	if n.storeHealth.isLost() {
+	if n.storeHealth.failedSince(n.clock.Now().Add(-relayDoubt)) {
 		return peer.StoreReply{Outcome: peer.StoreNotDone, Why: "the store does not answer here either"}
 	}
 	// The calling peer waits no longer than this. The outcome of a slower call is unknown to
--- a/internal/entry/store_health.go
+++ b/internal/entry/store_health.go
@@ -12,18 +12,16 @@
 )
 
 const (
-	// retryPause is the pause after the first failed call to the store. The pause doubles with
-	// each further failure up to maxRetryPause, which is well within the two seconds after
-	// which an accepted configuration must be in force once the store is available again.
+	// retryPause is the pause after the first failed call to the store: it may have failed for a reason of its
+	// own. After further ones, calls begin retryInterval apart, or minRetryPause after the end of one that
+	// took longer. All daemons without updates call, since the store may serve any of them first. The
+	// longest time between two calls is that of a silent one and minRetryPause, well within the two seconds
+	// after which an accepted configuration must be in force once the store serves a daemon again.
 	retryPause    = 150 * time.Millisecond
-	maxRetryPause = 900 * time.Millisecond
-	// followerPause and maxFollowerPause apply to a daemon that is not a reader and reads the
-	// store only because updates are late. Its readers inform it when the store is available
-	// again, so frequent retries by all daemons gain nothing. The first retry still uses
-	// retryPause: a single call can fail for a reason of its own just when an instance leaves
-	// and no reader sends an update.
-	followerPause    = 2 * time.Second
-	maxFollowerPause = 4 * time.Second
+	retryInterval = 1200 * time.Millisecond
+	minRetryPause = 100 * time.Millisecond
+	// outageGap is the time without a failed call after which the next one begins another outage.
+	outageGap = 5 * time.Second
 )
 
 // storeHealth tracks whether the store answers the calls of this daemon.
@@ -37,6 +35,8 @@
 	lost     bool
 	lostAt   time.Time
 	regained time.Time
+	// failedAt is when the last call failed.
+	failedAt time.Time
 }
 
 // lastLostAt returns when the store last became unavailable.
@@ -57,6 +57,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	answered := err == nil || errors.Is(err, platform.ErrCompacted)
+	if !answered {
+		h.failedAt = now
+	}
 	switch {
 	case !answered && !h.lost && !h.lastAnswer.After(asked):
 		h.lost, h.lostAt = true, now
@@ -109,6 +112,13 @@
 	return h.lost
 }
 
+// failedSince reports whether the store is considered unavailable because of a call that failed after t.
+func (h *storeHealth) failedSince(t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lost && h.failedAt.After(t)
+}
+
 // silentFor reports whether the last answer of the store is more than d ago.
 func (h *storeHealth) silentFor(now time.Time, d time.Duration) bool {
 	h.mu.Lock()
@@ -116,22 +126,30 @@
 	return now.Sub(h.lastAnswer) > d
 }
 
-// backoff is an exponential delay with jitter, so that daemons do not all return to the store
-// at the same time.
-type backoff struct{ failures int }
-
-func (b *backoff) next(first, limit time.Duration) time.Duration {
-	d := min(first<<min(b.failures, 8), limit)
-	b.failures++
-	return d/2 + rand.N(d/2)
+// retries determines the pauses between failed calls to the store, with jitter, so that daemons do not all
+// return to it at the same time.
+type retries struct {
+	failures int
+	failedAt time.Time
 }
 
-// backOff waits after a failed call to the store. Followers, daemons that are ready, are not
-// readers and know of no newer operator rows, wait longer from their second failure on.
-func (n *Node) backOff(ctx context.Context, b *backoff) {
-	first, limit := retryPause, maxRetryPause
-	if b.failures > 0 && n.Ready() && !n.isReader() && !n.behind.Load() {
-		first, limit = followerPause, maxFollowerPause
+// pause returns the pause after a call that began at asked and failed at now.
+func (r *retries) pause(asked, now time.Time) time.Duration {
+	if now.Sub(r.failedAt) > outageGap {
+		r.failures = 0
+	}
+	r.failures++
+	r.failedAt = now
+	if r.failures == 1 {
+		return jitter(retryPause)
 	}
-	n.sleep(ctx, b.next(first, limit))
+	return max(jitter(retryInterval)-now.Sub(asked), minRetryPause)
+}
+
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
+// backOff waits after a call to the store that began at asked and failed.
+func (n *Node) backOff(ctx context.Context, r *retries, asked time.Time) {
+	n.sleep(ctx, r.pause(asked, n.clock.Now()))
 }
