forward: an instance that rejects a request itself stays in use

Cause: 421 was always taken for the answer of another instance at the address, and marked the instance as leaving at all daemons. Servers answer 421 to an unknown model, too.

Change: who has rejected the request decides. An answer with the ID of the instance that was asked is its own: the caller gets it, and nothing is learned of the instance. With another ID, the instance has left its address. Without one, the instance is asked for a sign of life; if that tells nothing, the request goes on elsewhere and the instance stays. After an attempt that may have run, the caller does not get the 421, which promises the opposite.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -275,13 +275,12 @@
 
 // instanceEnded reports whether the process of an instance has certainly ended.
 func (p *pathManager) instanceEnded(ctx context.Context, i inventory.Instance) bool {
-	return p.signOfLife(ctx, i).Liveness == upconn.Ended
+	return p.SignOfLife(ctx, i).Liveness == upconn.Ended
 }
 
-// signOfLife asks an instance that may have ended for a sign of life; the result is never older than the
-// call. Connections that are refused here may be refused by this daemon's own network, so that another
+// SignOfLife implements forward.Paths. The result is never older than the call. Connections that are refused here may be refused by this daemon's own network, so that another
 // daemon must not reach the instance.
-func (p *pathManager) signOfLife(ctx context.Context, i inventory.Instance) forward.SignOfLife {
+func (p *pathManager) SignOfLife(ctx context.Context, i inventory.Instance) forward.SignOfLife {
 	_, cut := p.tracker.CutOff(i.Service)
 	direct := forward.SignOfLife{Source: forward.FromCheck}
 	if !cut {
--- a/internal/entry/paths_test.go
+++ b/internal/entry/paths_test.go
@@ -143,7 +143,7 @@
 			defer server.Close()
 			n.registry.Merge([]member.Daemon{{Incarnation: "other", PeerAddress: server.Address(), FailureDomain: "a"}})
 			i, _ := n.table.Get("a")
-			require.Equal(t, c.want, n.paths.signOfLife(t.Context(), i).Liveness)
+			require.Equal(t, c.want, n.paths.SignOfLife(t.Context(), i).Liveness)
 		})
 	}
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -119,7 +119,7 @@
 		if q.pool.AliveSince(targetOf(i), begin) {
 			return forward.SignOfLife{Liveness: upconn.Alive, Source: forward.FromAnswer}
 		}
-		sign := q.paths.signOfLife(ctx, i)
+		sign := q.paths.SignOfLife(ctx, i)
 		if sign.Liveness != upconn.Unknown || ctx.Err() != nil || again && q.clock.Since(begin) >= patience {
 			return sign
 		}
--- a/internal/forward/answer_head.go
+++ b/internal/forward/answer_head.go
@@ -21,7 +21,7 @@
 	var limit inventory.Limit
 	var changed bool
 	switch {
-	case a.answerHeaders.WrongInstance || a.answerHeaders.LimitUnreadable:
+	case a.misdirected != nobody || a.answerHeaders.LimitUnreadable:
 		return
 	case a.answerHeaders.HasLimit:
 		limit, changed = a.Table.NoteLimit(a.instance, a.answerHeaders.Limit)
@@ -37,7 +37,7 @@
 // noteFragile records whether the answer states that the service is fragile. An instance that refuses
 // the request gets no other one for a moment then.
 func (a *attempt) noteFragile() {
-	if a.answerHeaders.WrongInstance {
+	if a.misdirected != nobody {
 		return
 	}
 	service := a.service.Name
@@ -61,5 +61,6 @@
 		return false
 	}
 	a.answerHeaders = headers
+	a.misdirected = rejecterOf(headers, a.instance.ID)
 	return true
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -65,6 +65,8 @@
 	// answer without framing.
 	failure error
 	sign    SignOfLife
+	// misdirected is who has rejected the request as not meant for it.
+	misdirected rejecter
 	// leave and answerEnded tell the quarantine of the end of the attempt; answerEnded is nil until an
 	// answer has begun.
 	leave, answerEnded func()
@@ -227,14 +229,14 @@
 	a.sent = true
 	q.sends++
 	a.exchange = exchange
-	if !a.answerHeaders.WrongInstance && a.answerHeaders.ID != "" {
+	a.identifyRejecter(ctx)
+	if a.misdirected == nobody && a.answerHeaders.ID != "" {
 		exchange.ConfirmInstance()
 	}
 	if a.answerHeaders.HasLoad {
 		q.Table.ReportLoad(a.instance, a.answerHeaders.Load)
 	}
-	if a.answerHeaders.Leaving || a.answerHeaders.WrongInstance {
-		// If WrongInstance is set, the address now belongs to another instance.
+	if a.answerHeaders.Leaving || a.misdirected == otherInstance {
 		a.noteLeaving()
 	}
 	a.noteLimit()
@@ -246,6 +248,9 @@
 		slog.Info("instance.resting", "instance", a.instance.ID, "rest_ms", a.answerHeaders.BackOff.Milliseconds(), "request", a.request.headers.ID)
 	}
 	a.noteFragile()
+	if a.isRejection() {
+		return nil
+	}
 	if a.answerHeaders.NotRun {
 		return &refusedError{instance: a.instance.ID}
 	}
@@ -277,7 +282,7 @@
 	defer a.unanswered.remove(a)
 	exchange, err := a.Pool.Do(ctx, to, a.maxConnections(), r, a.acceptAnswer)
 	if !tunneled {
-		a.Paths.Answered(service, err == nil && !a.answerHeaders.WrongInstance)
+		a.Paths.Answered(service, err == nil && a.misdirected == nobody)
 	}
 	var byTunnel *upconn.TunneledError
 	switch {
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -67,8 +67,11 @@
 	HasDigest bool
 	// NotRun is set if the instance states that the request has not run and will not run.
 	NotRun bool
-	// WrongInstance is set if another instance now has the address.
-	WrongInstance bool
+	// Misdirected is set if the sender states that the request is not for it: it is another instance than the
+	// one that was asked, or does not serve the model. Sender is the ID of the instance that answered; empty
+	// if the answer does not say.
+	Misdirected bool
+	Sender      string
 	// Leaving is set if the instance states that it is leaving.
 	Leaving bool
 	// BackOff is for how long an instance that refused the request asks for no more requests.
--- a/internal/forward/paths.go
+++ b/internal/forward/paths.go
@@ -23,6 +23,8 @@
 	Heard(service string)
 	// HeardSince reports whether a service has given a sign of life after a time.
 	HeardSince(service string, after time.Time) bool
+	// SignOfLife asks an instance for a sign of life.
+	SignOfLife(ctx context.Context, i inventory.Instance) SignOfLife
 }
 
 // directPaths is a Paths for daemons that only have direct connections.
@@ -34,6 +36,9 @@
 func (directPaths) Answered(string, bool)                      {}
 func (directPaths) Heard(string)                               {}
 func (directPaths) HeardSince(string, time.Time) bool          { return true }
+func (directPaths) SignOfLife(context.Context, inventory.Instance) SignOfLife {
+	return SignOfLife{}
+}
 
 const (
 	// pathCheckTimeout bounds the wait for a check of the path to a service.
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -111,6 +111,10 @@
 		a.fail(err)
 		return whole, err
 	}
+	if a.isRejection() {
+		a.end(inventory.OutcomeNone)
+		return nil, q.sendAnswer(whole)
+	}
 	a.end(inventory.OutcomeSuccess)
 	q.ran = fault.RanYes
 	return nil, q.sendAnswer(whole)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -159,6 +159,9 @@
 // may have been cut: the end of a connection ends an answer only if the instance lives on. The end of an
 // instance may be planned, though, so that it has ended after its last answer.
 func (a *attempt) finish() error {
+	if a.isRejection() {
+		return nil
+	}
 	if a.exchange.IsSelfDelimited() {
 		a.Quarantine.Finished(a.suspect())
 		return nil
--- a/internal/forward/runs.go
+++ b/internal/forward/runs.go
@@ -84,6 +84,8 @@
 	var refused *refusedError
 	err := a.failure
 	switch {
+	case err == nil && a.isRejection():
+		return "rejected"
 	case err == nil && outcome == inventory.OutcomeSuccess && a.dropped:
 		return "dropped"
 	case err == nil && outcome == inventory.OutcomeSuccess:
