--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -278,8 +278,8 @@
 	return p.SignOfLife(ctx, i).Liveness == upconn.Ended
 }
 
-// SignOfLife implements forward.Paths. The result is never older than the call. Connections that are refused here may be refused by this daemon's own network, so that another
-// daemon must not reach the instance.
+// SignOfLife implements forward.Paths. The result is never older than the call. Connections that are refused
+// here may be refused by this daemon's own network, so that another daemon must not reach the instance.
 func (p *pathManager) SignOfLife(ctx context.Context, i inventory.Instance) forward.SignOfLife {
 	_, cut := p.tracker.CutOff(i.Service)
 	direct := forward.SignOfLife{Source: forward.FromCheck}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -230,7 +230,7 @@
 	q.sends++
 	a.exchange = exchange
 	a.identifyRejecter(ctx)
-	if a.misdirected == nobody && a.answerHeaders.ID != "" {
+	if !a.misdirected.mayBeOther() && a.answerHeaders.ID != "" {
 		exchange.ConfirmInstance()
 	}
 	if a.answerHeaders.HasLoad {
@@ -282,7 +282,7 @@
 	defer a.unanswered.remove(a)
 	exchange, err := a.Pool.Do(ctx, to, a.maxConnections(), r, a.acceptAnswer)
 	if !tunneled {
-		a.Paths.Answered(service, err == nil && a.misdirected == nobody)
+		a.Paths.Answered(service, err == nil && !a.misdirected.mayBeOther())
 	}
 	var byTunnel *upconn.TunneledError
 	switch {
--- a/internal/forward/misdirected.go
+++ b/internal/forward/misdirected.go
@@ -35,6 +35,9 @@
 	return otherInstance
 }
 
+// mayBeOther reports whether the answer may come from another instance than the one that was asked.
+func (r rejecter) mayBeOther() bool { return r == anyInstance || r == otherInstance }
+
 // identifyRejecter asks the instance whether it lives if the answer does not say who has rejected the request.
 func (a *attempt) identifyRejecter(ctx context.Context) {
 	if a.misdirected != anyInstance {
