forward: a stream can be resumed again after the next ID; steps of tokens are no gaps

What callers would have seen, by reading the diff: a stream with one event without an ID, at its beginning say, was never resumed, although the events after it have IDs. And a stream whose IDs are numbers of tokens (1, 4, 7), cut after its first event, broke off: the first ID stood for the step, and the sound run that went on with 4 counted as one that leaves events out.

Change: an ID ends the state in which nothing can be resumed. The step of the route's other streams goes before the first ID; if their steps vary, none is assumed.

--- a/internal/forward/sequence.go
+++ b/internal/forward/sequence.go
@@ -21,19 +21,27 @@
 	step   uint64
 	steps  int
 	varies bool
-	// assumed stands for the step while none is known: the first ID of a stream that has begun here, or the step
-	// of the other streams of the route.
-	assumed uint64
+	// assumed stands for the step while none is known: that of the other streams of the route or, if these are
+	// too few, the first ID of a stream that has begun here. assumesNone is set if the steps of those vary.
+	assumed     uint64
+	assumesNone bool
 	// begins is set until the first ID of a run.
 	begins bool
-	// unidentified is set once an event with data has come that no ID says to be resumed after.
+	// unidentified is set while an event with data has come after the last one with an ID.
 	unidentified bool
 }
 
 // newEventSequence returns the sequence of a stream that goes on after the event with an ID; empty for its
-// beginning. step is that of the streams of its route; 0 if it is not known.
-func newEventSequence(after string, step uint64) eventSequence {
-	return eventSequence{last: after, begins: true, assumed: step}
+// beginning. route is what is known of the streams of its route.
+func newEventSequence(after string, route routeStep) eventSequence {
+	s := eventSequence{last: after, begins: true}
+	switch {
+	case route.varies:
+		s.assumesNone = true
+	case route.streams >= minStepStreams:
+		s.assumed = route.step
+	}
+	return s
 }
 
 // beginRun is called before the first event of a run.
@@ -55,7 +63,7 @@
 	last, lastIsNumber := eventNumber(s.last)
 	next, isNumber := eventNumber(e.id)
 	switch {
-	case isNumber && s.last == "":
+	case isNumber && s.last == "" && s.assumed == 0 && !s.assumesNone:
 		s.assumed = next
 	case isNumber && lastIsNumber:
 		switch {
@@ -67,7 +75,7 @@
 			s.noteStep(next - last)
 		}
 	}
-	s.last, s.begins = e.id, false
+	s.last, s.begins, s.unidentified = e.id, false, false
 	return nil
 }
 
@@ -102,6 +110,7 @@
 	routes map[string]*routeStep
 }
 
+// routeStep is the step of a number of streams; varies is set if it was not always the same.
 type routeStep struct {
 	streams int
 	step    uint64
@@ -110,15 +119,14 @@
 
 func newStepTable() *stepTable { return &stepTable{routes: map[string]*routeStep{}} }
 
-// of returns the step of a route's streams; 0 if it is not known or not always the same.
-func (t *stepTable) of(route string) uint64 {
+// of returns what is known of a route's streams.
+func (t *stepTable) of(route string) routeStep {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.routes[route]
-	if r == nil || r.varies || r.streams < minStepStreams {
-		return 0
+	if r := t.routes[route]; r != nil {
+		return *r
 	}
-	return r.step
+	return routeStep{}
 }
 
 // note records a stream that has ended.
