entry: the test of signs of life waits until a connection is kept

Cause: the test's server answers at once. If the answer is read before the goroutine that has written the request returns, the connection is closed rather than kept, since a server that answers early might take the rest for another request. The test took a kept connection for granted.

Change: before the question that an earlier sign of life must answer, the test asks until one is kept. All it requires is as before.

--- a/internal/entry/paths_test.go
+++ b/internal/entry/paths_test.go
@@ -103,7 +103,15 @@
 			}))
 			defer server.Close()
 			n.table.Apply([]inventory.Change{{Instance: &inventory.Instance{ID: "a", Service: tunnelService, Address: server.Listener.Addr().String(), Version: "v", Slots: 4}}}, 1, time.Time{})
+			target := upconn.Target{Address: server.Listener.Addr().String(), Service: tunnelService, Instance: "a"}
 			for _, anew := range []bool{true, false, true} {
+				if c.reached && !anew {
+					// A connection is not kept if its answer comes before its writer has returned.
+					require.Eventually(t, func() bool {
+						n.OnReach(peer.ReachRequest{Service: tunnelService, Instances: []string{"a"}, Anew: true})
+						return n.pool.ReachedSince(target, time.Now().Add(-reachedRecently/2))
+					}, 10*time.Second, time.Millisecond)
+				}
 				before := asked.Load()
 				reply := n.OnReach(peer.ReachRequest{Service: tunnelService, Instances: []string{"a"}, Anew: anew})
 				require.Equal(t, c.reached, reply.Reached)
