forward: a failure that a server cuts is not continued by another server's

What callers saw: on the route of a stream, one answer with parts of two failures: 409 with the first 390 KB of one server's body and the whole body of another one, ended as complete.

A failure longer than 256 KB is sent while it is read. If its server ends the connection early, runStream tries again as for a stream; the second failure has the status and the media type of what has been sent, so that checkContinuation takes it for the rest, and without IDs nothing else tells them apart. runPlain asked whether the head had been sent, runStream did not.

Change: reasonNotToRetry decides for both: part of an answer that is no stream of events is continued by nothing. The caller's connection is closed before the end, and request.done says no_retry=answer_begun, where it said nothing for plain answers.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -60,7 +60,7 @@
 		if err == nil {
 			return nil
 		}
-		if q.headSent || !q.mayRetry(ctx, err) {
+		if !q.mayRetry(ctx, err) {
 			return q.giveUp(failed, err)
 		}
 	}
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 	"github.com/hornbeamsill/hornbeamsill/internal/upconn"
 )
@@ -27,6 +29,9 @@
 	if q.callerLeft {
 		return "caller_left"
 	}
+	if q.hasBegunUnresumable() {
+		return "answer_begun"
+	}
 	if notSent && gatewayFault(err) != nil {
 		return "no_gateway"
 	}
@@ -73,6 +78,12 @@
 	return ""
 }
 
+// hasBegunUnresumable reports whether the caller has part of an answer that is not a stream of events. Another
+// instance's answer cannot continue it.
+func (q *request) hasBegunUnresumable() bool {
+	return q.headSent && (q.route.Kind != catalog.Stream || q.status >= http.StatusMultipleChoices)
+}
+
 const (
 	// minTimeLeft is the remaining time below which no instance can answer.
 	minTimeLeft = 20 * time.Millisecond
--- a/test/routes/stream_order_test.go
+++ b/test/routes/stream_order_test.go
@@ -246,3 +246,23 @@
 		})
 	}
 }
+
+// Guards against a failure that a server cuts and another server's failure completes: a caller gets one
+// answer with parts of two bodies.
+func TestCutFailureOfAStreamIsNotContinued(t *testing.T) {
+	part, other := strings.Repeat("no such run\n\n", 30_000), strings.Repeat("a run is missing\n\n", 30_000)
+	for name, mode := range readModes {
+		t.Run(name, func(t *testing.T) {
+			s := newTestbed(t)
+			d := s.startScripted(mode, func(_ platformtest.ReceivedRequest, run int) *platformtest.Script {
+				if run == 1 {
+					return &platformtest.Script{Status: http.StatusConflict, Pieces: []string{part}, Cut: true}
+				}
+				return &platformtest.Script{Status: http.StatusConflict, Pieces: []string{other}}
+			})
+			r := s.send(s.newCall(pathStream), d)
+			require.True(t, strings.HasPrefix(part, r.Body) || r.Body == other, "%d bytes", len(r.Body))
+			require.Equal(t, r.Body == other, r.Err == nil, "%d bytes, %v", len(r.Body), r.Err)
+		})
+	}
+}
