--- a/test/routes/stream_order_test.go
+++ b/test/routes/stream_order_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -101,7 +102,8 @@
 	for name, failure := range map[string]platformtest.Script{
 		"302": {Status: 302}, "400": {Status: 400}, "409": {Status: 409}, "422": {Status: 422}, "499": {Status: 499}, "500": {Status: 500},
 		"204": {Status: 204, Unframed: true}, "206": {Status: 206}, "no stream": {ContentType: "text/html"},
-		"409, no framing": {Status: 409, Unframed: true}, "long": {Status: 409, Pieces: []string{strings.Repeat("no such run\n", 30_000)}},
+		"content encoding": {Header: http.Header{"Content-Encoding": {"gzip"}}}, "no digest": {Header: http.Header{wire.HeaderSeal: nil}},
+		"409, length, cut": {Status: 409, Length: 500}, "409, no framing": {Status: 409, Unframed: true}, "long": {Status: 409, Pieces: []string{strings.Repeat("no such run\n", 30_000)}},
 	} {
 		if failure.Pieces == nil && failure.Status != 204 {
 			failure.Pieces = []string{"no such run\n\n"}
@@ -247,6 +249,61 @@
 	}
 }
 
+// Guards against streams that end as complete with a resumed run that is shorter than the length it states.
+func TestResumedRunShorterThanItsLengthIsNotTheEnd(t *testing.T) {
+	for _, c := range resumptions() {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestbed(t)
+			d := s.startScripted(c.slowCallers, c.script(func(id string) *platformtest.Script {
+				return &platformtest.Script{Pieces: events(id, 4, 5), Length: 5000}
+			}))
+			call := s.newCall(pathStream)
+			requireWholeOrBroken(t, c.recovers, call, s.send(call, d))
+		})
+	}
+}
+
+// Guards against streams with the body of a failure in their midst where both runs reach their instances through
+// another daemon.
+func TestFailedTunneledResumptionIsNoPartOfAStream(t *testing.T) {
+	for _, recovers := range []bool{true, false} {
+		for _, status := range []int{http.StatusFound, http.StatusConflict, http.StatusInternalServerError} {
+			t.Run(fmt.Sprintf("%d, recovers=%v", status, recovers), func(t *testing.T) {
+				s := newTestbed(t)
+				script := resumption{recovers: recovers}.script(func(string) *platformtest.Script {
+					return &platformtest.Script{Status: status, Pieces: []string{"no such run\n\n"}}
+				})
+				runs, broken := 0, ""
+				var mu sync.Mutex
+				for n := range 3 {
+					s.startServer(platformtest.ServerOptions{
+						ID: fmt.Sprint("eng-", n), Service: engineService, Events: scriptedEvents, Confidence: map[string]int{"small": 90},
+						Script: func(r platformtest.ReceivedRequest) *platformtest.Script {
+							mu.Lock()
+							defer mu.Unlock()
+							if r.ID != broken {
+								return nil
+							}
+							runs++
+							return script(r, runs)
+						},
+					})
+				}
+				cutOff := s.startFaultDaemon()
+				s.startFaultDaemon()
+				s.cutOffFromStreams(cutOff)
+				call := s.newCall(pathStream)
+				mu.Lock()
+				broken = call.ID
+				mu.Unlock()
+				requireWholeOrBroken(t, recovers, call, s.send(call, cutOff))
+				require.Len(t, s.serversThatRan(call.ID), 3)
+				require.Contains(t, s.waitForLog(cutOff, "request.done", "request="+call.ID), "gateway=")
+			})
+		}
+	}
+}
+
 // Guards against a failure that a server cuts and another server's failure completes: a caller gets one
 // answer with parts of two bodies.
 func TestCutFailureOfAStreamIsNotContinued(t *testing.T) {
