entry: a held read of the operator's rows that was lost does not keep a daemon from late rows

After an outage of the store that ends for one daemon only, that daemon accepts a key that was taken away four seconds later (CONFIG), and longer: up to 11.5 s after the outage began.

Cause: the store may hold a reader's call for 10 s, and a call that it loses lasts 11.5 s. A daemon that was a reader when it began one, the first of a fleet that starts among them, does no other read of these rows meanwhile; its reads of the list show that the rows are old, but only a reader acted on that. A reader's own check gave up after 0.4 s, so that a slow store kept the lost call alive, too.

Change: a lost call to the store aborts the held one, and none is held until the store answers. Where the list shows newer rows, a held call that is older than 1.5 s is aborted at any daemon. operator.poll_aborted tells of each.

--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -116,6 +116,10 @@
 		return rows, ctx.Err()
 	}
 	n.storeHealth.record(asked, n.clock.Now(), err)
+	if n.storeHealth.isLost() {
+		// The long poll may have been lost with this call, and would hide that the store is back.
+		n.operatorPoll.abortHeld()
+	}
 	if count := len(rows.Malformed); err == nil && count > 0 {
 		// Logs one line per read, however many entries are malformed.
 		slog.Error("instances.unreadable", "revision", rows.Revision, "count", count, "first", rows.Malformed[0])
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -59,17 +59,19 @@
 		return n.readAllOperator(ctx)
 	}
 	hold := time.Duration(0)
-	if n.isStoreReader() {
+	if n.isStoreReader() && !n.storeHealth.isLost() {
 		hold = longPollTime
 	}
-	call, done := n.operatorPoll.begin(ctx)
+	asked := n.clock.Now()
+	call, done := n.operatorPoll.begin(ctx, asked, hold > 0)
 	defer done()
 	_, err := n.readOperatorAfter(call, view.readRevision, hold)
 	switch {
 	case ctx.Err() != nil:
 		return ctx.Err()
 	case call.Err() != nil:
-		// The poll was aborted because its rows were read by another call.
+		// The poll was aborted because it may be lost, or its rows were read by another call.
+		slog.Info("operator.poll_aborted", "revision", view.readRevision, "reader", n.isReader(), "asked_ms", n.clock.Since(asked).Milliseconds())
 		return nil
 	case errors.Is(err, platform.ErrCompacted):
 		n.wholeReadDue = true
@@ -161,7 +163,8 @@
 // would get 404 on routes that were accepted up to eleven seconds before. All tables of the
 // store share one revision counter. Rows known up to the newest revision are therefore
 // current; otherwise a reader reads them at once. A lost long poll thus delays a configuration
-// by one read of the list.
+// by one read of the list. That of a daemon that was a reader when it began is aborted, since
+// it keeps the daemon from reading rows that are late.
 func (n *Node) confirmOperator(ctx context.Context, newest int64) {
 	view := n.freshness.view()
 	switch {
@@ -173,10 +176,15 @@
 		call, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		changed, err := n.readOperatorAfter(call, view.readRevision, 0)
-		if changed || errors.Is(err, platform.ErrCompacted) {
+		switch {
+		case changed || errors.Is(err, platform.ErrCompacted):
 			// The long poll should have returned these rows, so it is lost.
 			n.operatorPoll.abort()
+		case err != nil:
+			n.operatorPoll.abortOverdue(n.clock.Now())
 		}
+	default:
+		n.operatorPoll.abortOverdue(n.clock.Now())
 	}
 }
 
@@ -223,25 +231,31 @@
 	}
 }
 
-// longPoll is the long poll for operator rows in progress.
+// longPoll is the read of operator rows in progress, which the store may hold.
 //
 // Lock order: no other lock is taken while mu is held.
 type longPoll struct {
 	mu     sync.Mutex
 	cancel context.CancelFunc
+	// held is set if the store may hold the read that began at begunAt.
+	held    bool
+	begunAt time.Time
 }
 
-// begin returns the context of a long poll, which ends when the poll is aborted. The caller
-// calls done after the answer.
-func (p *longPoll) begin(ctx context.Context) (call context.Context, done func()) {
+// maxAnswerTime is how long the store may take to return rows that exist.
+const maxAnswerTime = 1500 * time.Millisecond
+
+// begin returns the context of a read, which ends when the read is aborted. The caller calls
+// done after the answer.
+func (p *longPoll) begin(ctx context.Context, now time.Time, held bool) (call context.Context, done func()) {
 	call, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cancel = cancel
+	p.cancel, p.held, p.begunAt = cancel, held, now
 	return call, cancel
 }
 
-// abort cancels the current long poll, so that a new one starts.
+// abort cancels the current read, so that a new one starts.
 func (p *longPoll) abort() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -250,6 +264,24 @@
 	}
 }
 
+// abortHeld cancels the current read if the store may hold it.
+func (p *longPoll) abortHeld() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held {
+		p.cancel()
+	}
+}
+
+// abortOverdue cancels the current read if the store should have returned its rows by now.
+func (p *longPoll) abortOverdue(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held && now.Sub(p.begunAt) > maxAnswerTime {
+		p.cancel()
+	}
+}
+
 // freshness tracks up to which revision, and at what time, this daemon's operator rows were
 // known to be the newest.
 //
