--- a/test/routes/partial_outage_test.go
+++ b/test/routes/partial_outage_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
+	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 )
 
@@ -44,6 +47,7 @@
 	mu     sync.Mutex
 	fault  frontFault
 	faults int
+	calls  int
 }
 
 func (s *testbed) newStoreFront() *storeFront {
@@ -74,6 +78,9 @@
 // ServeHTTP implements http.Handler.
 func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fault, before := f.state()
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
 	switch {
 	case fault == silent:
 		<-r.Context().Done()
@@ -232,3 +239,59 @@
 		})
 	}
 }
+
+// takeCalls returns the number of calls since it was called last.
+func takeCalls(daemons []*frontDaemon) int {
+	sum := 0
+	for _, d := range daemons {
+		d.front.mu.Lock()
+		sum += d.front.calls
+		d.front.calls = 0
+		d.front.mu.Unlock()
+	}
+	return sum
+}
+
+// Guards against an outage, or its end, that makes the daemons call the store more often than its rates allow.
+// OUTAGE_DAEMONS sets their number.
+func TestOutageKeepsCallsToTheStoreWithinBounds(t *testing.T) {
+	const span = 3 * time.Second
+	daemons := 6
+	if text := os.Getenv("OUTAGE_DAEMONS"); text != "" {
+		n, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		daemons = n
+	}
+	// Each daemon reads the list at most every 0.6 s, and may read the operator's rows and write one of its own as
+	// often.
+	perDaemon := 3 / (600 * time.Millisecond).Seconds()
+	s := newTestbed(t)
+	s.startServer(platformtest.ServerOptions{ID: "cat-1", Service: plainService})
+	var all []*frontDaemon
+	for range daemons {
+		d := s.startFrontDaemon()
+		s.waitReady(d.daemon)
+		all = append(all, d)
+	}
+	<-time.After(span)
+	for _, fault := range []frontFault{refused, silent} {
+		takeCalls(all)
+		<-time.After(span)
+		quiet := takeCalls(all)
+		for _, d := range all {
+			d.front.set(fault)
+		}
+		<-time.After(span)
+		out := takeCalls(all)
+		for _, d := range all {
+			d.front.set(served)
+		}
+		<-time.After(span)
+		back := takeCalls(all)
+		t.Logf("fault %d, %d daemons, calls per second: quiet %.1f, outage %.1f, after it %.1f", fault, daemons,
+			float64(quiet)/span.Seconds(), float64(out)/span.Seconds(), float64(back)/span.Seconds())
+		bound := perDaemon * span.Seconds() * float64(daemons)
+		require.Less(t, float64(out), bound)
+		require.Less(t, float64(back), bound)
+	}
+}
