forward, httpbody: bodies count in the memory's budget while they are read

Cause: a body counted only after all of it had been read; until then only the number of connections bounded it. io.ReadAll allocated some five times its length, and the exchange with the server copied it once more.

Change: a body is read into pieces that are not copied while more arrives. Each is counted before it is allocated; if there is no memory the daemon stops reading, so that the sender waits, for half a second, and then refuses the request as not run. Long bodies are written to the server piece by piece. The budget is a third of memory_mb now, since nothing is read beside it; that of answers stays an eighth.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -163,7 +163,7 @@
 	if s.Options.BodyTimeout > 0 {
 		deadline = time.Now().Add(s.Options.BodyTimeout)
 	}
-	raw, err := httpbody.ReadUntil(c.Writer, http.MaxBytesReader(c.Writer, c.Request.Body, s.Options.MaxBody), deadline)
+	raw, err := httpbody.ReadUntil(c.Writer, http.MaxBytesReader(c.Writer, c.Request.Body, s.Options.MaxBody), c.Request.ContentLength, deadline, nil)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -173,7 +173,7 @@
 	case err != nil:
 		return nil, fault.New(fault.BadRequest, "body: %v", err)
 	}
-	return raw, nil
+	return raw.Bytes(), nil
 }
 
 // roles are the roles of messages.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -47,10 +47,11 @@
 	// forgetAfter is how long daemons that have left are remembered, so that late updates
 	// about them do not count as new.
 	forgetAfter = 60 * time.Second
-	// bodyMemoryDivisor is the divisor of the memory that gives the budget for request bodies, that for
-	// buffered answers, and where overload.Policy.SlowCallers applies that for all bytes held for callers
-	// and instances.
-	bodyMemoryDivisor = 8
+	// bodyMemoryDivisor is the divisor of the memory that gives the budget for request bodies, and
+	// heldMemoryDivisor for that of buffered answers, and where overload.Policy.SlowCallers applies that for
+	// all bytes held for callers and instances.
+	bodyMemoryDivisor = 3
+	heldMemoryDivisor = 8
 )
 
 // Node is one daemon.
@@ -200,13 +201,13 @@
 	n.gateway = peer.NewGateway(tunnelLimit(s), n)
 	n.quarantine = newQuarantineManager(n)
 	n.endings = endingsLog{Log: endings.NewLog(clock), node: n}
-	bodyMemory := s.MemoryMB << 20 / bodyMemoryDivisor
-	n.held = limit.NewHeldBytes(bodyMemory)
+	bodyMemory, heldMemory := s.MemoryMB<<20/bodyMemoryDivisor, s.MemoryMB<<20/heldMemoryDivisor
+	n.held = limit.NewHeldBytes(heldMemory)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, IsCurrent: n.configIsCurrent, AwaitNewer: n.awaitNewerConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Paths: n.paths, Versions: n.rollouts,
 		Quarantine: n.quarantine, Endings: n.endings, CallerLeft: callerLeft, NotifyPeers: n.requestHeartbeat, RefusesLate: n.refusesLate, IsLeaving: n.leaving.Load, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
 		Meter: n.meter, Account: n.account,
-		BodyBytes: limit.NewByteBudget(bodyMemory), AnswerBytes: limit.NewByteBudget(bodyMemory), Held: n.held,
+		BodyBytes: limit.NewByteBudget(bodyMemory), AnswerBytes: limit.NewByteBudget(heldMemory), Held: n.held,
 	})
 	n.table.SetRanks(func(instance string) (int, int) { return n.registry.RankAmongPresent("quota/" + instance) })
 	n.duties = newRolloutDuties(n)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -213,7 +213,7 @@
 			return q.Codec.UpstreamHeaders(q.r.Header, headers)
 		},
 		Body:        q.body,
-		HasBody:     len(q.body) > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
+		HasBody:     q.body.Len() > 0 || (q.r.Method != http.MethodGet && q.r.Method != http.MethodHead),
 		IsWithdrawn: func() bool { return a.hasCallerLeft() || a.isWithdrawn() || a.isRefused() },
 	}
 	exchange, err := a.exchangeHeads(ctx, upstreamRequest)
--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -42,8 +42,9 @@
 
 // callerMemory is the memory that a request holds, and the pace of its caller.
 type callerMemory struct {
-	// held is the request's part of Deps.Held; nil if only BodyBytes applies.
-	held *limit.Holding
+	// held is the request's part of Deps.Held; nil if only BodyBytes applies, of which bodyBytes are taken.
+	held      *limit.Holding
+	bodyBytes int
 	// lag is by how much the caller has fallen behind the slowest pace.
 	lag time.Duration
 }
@@ -63,12 +64,25 @@
 	return q.held.Close
 }
 
-// takeBody counts a body that has been read. One that was read by a bodyReader is already counted.
-func (q *request) takeBody(n int) bool { return q.held != nil || q.BodyBytes.Take(n) }
+// takeBody counts n bytes of a body before they are read, and waits briefly until they fit into the budget;
+// meanwhile its sender waits, too. A bodyReader counts by itself.
+func (q *request) takeBody(n int) error {
+	if q.held != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(q.r.Context(), memoryWait)
+	defer cancel()
+	if !pollMemory(ctx, func() (taken, ended bool) { return q.BodyBytes.Take(n), false }) {
+		return errNoMemory
+	}
+	q.bodyBytes += n
+	return nil
+}
 
 func (q *request) releaseBody() {
-	if q.held == nil {
-		q.BodyBytes.Release(len(q.body))
+	if q.bodyBytes > 0 {
+		q.BodyBytes.Release(q.bodyBytes)
+		q.bodyBytes = 0
 	}
 }
 
@@ -144,7 +158,12 @@
 // awaitMemory counts n more bytes of the request, and waits until they fit into the budget. It
 // returns false if the context ends before, or the request is aborted.
 func (q *request) awaitMemory(ctx context.Context, n int) bool {
-	if q.held.Grow(n, time.Now()) {
+	return pollMemory(ctx, func() (taken, ended bool) { return q.held.Grow(n, time.Now()), q.held.Aborted() })
+}
+
+// pollMemory calls take until it has taken memory. It returns false if the context or the request ends before.
+func pollMemory(ctx context.Context, take func() (taken, ended bool)) bool {
+	if taken, _ := take(); taken {
 		return true
 	}
 	ticker := time.NewTicker(memoryInterval)
@@ -154,11 +173,8 @@
 		case <-ctx.Done():
 			return false
 		case <-ticker.C:
-			if q.held.Grow(n, time.Now()) {
-				return true
-			}
-			if q.held.Aborted() {
-				return false
+			if taken, ended := take(); taken || ended {
+				return taken
 			}
 		}
 	}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -148,7 +148,7 @@
 	route        *catalog.Route
 	organisation *catalog.Organisation
 	service      *catalog.Service
-	body         []byte
+	body         httpbody.Body
 	// answerBytes is what is counted in Deps.AnswerBytes for the request.
 	answerBytes int
 	callerMemory
@@ -229,10 +229,10 @@
 	if err := q.admit(); err != nil {
 		return err
 	}
+	defer q.releaseBody()
 	if err := q.readBody(); err != nil {
 		return err
 	}
-	defer q.releaseBody()
 	defer q.releaseAnswerBytes()
 	if err := q.checkQuarantine(); err != nil {
 		return err
@@ -277,7 +277,7 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
-	body, err := httpbody.ReadUntil(q.w, q.countBody(reader), q.deadline)
+	body, err := httpbody.ReadUntil(q.w, q.countBody(reader), q.r.ContentLength, q.deadline, q.takeBody)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -289,9 +289,6 @@
 	case err != nil:
 		return fault.New(fault.BadRequest, "the body could not be read: %v", err)
 	}
-	if !q.takeBody(len(body)) {
-		return fault.New(fault.NoCapacity, "too many request bodies are in memory").WithRetryAfter(defaultRetryAfter)
-	}
 	q.body = body
 	return nil
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -103,7 +103,7 @@
 	if q.organisation != nil {
 		s.Organisation = q.organisation.Name
 	}
-	q.digest = quarantine.NewDigest(q.r.Method, q.r.Host, q.r.RequestURI, s.Organisation, q.body)
+	q.digest = quarantine.NewDigest(q.r.Method, q.r.Host, q.r.RequestURI, s.Organisation, q.body...)
 	s.Digest = q.digest
 	q.suspected = s
 	return s
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -24,8 +24,8 @@
 // store is unavailable.
 type Digest [sha256.Size / 2]byte
 
-// NewDigest returns the digest of a request.
-func NewDigest(method, host, target, organisation string, body []byte) Digest {
+// NewDigest returns the digest of a request. Its body may come in pieces.
+func NewDigest(method, host, target, organisation string, body ...[]byte) Digest {
 	h := sha256.New()
 	var length [8]byte
 	for _, field := range []string{method, host, target, organisation} {
@@ -34,7 +34,9 @@
 		h.Write(length[:])
 		h.Write([]byte(field))
 	}
-	h.Write(body)
+	for _, piece := range body {
+		h.Write(piece)
+	}
 	return Digest(h.Sum(nil))
 }
 
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,8 @@
 	// Header returns the headers. It is called when the connection is established, since they state
 	// the time that is left.
 	Header func() http.Header
-	Body   []byte
+	// Body is the body in pieces.
+	Body [][]byte
 	// HasBody is set for a request with a body, even an empty one.
 	HasBody bool
 	// IsWithdrawn is called when the connection is established and nothing has been sent. If it
@@ -143,10 +145,18 @@
 	return e, nil
 }
 
+// maxCopiedBody is the longest body that is sent in one write with the head.
+const maxCopiedBody = 16 << 10
+
 // write sends the request. It runs concurrently with reading the answer, since a server may
 // answer before it has read a long body.
 func (e *Exchange) write(r *Request) {
-	buf := make([]byte, 0, 1024+len(r.Body))
+	length := 0
+	for _, piece := range r.Body {
+		length += len(piece)
+	}
+	rest := r.Body
+	buf := make([]byte, 0, 1024+min(length, maxCopiedBody))
 	buf = append(buf, r.Method...)
 	buf = append(buf, ' ')
 	buf = append(buf, r.Target...)
@@ -163,11 +173,13 @@
 	}
 	if r.HasBody {
 		buf = append(buf, "Content-Length: "...)
-		buf = strconv.AppendInt(buf, int64(len(r.Body)), 10)
+		buf = strconv.AppendInt(buf, int64(length), 10)
 		buf = append(buf, "\r\n"...)
 	}
 	buf = append(buf, "\r\n"...)
-	buf = append(buf, r.Body...)
+	if length <= maxCopiedBody {
+		buf, rest = slices.Concat(append([][]byte{buf}, rest...)...), nil
+	}
 	if e.conn.tunnel != nil {
 		if err := e.conn.tunnel.BeginRequest(r.ID); err != nil {
 			_ = e.conn.Close()
@@ -177,6 +189,9 @@
 	}
 	e.writeStarted.Store(true)
 	_, err := e.conn.Write(buf)
+	for i := 0; err == nil && i < len(rest); i++ {
+		_, err = e.conn.Write(rest[i])
+	}
 	e.writeDone <- err
 }
 
