upconn, forward: a request's body is copied once, and takes no timer while there is memory

upconn.write counted the body by a loop of its own and joined head and body into a new buffer, so that the one allocated for both was dropped at each request. It uses httpbody.Body and appends to that buffer. takeBody and awaitMemoryBriefly each made a context with a timer before they looked for memory, the former for each piece of each body; both try first now, by pollMemoryBriefly.

--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -70,9 +70,7 @@
 	if q.held != nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(q.r.Context(), memoryWait)
-	defer cancel()
-	if !pollMemory(ctx, func() (taken, ended bool) { return q.BodyBytes.Take(n), false }) {
+	if !q.pollMemoryBriefly(func() (taken, ended bool) { return q.BodyBytes.Take(n), false }) {
 		return errNoMemory
 	}
 	q.bodyBytes += n
@@ -150,22 +148,37 @@
 
 // awaitMemoryBriefly is awaitMemory for at most memoryWait.
 func (q *request) awaitMemoryBriefly(n int) bool {
-	ctx, cancel := context.WithTimeout(q.r.Context(), memoryWait)
-	defer cancel()
-	return q.awaitMemory(ctx, n)
+	return q.pollMemoryBriefly(q.growHeld(n))
 }
 
 // awaitMemory counts n more bytes of the request, and waits until they fit into the budget. It
 // returns false if the context ends before, or the request is aborted.
 func (q *request) awaitMemory(ctx context.Context, n int) bool {
-	return pollMemory(ctx, func() (taken, ended bool) { return q.held.Grow(n, time.Now()), q.held.Aborted() })
+	take := q.growHeld(n)
+	if taken, _ := take(); taken {
+		return true
+	}
+	return pollMemory(ctx, take)
 }
 
-// pollMemory calls take until it has taken memory. It returns false if the context or the request ends before.
-func pollMemory(ctx context.Context, take func() (taken, ended bool)) bool {
+// growHeld returns a function that counts n more bytes of the request, for pollMemory.
+func (q *request) growHeld(n int) func() (taken, ended bool) {
+	return func() (taken, ended bool) { return q.held.Grow(n, time.Now()), q.held.Aborted() }
+}
+
+// pollMemoryBriefly takes memory at once, or else polls for at most memoryWait.
+func (q *request) pollMemoryBriefly(take func() (taken, ended bool)) bool {
 	if taken, _ := take(); taken {
 		return true
 	}
+	ctx, cancel := context.WithTimeout(q.r.Context(), memoryWait)
+	defer cancel()
+	return pollMemory(ctx, take)
+}
+
+// pollMemory calls take at intervals until it has taken memory. It returns false if the context or the
+// request ends before.
+func pollMemory(ctx context.Context, take func() (taken, ended bool)) bool {
 	ticker := time.NewTicker(memoryInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
 
@@ -27,8 +27,7 @@
 	// Header returns the headers. It is called when the connection is established, since they state
 	// the time that is left.
 	Header func() http.Header
-	// Body is the body in pieces.
-	Body [][]byte
+	Body   httpbody.Body
 	// HasBody is set for a request with a body, even an empty one.
 	HasBody bool
 	// IsWithdrawn is called when the connection is established and nothing has been sent. If it
@@ -151,11 +150,7 @@
 // write sends the request. It runs concurrently with reading the answer, since a server may
 // answer before it has read a long body.
 func (e *Exchange) write(r *Request) {
-	length := 0
-	for _, piece := range r.Body {
-		length += len(piece)
-	}
-	rest := r.Body
+	length, rest := r.Body.Len(), r.Body
 	buf := make([]byte, 0, 1024+min(length, maxCopiedBody))
 	buf = append(buf, r.Method...)
 	buf = append(buf, ' ')
@@ -178,7 +173,10 @@
 	}
 	buf = append(buf, "\r\n"...)
 	if length <= maxCopiedBody {
-		buf, rest = slices.Concat(append([][]byte{buf}, rest...)...), nil
+		for _, piece := range r.Body {
+			buf = append(buf, piece...)
+		}
+		rest = nil
 	}
 	if e.conn.tunnel != nil {
 		if err := e.conn.tunnel.BeginRequest(r.ID); err != nil {
