--- a/internal/entry/list.go
+++ b/internal/entry/list.go
@@ -118,7 +118,7 @@
 	n.storeHealth.record(asked, n.clock.Now(), err)
 	if n.storeHealth.isLost() {
 		// The long poll may have been lost with this call, and would hide that the store is back.
-		n.operatorPoll.abortHeld()
+		n.operatorPoll.abortHeld(n.clock.Now())
 	}
 	if count := len(rows.Malformed); err == nil && count > 0 {
 		// Logs one line per read, however many entries are malformed.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -63,7 +63,7 @@
 		hold = longPollTime
 	}
 	asked := n.clock.Now()
-	call, done := n.operatorPoll.begin(ctx, asked, hold > 0)
+	call, done := n.operatorPoll.begin(ctx, asked, hold)
 	defer done()
 	_, err := n.readOperatorAfter(call, view.readRevision, hold)
 	switch {
@@ -181,10 +181,10 @@
 			// The long poll should have returned these rows, so it is lost.
 			n.operatorPoll.abort()
 		case err != nil:
-			n.operatorPoll.abortOverdue(n.clock.Now())
+			n.operatorPoll.abortHeld(n.clock.Now().Add(-platform.CallTimeout))
 		}
 	default:
-		n.operatorPoll.abortOverdue(n.clock.Now())
+		n.operatorPoll.abortHeld(n.clock.Now().Add(-platform.CallTimeout))
 	}
 }
 
@@ -237,21 +237,20 @@
 type longPoll struct {
 	mu     sync.Mutex
 	cancel context.CancelFunc
-	// held is set if the store may hold the read that began at begunAt.
-	held    bool
-	begunAt time.Time
+	// heldSince is when the read began if the store may hold it; zero if it may not.
+	heldSince time.Time
 }
 
-// maxAnswerTime is how long the store may take to return rows that exist.
-const maxAnswerTime = 1500 * time.Millisecond
-
 // begin returns the context of a read, which ends when the read is aborted. The caller calls
 // done after the answer.
-func (p *longPoll) begin(ctx context.Context, now time.Time, held bool) (call context.Context, done func()) {
+func (p *longPoll) begin(ctx context.Context, now time.Time, hold time.Duration) (call context.Context, done func()) {
 	call, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cancel, p.held, p.begunAt = cancel, held, now
+	p.cancel, p.heldSince = cancel, time.Time{}
+	if hold > 0 {
+		p.heldSince = now
+	}
 	return call, cancel
 }
 
@@ -264,20 +263,11 @@
 	}
 }
 
-// abortHeld cancels the current read if the store may hold it.
-func (p *longPoll) abortHeld() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.held {
-		p.cancel()
-	}
-}
-
-// abortOverdue cancels the current read if the store should have returned its rows by now.
-func (p *longPoll) abortOverdue(now time.Time) {
+// abortHeld cancels the current read if the store may hold it and it began by the given time.
+func (p *longPoll) abortHeld(begunBy time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.held && now.Sub(p.begunAt) > maxAnswerTime {
+	if !p.heldSince.IsZero() && !p.heldSince.After(begunBy) {
 		p.cancel()
 	}
 }
