quarantine: of several runs of a request on an ended instance, the one sent last counts

Callers saw: a request that ends each server it runs on was not refused after three servers, when a copy of it had been waiting at one of them.

Cause: three ends within 100 ms are a loss of power unless they form a chain: the request was sent to each instance after the one before had ended. Reports of two daemons on the same instance were merged by keeping whichever arrived first. If that was the copy sent 60 ms earlier, the chain broke, and no verdict was reached. Seen in the logs of all three failures: in each, the report of the waiting daemon on the second or third instance comes first.

Change: the run that was sent last is kept, whatever the order of reports. Requests that many callers send stay safe since one that completes elsewhere is cleared (TestPowerLossDoesNotCondemnFrequentRequests).

Result: TestWaitingCopyDoesNotHideRepeatsThatCrash failed before ("copy reported first").

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -99,7 +99,11 @@
 		e.insertOrdered(report.Instance, c.at)
 	}
 	for _, s := range report.Suspects {
-		if _, known := c.suspects[s.Digest]; known || len(c.suspects) >= maxSuspects {
+		if known := c.suspects[s.Digest]; known != nil {
+			known.keepLatest(s)
+			continue
+		}
+		if len(c.suspects) >= maxSuspects {
 			continue
 		}
 		s.Parts = TrimParts(s.Parts, c.parts)
@@ -109,6 +113,14 @@
 	}
 }
 
+// keepLatest keeps, of the runs of one request that an instance had when it ended, the one that was sent last: the
+// instance had survived the others until then. It makes the result independent of the order of reports.
+func (s *Suspect) keepLatest(o Suspect) {
+	if o.Ran < s.Ran {
+		s.Ran, s.Progress = o.Ran, o.Progress
+	}
+}
+
 // insertOrdered inserts n into order at the position of its time. Reports may arrive out of
 // order: daemons send them at different times, and a daemon that has just become the judge (the
 // one that decides on quarantines) receives all at once.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -163,6 +163,46 @@
 	require.Zero(t, h.decide(allDaemonsKnown))
 }
 
+// Guards against three ends in quick succession that are taken for a loss of power, because a copy of the
+// request that caused them had been waiting at one of the instances.
+func TestWaitingCopyDoesNotHideRepeatsThatCrash(t *testing.T) {
+	for name, waitingFirst := range map[string]bool{"copy reported first": true, "copy reported last": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness()
+			repeat := h.suspectWith("visrad")
+			repeat.Ran = 20 * time.Millisecond
+			waiting := repeat
+			waiting.Ran = 60 * time.Millisecond
+			h.end(repeat)
+			for range 2 {
+				h.clock.Advance(30 * time.Millisecond)
+				if waitingFirst {
+					h.end(waiting, repeat)
+				} else {
+					h.end(repeat, waiting)
+				}
+			}
+			require.Equal(t, 1, h.decide(allDaemonsKnown))
+		})
+	}
+}
+
+// Guards against a request that many callers send all the time and that is refused because a rack loses power:
+// each instance of the rack had been sent one just before, but others complete elsewhere.
+func TestPowerLossDoesNotCondemnFrequentRequests(t *testing.T) {
+	h := newHarness()
+	older := h.suspectWith("visrad")
+	older.Ran = 300 * time.Millisecond
+	newer := older
+	newer.Ran = 10 * time.Millisecond
+	for range 3 {
+		h.end(older, newer)
+		h.clock.Advance(20 * time.Millisecond)
+	}
+	h.evidence.ClearRequest(older.Digest, 0)
+	require.Zero(t, h.decide(allDaemonsKnown))
+}
+
 // Guards against a popular part that is refused together with the request that crashes instances: what
 // one verdict explains is no evidence for another.
 func TestVerdictsAreTakenOneAfterTheOther(t *testing.T) {
