quarantine: an instance ended when the first daemon noticed it

Cause: the time of an end came from the daemon that reported first, and how long a request had run from the daemon that sent it. When these noticed the end 4 to 12 ms apart, a repeat seemed to have been sent before the end of the instance before, and three ends within 100 ms were taken for a loss of power. In the log of one run: noticed at .430 and .426, the next repeat sent at .429.

Change: the earliest notice counts, and runs are measured up to it.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -92,13 +92,18 @@
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	defer e.expire(now)
+	at := now.Add(-report.Age)
 	c := e.crashes[report.Instance]
-	if c == nil {
-		c = &crash{id: report.ID, at: now.Add(-report.Age), suspects: map[Digest]*Suspect{}}
+	switch {
+	case c == nil:
+		c = &crash{id: report.ID, at: at, suspects: map[Digest]*Suspect{}}
 		e.crashes[report.Instance] = c
-		e.insertOrdered(report.Instance, c.at)
+		e.insertOrdered(report.Instance, at)
+	case at.Before(c.at):
+		e.moveTo(report.Instance, at)
 	}
 	for _, s := range report.Suspects {
+		s.Ran = max(s.Ran-at.Sub(c.at), 0)
 		if known := c.suspects[s.Digest]; known != nil {
 			known.keepLatest(s)
 			continue
@@ -121,6 +126,17 @@
 	}
 }
 
+// moveTo sets the time of a crash to an earlier one, from a daemon that noticed it before the others.
+func (e *Evidence) moveTo(n inventory.InstanceHash, at time.Time) {
+	c := e.crashes[n]
+	for _, s := range c.suspects {
+		s.Ran = max(s.Ran-c.at.Sub(at), 0)
+	}
+	c.at = at
+	e.order = slices.DeleteFunc(e.order, func(o inventory.InstanceHash) bool { return o == n })
+	e.insertOrdered(n, at)
+}
+
 // insertOrdered inserts n into order at the position of its time. Reports may arrive out of
 // order: daemons send them at different times, and a daemon that has just become the judge (the
 // one that decides on quarantines) receives all at once.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -187,6 +187,39 @@
 	}
 }
 
+// Guards against repeats that are not seen to follow each other because one of two daemons notices the end of an
+// instance a moment after the other.
+func TestRunsAreComparedWithTheFirstNoticeOfAnEnd(t *testing.T) {
+	const interval, late = 22 * time.Millisecond, 12 * time.Millisecond
+	for _, lateDaemon := range []int{0, 1} {
+		for _, reportedFirst := range []int{0, 1} {
+			t.Run(fmt.Sprint("daemon ", lateDaemon, " is late, daemon ", reportedFirst, " reports first"), func(t *testing.T) {
+				h := newHarness()
+				// The first daemon repeats the request, the second has had a copy at the instance for longer.
+				repeat, waiting := h.suspectWith("visrad"), h.suspectWith("visrad")
+				repeat.Ran, waiting.Ran = 20*time.Millisecond, 60*time.Millisecond
+				waiting.Digest = repeat.Digest
+				for range 3 {
+					h.clock.Advance(interval)
+					h.next++
+					reports := []Crash{{Suspects: []Suspect{repeat}}, {Suspects: []Suspect{waiting}}}
+					for n := range reports {
+						r := &reports[n]
+						r.Instance, r.Age = inventory.InstanceHash(h.next), late
+						if n == lateDaemon {
+							r.Age = 0
+							r.Suspects[0].Ran += late
+						}
+					}
+					h.evidence.Add(reports[reportedFirst])
+					h.evidence.Add(reports[1-reportedFirst])
+				}
+				require.Equal(t, 1, h.decide(allDaemonsKnown))
+			})
+		}
+	}
+}
+
 // Guards against a request that many callers send all the time and that is refused because a rack loses power:
 // each instance of the rack had been sent one just before, but others complete elsewhere.
 func TestPowerLossDoesNotCondemnFrequentRequests(t *testing.T) {
