upconn: a stopping gateway's refusal on an idle tunnel does not count against the instance

Cause: the gateway refused the request on the idle tunnel to each of two instances. Both counted as tried, so no tunnel was opened for the request, and the other gateway was not looked for.

Change: a request that a gateway refuses for reasons of its own on an idle tunnel goes out again to the same instance, by another tunnel. The writer of the refused exchange has ended before. Refusals on new tunnels, and those because of the instance, are returned as before.

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -94,6 +94,9 @@
 // NotPassedOn states that no byte of a request was passed on.
 func (e TunnelError) NotPassedOn() {}
 
+// IsOfInstance reports whether the reason is the state of the instance, not that of the gateway.
+func (e TunnelError) IsOfInstance() bool { return e == TunnelWithdrawn || e == TunnelUnreachable }
+
 // TunnelReply is the answer to a TunnelRequest. Error is empty if the tunnel is open.
 type TunnelReply struct{ Error TunnelError }
 
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -68,6 +68,9 @@
 
 func (c *conn) link() Link { return Link{OpenedAt: c.openedAt, Reused: !c.answeredAt.IsZero()} }
 
+// wasIdle reports whether the connection was kept in the pool before its present use.
+func (c *conn) wasIdle() bool { return !c.usableUntil.IsZero() }
+
 // isFreeOf reports whether a late answer on the connection cannot be taken for that to a request with
 // an ID, which is sent again.
 func (c *conn) isFreeOf(id string) bool { return c.answeredAt.IsZero() || id == "" || c.lastID != id }
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -95,25 +95,37 @@
 // answer with the given status and headers is the one to this request. limit bounds the connections
 // of this daemon to the instance; 0 means no limit.
 func (p *Pool) Do(ctx context.Context, to Target, limit int, r *Request, isAnswer func(status int, h http.Header) bool) (*Exchange, error) {
-	c, err := p.get(ctx, to, limit, r.ID)
-	if err != nil {
-		return nil, &NotSentError{Cause: err}
-	}
-	err = ctx.Err()
-	if err == nil && r.IsWithdrawn != nil && r.IsWithdrawn() {
-		err = ErrWithdrawn
-	}
-	if err != nil {
-		p.putUnused(to.Address, c)
-		return nil, &NotSentError{Cause: err}
-	}
-	link, tunneled := c.link(), c.tunnel != nil
-	e, err := p.exchange(ctx, to, c, r, isAnswer)
-	// A request that is rejected as meant for another instance has not reached its own.
-	if err == nil && !tunneled && e.Status() != http.StatusMisdirectedRequest {
-		p.noteAnswer(to, link)
+	for {
+		c, err := p.get(ctx, to, limit, r.ID)
+		if err != nil {
+			return nil, &NotSentError{Cause: err}
+		}
+		err = ctx.Err()
+		if err == nil && r.IsWithdrawn != nil && r.IsWithdrawn() {
+			err = ErrWithdrawn
+		}
+		if err != nil {
+			p.putUnused(to.Address, c)
+			return nil, &NotSentError{Cause: err}
+		}
+		link, tunneled, wasIdle := c.link(), c.tunnel != nil, c.wasIdle()
+		e, err := p.exchange(ctx, to, c, r, isAnswer)
+		if wasIdle && isGatewayRefusal(err) {
+			// The instance has not been asked, and another gateway may reach it.
+			continue
+		}
+		// A request that is rejected as meant for another instance has not reached its own.
+		if err == nil && !tunneled && e.Status() != http.StatusMisdirectedRequest {
+			p.noteAnswer(to, link)
+		}
+		return e, err
 	}
-	return e, err
+}
+
+// isGatewayRefusal reports whether a gateway has refused a request for reasons of its own.
+func isGatewayRefusal(err error) bool {
+	var refused refusal
+	return errors.As(err, &refused) && !refused.IsOfInstance()
 }
 
 // exchange sends a request on a connection and reads the head of the answer.
@@ -132,7 +144,12 @@
 			p.noteFailure(to, c.link())
 		}
 		var refused refusal
-		if !e.writeStarted.Load() || errors.As(err, &refused) {
+		if errors.As(err, &refused) {
+			// The request may be written again on another connection.
+			<-e.writeDone
+			return nil, &NotSentError{Cause: err}
+		}
+		if !e.writeStarted.Load() {
 			return nil, &NotSentError{Cause: err}
 		}
 		err = fmt.Errorf("exchange with %s: %w", to.Address, err)
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -79,6 +79,8 @@
 type refusal interface {
 	error
 	NotPassedOn()
+	// IsOfInstance reports whether the reason is the state of the instance, not that of the gateway.
+	IsOfInstance() bool
 }
 
 type host struct {
