--- a/test/routes/partial_outage_test.go
+++ b/test/routes/partial_outage_test.go
@@ -205,7 +205,8 @@
 }
 
 // Guards against changes that are not in force in time after an outage of the store that ends in part: a key
-// that is taken away, servers that drain or are removed, and an evacuation.
+// that is taken away, servers that drain, are removed or have a successor under their ID, an evacuation, and a
+// roll-out.
 func TestChangesAreInForceAfterAnOutageThatEndsInPart(t *testing.T) {
 	const bound = 2 * time.Second
 	for name, outage := range partialOutages {
@@ -223,9 +224,15 @@
 			draining, removed := s.servers["hall-b-0"], s.servers["hall-b-1"]
 			draining.Register(s.store, wire.StateDraining)
 			s.store.Remove(wire.TableInstances, "hall-b-1")
+			old := s.servers["hall-a-0"]
+			s.startServer(platformtest.ServerOptions{ID: "hall-a-0", Service: plainService, FailureDomain: "hall-a", Version: "v2"})
+			s.store.OrderRollout(plainService, "v2", 30*time.Second)
 			<-time.After(bound + outage.slack)
 			reached := func() []int {
-				return []int{s.requestsIn("hall-c"), len(draining.Received()), len(removed.Received())}
+				return []int{s.requestsIn("hall-c"), len(draining.Received()), len(removed.Received()), len(old.Received())}
+			}
+			for _, d := range daemons {
+				require.True(t, d.logsContain("rollout.ordered", "to=v2"), "%s, reader=%v does not know the roll-out", d.Name, d.reader)
 			}
 			before := reached()
 			for range 20 {
@@ -239,7 +246,7 @@
 					require.NoError(t, s.send(valid, d.daemon).Err)
 				}
 			}
-			require.Equal(t, before, reached(), "requests at evacuated, draining and removed servers")
+			require.Equal(t, before, reached(), "requests at evacuated, draining, removed and replaced servers")
 		})
 	}
 }
