--- a/test/routes/long_bodies_test.go
+++ b/test/routes/long_bodies_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -19,6 +20,7 @@
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 	"github.com/hornbeamsill/hornbeamsill/test/cluster"
+	"github.com/hornbeamsill/hornbeamsill/test/faultdial"
 )
 
 // upload is a way to send a body in parts.
@@ -73,20 +75,47 @@
 	return resp.StatusCode
 }
 
-// Guards against a daemon that exceeds its memory by the bodies that it reads, and is ended with all requests
-// that it has passed on.
+// Guards against a daemon, or its gateway, that exceeds its memory by the bodies that it reads, and is ended with
+// all requests that it has passed on.
 func TestLongBodiesDoNotExceedTheMemory(t *testing.T) {
-	const memoryMB, uploaders, clerks, bodyBytes = 160, 100, 20, 4_000_000
-	const duration = 8 * time.Second
+	for name, c := range map[string]struct {
+		bodyBytes int
+		tunneled  bool
+	}{
+		"4 MB":            {4_000_000, false},
+		"16 MB":           {16_000_000, false},
+		"4 MB by tunnel":  {4_000_000, true},
+		"16 MB by tunnel": {16_000_000, true},
+	} {
+		t.Run(name, func(t *testing.T) { sendLongBodies(t, c.bodyBytes, c.tunneled) })
+	}
+}
+
+func sendLongBodies(t *testing.T, bodyBytes int, tunneled bool) {
+	const memoryMB, uploaders, clerks, duration = 160, 100, 20, 8 * time.Second
 	s := newTestbed(t)
 	manifest := newManifest(4)
-	manifest.Limits.MaxBodyBytes = 4 << 20
+	manifest.Limits.MaxBodyBytes = int64(bodyBytes)
 	s.store.PutManifest(manifest)
 	for n := range 2 {
 		s.startServer(platformtest.ServerOptions{ID: fmt.Sprint("cat-", n), Service: plainService, Slots: 300, Delay: 200 * time.Millisecond})
 	}
-	d := s.startDaemon(func(r *settings.Routes) { r.MemoryMB, r.Descriptors = memoryMB, 3000 })
-	s.waitReady(d)
+	var daemons []*daemon
+	for range 2 {
+		d := s.startProcess(func(r *settings.Routes) { r.MemoryMB, r.Descriptors = memoryMB, 3000 }, binaries.StartFaultDaemon)
+		s.waitReady(d)
+		daemons = append(daemons, d)
+	}
+	d := daemons[0]
+	if tunneled {
+		s.setFault(d, faultdial.Refuse)
+		s.eventually(func() error {
+			if r := s.send(s.newCall(pathSafe), d); r.Status != http.StatusOK || !d.logsContain("service.cut_off", "service="+plainService) {
+				return trace.Errorf("answered %d", r.Status)
+			}
+			return nil
+		})
+	}
 	var mu sync.Mutex
 	long := map[int]int{}
 	stopUploads := runWorkers(uploaders, func(worker int) {
@@ -107,9 +136,11 @@
 	time.Sleep(duration)
 	stopUploads()
 	stopClerks()
-	peak := d.peakMemory(t)
-	t.Logf("short requests served %d, long ones by status %v, peak memory %d MB", served.Load(), long, peak)
-	require.Less(t, peak, memoryMB*9/10)
+	for _, d := range daemons {
+		peak := d.peakMemory(t)
+		t.Logf("%s: short requests served %d, long ones by status %v, peak memory %d MB", d.Name, served.Load(), long, peak)
+		require.Less(t, peak, memoryMB*9/10)
+	}
 	require.Positive(t, served.Load())
 	require.Positive(t, long[http.StatusOK])
 }
