quarantine: the judge asks about every part that would explain a crash instead

Cause: a crash counts for such a part only if no other part of several crashes is on it, unless that one is known to have completed. The judge asked daemons only about traits of three crashes or more. When sound requests were on just two of them, their part counted as new, and two of six crashes as explained by it. In the log of a failed run six daemons had requests on the fourth instance and three on the fifth; in passing runs a verdict on the part follows the sixth crash.

Change: parts of two crashes or more are asked about, too, after the suspected traits, so that these have the first places in a bounded question.

Result: TestSoundPartsOnTwoCrashesAreAskedAbout failed before.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -36,14 +36,16 @@
 	Unrelated, Requests int
 }
 
-// Suspected returns the traits that were on enough ended instances to be judged. The caller must add what
-// is known of them, ask all daemons about them if MayDecide says so, and then call Culprits.
+// Suspected returns the traits that were on enough ended instances to be judged, followed by the parts that would
+// explain some of these ends instead unless requests with them have completed. The caller must add what is known
+// of them, ask all daemons about them if MayDecide says so, and then call Culprits.
 func (e *Evidence) Suspected(v Verdicts) []Trait {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.expire(e.clock.Now())
 	known := map[Trait]bool{}
-	for _, h := range e.hypotheses(v, e.newBasis(v, EvidenceTTL)) {
+	b := e.newBasis(v, EvidenceTTL)
+	for _, h := range e.hypotheses(v, b) {
 		for _, t := range h.traits {
 			known[t.completionKey()] = true
 		}
@@ -51,10 +53,25 @@
 	out := slices.SortedFunc(maps.Keys(known), compareTraits)
 	for _, again := range e.onProbation(v) {
 		if t := again.trait(); !known[t] {
+			known[t] = true
 			out = append(out, t)
 		}
 	}
-	return out
+	if len(out) == 0 {
+		return nil
+	}
+	return append(out, b.repeated.partsBeside(known)...)
+}
+
+// partsBeside returns the keys of the parts on several crashes that are not known.
+func (r *repeatedTraits) partsBeside(known map[Trait]bool) []Trait {
+	beside := map[Trait]bool{}
+	for t, count := range r.traits {
+		if key := t.completionKey(); t.Part != "" && count.n > 1 && !known[key] {
+			beside[key] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(beside), compareTraits)
 }
 
 func compareTraits(a, b Trait) int {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -187,6 +187,35 @@
 	}
 }
 
+// Guards against a part that was sound before and is not refused because requests with another sound part were on
+// two of the crashes: nobody had been asked whether these complete.
+func TestSoundPartsOnTwoCrashesAreAskedAbout(t *testing.T) {
+	h := newHarness()
+	h.evidence.ClearPart("ee", 0)
+	h.clock.Advance(time.Second)
+	for n := range 2 {
+		s := h.suspectWith("visrad", "aa", "ee")
+		s.Ran = 20 * time.Millisecond
+		for crash := range 3 {
+			h.clock.Advance(150 * time.Millisecond)
+			if n == 1 && crash < 2 {
+				h.end(s, h.suspectWith("visrad", "aa", "bb"))
+			} else {
+				h.end(s)
+			}
+			for _, asked := range h.evidence.Suspected(h.list) {
+				if asked.Part == "aa" || asked.Part == "bb" {
+					h.evidence.ClearPart(asked.Part, 0)
+				}
+			}
+			h.decide(allDaemonsKnown)
+		}
+		h.clock.Advance(time.Second)
+	}
+	require.True(t, h.refusesParts("visrad", "ee"))
+	require.False(t, h.refusesParts("visrad", "aa", "bb"))
+}
+
 // Guards against repeats that are not seen to follow each other because one of two daemons notices the end of an
 // instance a moment after the other.
 func TestRunsAreComparedWithTheFirstNoticeOfAnEnd(t *testing.T) {
