quarantine, entry: a suspect ran until its instance ended, not until that was noticed

Cause: a daemon measured how long a request had run until the request's own connection broke, or until it was given up, but the end of the instance from its first broken connection. Connections that break later made a run longer, one given up before the end made it shorter.

Change: all are measured up to the end that the report states.

Result: TestRunsOfSuspectsEndWithTheirInstance failed before.

--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -39,9 +39,8 @@
 	pending chan struct{}
 
 	mu sync.Mutex
-	// broken are the requests whose connections to an instance broke, until the instance has
-	// been probed.
-	broken  map[inventory.InstanceHash][]quarantine.Suspect
+	// broken are the instances to which connections broke, until they have been probed.
+	broken  map[inventory.InstanceHash]*brokenInstance
 	reports []*report
 	// waiting are the requests whose next attempt waits, until the instance is found not to
 	// have ended or the judges have decided.
@@ -56,6 +55,12 @@
 	gate        *quarantine.Gate
 }
 
+// brokenInstance has the requests whose connections to an instance broke. The first one did at a given time.
+type brokenInstance struct {
+	at       time.Time
+	suspects []quarantine.Suspect
+}
+
 // waitingRequest is a request whose next attempt waits; each of channels is closed when it may go on.
 type waitingRequest struct {
 	suspect  quarantine.Suspect
@@ -75,7 +80,7 @@
 
 func newCrashReporter(n *Node) *crashReporter {
 	return &crashReporter{
-		Node: n, pending: make(chan struct{}, 1), broken: map[inventory.InstanceHash][]quarantine.Suspect{},
+		Node: n, pending: make(chan struct{}, 1), broken: map[inventory.InstanceHash]*brokenInstance{},
 		waiting: map[quarantine.Digest]*waitingRequest{}, reporting: map[string]bool{},
 		completions: quarantine.NewCompletions(n.clock), inFlight: quarantine.NewInFlight(n.clock), gate: quarantine.NewGate(n.clock),
 		abandoned: quarantine.NewAbandoned(n.clock),
@@ -95,18 +100,20 @@
 		c.waiting[s.Digest] = w
 	}
 	w.channels = append(w.channels, decided)
+	now := c.clock.Now()
 	if r := c.reportOf(i); r != nil {
-		r.add(s)
+		r.add(s.UntilEnd(r.at, now))
 		c.gate.Hold(suspectParts)
 		c.signal()
 		return decided
 	}
-	hash := i.Hash()
-	first := c.broken[hash] == nil
-	c.broken[hash] = append(c.broken[hash], s)
-	if first {
-		go c.probe(i)
+	b := c.broken[i.Hash()]
+	if b == nil {
+		b = &brokenInstance{at: now}
+		c.broken[i.Hash()] = b
+		go c.probe(i, now)
 	}
+	b.suspects = append(b.suspects, s.UntilEnd(b.at, now))
 	return decided
 }
 
@@ -117,7 +124,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r := c.reportOf(i); r != nil {
-		r.add(s)
+		r.add(s.UntilEnd(r.at, c.clock.Now()))
 		c.signal()
 	}
 }
@@ -200,10 +207,9 @@
 	return nil
 }
 
-// probe checks whether an instance whose connections broke has ended. The end of an instance
+// probe checks whether an instance has ended to which connections have broken since at. The end of an instance
 // that was leaving is planned and not reported.
-func (c *crashReporter) probe(i inventory.Instance) {
-	at := c.clock.Now()
+func (c *crashReporter) probe(i inventory.Instance, at time.Time) {
 	ended := c.paths.instanceEnded(context.Background(), i)
 	if !ended {
 		// The requests do not wait for the second probe.
@@ -234,14 +240,14 @@
 func (c *crashReporter) brokenSuspects(i inventory.Instance) []quarantine.Digest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return quarantine.Digests(c.broken[i.Hash()])
+	return quarantine.Digests(c.broken[i.Hash()].suspects)
 }
 
 // takeBroken returns and removes the requests whose connections to an instance broke.
 func (c *crashReporter) takeBroken(i inventory.Instance) []quarantine.Suspect {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	suspects := c.broken[i.Hash()]
+	suspects := c.broken[i.Hash()].suspects
 	delete(c.broken, i.Hash())
 	return suspects
 }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,6 +65,34 @@
 	require.True(t, n.quarantine.InstanceEnded(inventory.Instance{ID: "i"}))
 }
 
+// Guards against requests that seem to have run for longer, or shorter, than others on the same instance, since
+// their connections break later or they were given up before. Such a repeat did not seem to follow the end of the
+// instance before.
+func TestRunsOfSuspectsEndWithTheirInstance(t *testing.T) {
+	const ran, before, after = 20 * time.Millisecond, 30 * time.Millisecond, 400 * time.Millisecond
+	clock := clockwork.NewFakeClock()
+	n := newTestNode(clock, nil)
+	ended := inventory.Instance{ID: "i", Address: "127.0.0.1:1"}
+	next := 0
+	suspectSeen := func(offset time.Duration) quarantine.Suspect {
+		next++
+		return quarantine.Suspect{Digest: quarantine.NewDigest("POST", "shop.example", fmt.Sprint("/notes/", next), "visrad", nil), Ran: ran + offset}
+	}
+	n.quarantine.Abandoned(ended, suspectSeen(-before))
+	clock.Advance(before)
+	n.quarantine.ConnectionBroken(ended, suspectSeen(0))
+	require.Eventually(t, func() bool { return n.quarantine.InstanceEnded(ended) }, 10*time.Second, time.Millisecond)
+	clock.Advance(after)
+	n.quarantine.ConnectionBroken(ended, suspectSeen(after))
+	n.quarantine.Abandoned(ended, suspectSeen(after))
+	crashes, _ := n.quarantine.unsent("judge")
+	require.Len(t, crashes, 1)
+	require.Len(t, crashes[0].Suspects, next)
+	for _, s := range crashes[0].Suspects {
+		require.Equal(t, ran, s.Ran)
+	}
+}
+
 // Two requests were on the same three instances that ended, so neither is quarantined. Then
 // one of them finishes elsewhere and no more instances end. Guards against quarantining the
 // other one only after a further crash.
--- a/internal/quarantine/abandoned.go
+++ b/internal/quarantine/abandoned.go
@@ -59,7 +59,7 @@
 	var out []Suspect
 	for _, r := range a.all {
 		if r.instance == i && at.Sub(r.at) <= abandonedTime {
-			out = append(out, r.suspect)
+			out = append(out, r.suspect.UntilEnd(at, r.at))
 		}
 	}
 	return out
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -103,7 +103,7 @@
 		e.moveTo(report.Instance, at)
 	}
 	for _, s := range report.Suspects {
-		s.Ran = max(s.Ran-at.Sub(c.at), 0)
+		s = s.UntilEnd(c.at, at)
 		if known := c.suspects[s.Digest]; known != nil {
 			known.keepLatest(s)
 			continue
@@ -130,7 +130,7 @@
 func (e *Evidence) moveTo(n inventory.InstanceHash, at time.Time) {
 	c := e.crashes[n]
 	for _, s := range c.suspects {
-		s.Ran = max(s.Ran-c.at.Sub(at), 0)
+		*s = s.UntilEnd(at, c.at)
 	}
 	c.at = at
 	e.order = slices.DeleteFunc(e.order, func(o inventory.InstanceHash) bool { return o == n })
--- a/internal/quarantine/trait.go
+++ b/internal/quarantine/trait.go
@@ -41,6 +41,14 @@
 	Ran, Progress time.Duration
 }
 
+// UntilEnd returns the suspect with Ran as the time to the end of its instance, if Ran is the time until it was seen
+// to break off or given up.
+func (s *Suspect) UntilEnd(end, seen time.Time) Suspect {
+	out := *s
+	out.Ran = max(s.Ran+end.Sub(seen), 0)
+	return out
+}
+
 // NormalisePart returns the ID of a part in the form in which parts are compared: hexadecimal
 // numbers are equal whatever their case and leading zeros.
 func NormalisePart(id string) string {
