quarantine: a test of a sound request that is refused after a loss of power; KNOWN-RED

Not mended: nothing that the judge knows tells it from a request that crashes engines one after the other.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -249,6 +249,20 @@
 	}
 }
 
+// Guards against a request that many callers send, and that is refused because all instances lose power within
+// 20 ms: the daemons send it to each of these after the end of the one before.
+func TestPowerLossDoesNotCondemnRequestsThatAreSentAgain(t *testing.T) {
+	h := newHarness()
+	same := h.suspectWith("visrad")
+	same.Ran = 50 * time.Millisecond
+	for range 3 {
+		h.end(same)
+		h.clock.Advance(8 * time.Millisecond)
+		same.Ran = 7 * time.Millisecond
+	}
+	require.Zero(t, h.decide(allDaemonsKnown))
+}
+
 // Guards against a request that many callers send all the time and that is refused because a rack loses power:
 // each instance of the rack had been sent one just before, but others complete elsewhere.
 func TestPowerLossDoesNotCondemnFrequentRequests(t *testing.T) {
