httplisten: the listener for callers in a package of its own

So that all HTTP listeners of both daemons can use it. callers.go, caller_conn.go and caller_buffers.go moved from package entry with their tests; names lost the prefix caller, the limits come through Options. No behaviour changes.

--- a/internal/entry/caller_left_test.go
+++ b/internal/entry/caller_left_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
 )
 
@@ -29,8 +30,12 @@
 		require.NoError(t, c.Close())
 	}
 	server := &http.Server{Handler: n.handler}
-	trackCallerConns(server, n.codec.RequestID)
-	go func() { _ = server.Serve(newCallerListener(listener, 2*callers, n.limits, &callerMetrics{})) }()
+	httplisten.Track(server, n.codec.RequestID)
+	go func() {
+		_ = server.Serve(httplisten.New(listener, httplisten.Options{
+			MaxConns: 2 * callers, Limits: func() httplisten.Limits { return httplisten.Limits{} }, Metrics: &httplisten.Metrics{},
+		}))
+	}()
 	defer server.Close()
 
 	// Connections are accepted in order, so that all the others have been read by the time of the answer.
--- /dev/null
+++ b/internal/entry/listeners.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
+)
+
+const (
+	// callerSendBuffer is the size of the kernel's send buffer of a caller's connection where slow
+	// callers are bounded; the kernel doubles it for its own data. It holds what a link of 200 Mbit/s
+	// carries in 2.5 ms, about the longest delay between failure domains. By default, the buffer grows
+	// to some MB, which count as memory of the machine but not of the process.
+	callerSendBuffer = 64 << 10
+	// reservedDescriptors are reserved for files and peers.
+	reservedDescriptors = 300
+	// callerFraction is the fraction of the other descriptors for callers' connections; each
+	// of their requests may need a connection to an upstream instance.
+	callerFraction = 0.6
+)
+
+// maxCallerConns returns how many connections callers may have open at once; 0 means no limit.
+// Without a limit a flood of connections would leave no descriptors for upstream instances and
+// the store, and requests in progress would fail.
+func maxCallerConns(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(int(callerFraction*float64(descriptors-reservedDescriptors)), 1)
+}
+
+// listenCallers serves callers and returns the address.
+func (p *Process) listenCallers() (string, error) {
+	var buffers httplisten.Buffers
+	if p.node.overload.SlowCallers() {
+		buffers.Send = callerSendBuffer
+	}
+	l, err := httplisten.Listen(p.settings.CallerListen, buffers)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	p.callerListener = httplisten.New(l, httplisten.Options{
+		MaxConns: maxCallerConns(p.settings.Descriptors), Metrics: &p.callerMetrics,
+		Limits: func() httplisten.Limits {
+			declared := p.node.limits()
+			return httplisten.Limits{HeaderTimeout: declared.HeaderTimeout, IdleTimeout: declared.IdleTimeout}
+		},
+	})
+	httplisten.Track(p.callers, p.node.codec.RequestID)
+	return serve(p.callers, p.callerListener), nil
+}
+
+// listenAuxiliary serves one of the internal interfaces and returns its address. It does
+// nothing if address is empty.
+func (p *Process) listenAuxiliary(address string, handler http.Handler) (string, error) {
+	if address == "" {
+		return "", nil
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: httplisten.DefaultHeaderTimeout, IdleTimeout: httplisten.DefaultIdleTimeout}
+	p.auxiliary = append(p.auxiliary, server)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	return serve(server, l), nil
+}
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -18,6 +18,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
+	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
@@ -70,8 +71,8 @@
 
 	peers          *peer.Server
 	callers        *http.Server
-	callerListener *callerListener
-	callerMetrics  callerMetrics
+	callerListener *httplisten.Listener
+	callerMetrics  httplisten.Metrics
 	auxiliary      []*http.Server
 	loops          sync.WaitGroup
 	stopLoops      context.CancelFunc
@@ -92,9 +93,7 @@
 	}
 	p.node.registry.SetSelf(func(d *member.Daemon) { d.PeerAddress = p.peers.Address() })
 	p.publishVars()
-	p.callers = &http.Server{
-		Handler: p.node.handler, MaxHeaderBytes: maxHeaderBytes,
-	}
+	p.callers = &http.Server{Handler: p.node.handler, MaxHeaderBytes: httplisten.MaxHeaderBytes}
 	if p.node.callerAddress, err = p.listenCallers(); err != nil {
 		return err
 	}
@@ -119,50 +118,6 @@
 	return nil
 }
 
-// listenAuxiliary serves one of the internal interfaces and returns its address. It does
-// nothing if address is empty.
-func (p *Process) listenAuxiliary(address string, handler http.Handler) (string, error) {
-	if address == "" {
-		return "", nil
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	p.auxiliary = append(p.auxiliary, server)
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	return serve(server, l), nil
-}
-
-// listenCallers serves callers and returns the address.
-func (p *Process) listenCallers() (string, error) {
-	l, err := p.listenForCallers()
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	p.callerListener = newCallerListener(l, maxCallerConns(p.settings.Descriptors), p.node.limits, &p.callerMetrics)
-	trackCallerConns(p.callers, p.node.codec.RequestID)
-	return serve(p.callers, p.callerListener), nil
-}
-
-const (
-	// reservedDescriptors are reserved for files and peers.
-	reservedDescriptors = 300
-	// callerFraction is the fraction of the other descriptors for callers' connections; each
-	// of their requests may need a connection to an upstream instance.
-	callerFraction = 0.6
-)
-
-// maxCallerConns returns how many connections callers may have open at once; 0 means no limit.
-// Without a limit a flood of connections would leave no descriptors for upstream instances and
-// the store, and requests in progress would fail.
-func maxCallerConns(descriptors int) int {
-	if descriptors == 0 {
-		return 0
-	}
-	return max(int(callerFraction*float64(descriptors-reservedDescriptors)), 1)
-}
-
 // serve starts to serve connections of a listener and returns its address with the port.
 func serve(server *http.Server, l net.Listener) string {
 	address := l.Addr().String()
@@ -186,7 +141,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	cut := int64(0)
-	if p.callerListener.drain(ctx) != nil {
+	if p.callerListener.Drain(ctx) != nil {
 		cut = p.node.metrics.Open.Load()
 		p.refuseWaiting()
 	}
@@ -212,11 +167,11 @@
 // refuseWaiting ends the requests that are still open and waits for their answers. Those that no instance
 // has begun are refused, so that their callers repeat them.
 func (p *Process) refuseWaiting() {
-	p.callerListener.cancelRequests(forward.ErrStopping)
+	p.callerListener.CancelRequests(forward.ErrStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
 	defer cancel()
 	// Connections that are still open after that are closed with the server.
-	_ = p.callerListener.drain(ctx)
+	_ = p.callerListener.Drain(ctx)
 }
 
 // carriedPoll is the interval at which a stopping daemon looks whether it still carries requests.
@@ -335,7 +290,7 @@
 	StalledCallers int64 `json:"callers_stalled"`
 	AbortedCallers int64 `json:"callers_aborted"`
 	// Closed has the connections of callers that this daemon closed.
-	Closed closedVars `json:"connections_closed"`
+	Closed httplisten.Vars `json:"connections_closed"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
 	// Survey has the counters of what this daemon learned from engines when it started.
@@ -365,7 +320,7 @@
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(), ErrorAnswers: n.metrics.ErrorAnswers.Load(), ForeignAnswers: n.metrics.ForeignAnswers.Load(),
 			OutOfOrder: n.metrics.OutOfOrder.Load(), EndsConfirmed: n.metrics.EndsConfirmed.Load(), EndsPlanned: n.metrics.EndsPlanned.Load(), EndsUnconfirmed: n.metrics.EndsUnconfirmed.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
-			Closed: p.callerMetrics.vars(),
+			Closed: p.callerMetrics.Vars(),
 			Survey: n.survey.vars(), Paths: n.paths.vars(), Directory: n.directory.vars(),
 			Terms: n.terms.vars(),
 		}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/endings"
 	"github.com/hornbeamsill/hornbeamsill/internal/evacuation"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
+	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
 	"github.com/hornbeamsill/hornbeamsill/internal/inventory"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
@@ -205,7 +206,7 @@
 	n.held = limit.NewHeldBytes(heldMemory)
 	n.handler = forward.New(forward.Deps{
 		Codec: codec, Catalog: n.servableConfig, IsCurrent: n.configIsCurrent, AwaitNewer: n.awaitNewerConfig, AwaitReady: n.awaitReady, ReadyIn: n.readyRetryAfter, Table: n.table, Prompts: n.prefixes, Pool: n.pool, Paths: n.paths, Versions: n.rollouts,
-		Quarantine: n.quarantine, Endings: n.endings, CallerLeft: callerLeft, NotifyPeers: n.requestHeartbeat, RefusesLate: n.refusesLate, IsLeaving: n.leaving.Load, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
+		Quarantine: n.quarantine, Endings: n.endings, CallerLeft: httplisten.ClientLeft, NotifyPeers: n.requestHeartbeat, RefusesLate: n.refusesLate, IsLeaving: n.leaving.Load, Retries: n.retries, FailureDomain: s.FailureDomain, DaemonCount: n.senderCount, Metrics: n.metrics, Overload: n.overload,
 		Meter: n.meter, Account: n.account,
 		BodyBytes: limit.NewByteBudget(bodyMemory), AnswerBytes: limit.NewByteBudget(heldMemory), Held: n.held,
 	})
--- a/internal/entry/caller_conn.go
+++ b/internal/httplisten/conn.go
@@ -1,13 +1,11 @@
-package entry
+package httplisten
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
@@ -27,14 +25,14 @@
 	phaseClosing
 )
 
-// callerConn closes itself when it has been idle for too long or when the header of a request
+// conn closes itself when it has been idle for too long or when the header of a request
 // takes too long to arrive. A request begins and a close is decided under the same lock, so that no
 // connection is closed under a request that has begun.
 //
 // Lock order: no other lock is taken while mu is held.
-type callerConn struct {
+type conn struct {
 	net.Conn
-	listener   *callerListener
+	listener   *Listener
 	acceptedAt time.Time
 	// closed is closed with the connection.
 	closed    chan struct{}
@@ -57,7 +55,7 @@
 }
 
 // Read implements net.Conn. It drops what is read after it was decided to close the connection.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		if n == 0 || c.noteBytes() {
@@ -67,7 +65,7 @@
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	c.mu.Lock()
 	c.beginClose()
 	c.mu.Unlock()
@@ -81,7 +79,7 @@
 
 // resetOnClose determines whether a close resets the connection, also that by the end of the process. An answer
 // in HTTP/1.0 may have neither a length nor chunks, so that any other close would end it like a whole one.
-func (c *callerConn) resetOnClose(reset bool) {
+func (c *conn) resetOnClose(reset bool) {
 	tcp, ok := c.Conn.(interface{ SetLinger(sec int) error })
 	if !ok {
 		return
@@ -96,29 +94,29 @@
 
 // noteBytes starts the header timeout when the first bytes of a request arrive. It returns false if the
 // connection is being closed.
-func (c *callerConn) noteBytes() bool {
+func (c *conn) noteBytes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseIdle {
 		c.phase = phaseHeader
-		c.startTimer(orDefault(c.listener.limits().HeaderTimeout, headerTimeout), c.rejectSlow)
+		c.startTimer(orDefault(c.listener.options.Limits().HeaderTimeout, DefaultHeaderTimeout), c.rejectSlow)
 	}
 	return c.phase != phaseClosing
 }
 
 // noteIdle starts the idle timeout.
-func (c *callerConn) noteIdle() {
+func (c *conn) noteIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != phaseClosing {
 		c.phase, c.idleSince = phaseIdle, time.Now()
-		c.startTimer(orDefault(c.listener.limits().IdleTimeout, idleTimeout), c.closeIdle)
+		c.startTimer(orDefault(c.listener.options.Limits().IdleTimeout, DefaultIdleTimeout), c.closeIdle)
 	}
 }
 
 // Write implements net.Conn. The HTTP server does not tell the handler of an answer that fails when its
 // buffer is flushed.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.noteWriteFailed(err)
@@ -126,20 +124,20 @@
 	return n, err
 }
 
-func (c *callerConn) noteWriteFailed(err error) {
+func (c *conn) noteWriteFailed(err error) {
 	c.mu.Lock()
 	logged, request := c.writeFailed, c.request
 	c.writeFailed = true
 	c.mu.Unlock()
 	if !logged {
-		c.listener.metrics.NotWritten.Add(1)
+		c.listener.options.Metrics.NotWritten.Add(1)
 		slog.Info("answer.not_written", "request", request, "address", c.RemoteAddr().String(), "error", err)
 	}
 }
 
 // beginRequest is called when the header of a request has been read. It returns false if the connection is
 // being closed.
-func (c *callerConn) beginRequest(id string) bool {
+func (c *conn) beginRequest(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseClosing {
@@ -151,7 +149,7 @@
 }
 
 // claimIdle reports whether the connection has no request, and decides to close it if so.
-func (c *callerConn) claimIdle() bool {
+func (c *conn) claimIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// The HTTP server may have read the next request together with the one before.
@@ -164,34 +162,23 @@
 }
 
 // beginClose records the decision to close the connection. The lock is held.
-func (c *callerConn) beginClose() {
+func (c *conn) beginClose() {
 	c.phase = phaseClosing
 	c.stopTimer()
 }
 
 // hasUnread reports whether bytes have arrived that were not read yet.
-func (c *callerConn) hasUnread() bool {
+func (c *conn) hasUnread() bool {
 	n, _ := dial.Peek(c.Conn)
 	return n > 0
 }
 
-// callerLeft reports whether the caller of a request has closed its connection. The HTTP server notices it
-// only when it reads again, for which a daemon that is short of processor time may take long.
-func callerLeft(ctx context.Context) bool {
-	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
-	if !ok {
-		return false
-	}
-	n, err := dial.Peek(c.Conn)
-	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
-}
-
 // startTimer replaces the current timer by one that closes the connection with the given function. The
 // lock is held.
-func (c *callerConn) startTimer(d time.Duration, closeBy func()) { c.replaceTimer(d, closeBy, true) }
+func (c *conn) startTimer(d time.Duration, closeBy func()) { c.replaceTimer(d, closeBy, true) }
 
 // replaceTimer is startTimer, with mayWait set if unread bytes put off the close. The lock is held.
-func (c *callerConn) replaceTimer(d time.Duration, closeBy func(), mayWait bool) {
+func (c *conn) replaceTimer(d time.Duration, closeBy func(), mayWait bool) {
 	c.stopTimer()
 	id := c.timerID
 	c.timer = time.AfterFunc(d, func() {
@@ -204,14 +191,14 @@
 // claimExpired decides to close the connection if the timer that expired is still the current one. Unread
 // bytes put this off by unreadGrace, once: a daemon that did not run for a moment finds its timers
 // expired before it has read them.
-func (c *callerConn) claimExpired(id int, closeBy func(), mayWait bool) bool {
+func (c *conn) claimExpired(id int, closeBy func(), mayWait bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.timerID != id {
 		return false
 	}
 	if mayWait && c.hasUnread() {
-		c.listener.metrics.Unread.Add(1)
+		c.listener.options.Metrics.Unread.Add(1)
 		c.replaceTimer(unreadGrace, closeBy, false)
 		return false
 	}
@@ -220,7 +207,7 @@
 }
 
 // stopTimer stops the current timer. The lock is held.
-func (c *callerConn) stopTimer() {
+func (c *conn) stopTimer() {
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
@@ -228,15 +215,15 @@
 	c.timerID++
 }
 
-func (c *callerConn) closeIdle() {
-	c.listener.metrics.Idle.Add(1)
+func (c *conn) closeIdle() {
+	c.listener.options.Metrics.Idle.Add(1)
 	_ = c.Close()
 }
 
 // rejectSlow responds to a caller whose request header did not arrive in time and closes the
 // connection.
-func (c *callerConn) rejectSlow() {
-	c.listener.metrics.Slow.Add(1)
+func (c *conn) rejectSlow() {
+	c.listener.options.Metrics.Slow.Add(1)
 	slog.Info("caller.slow", "address", c.RemoteAddr().String())
 	// Errors are ignored: the connection is closed in any case.
 	_ = c.SetWriteDeadline(time.Now().Add(slowResponseTimeout))
@@ -252,7 +239,7 @@
 }
 
 // newContext returns the context of the connection's requests.
-func (c *callerConn) newContext(ctx context.Context) context.Context {
+func (c *conn) newContext(ctx context.Context) context.Context {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	ctx, c.cancel = context.WithCancelCause(ctx)
--- a/internal/entry/callers_test.go
+++ b/internal/httplisten/listener_test.go
@@ -1,4 +1,4 @@
-package entry
+package httplisten
 
 import (
 	"context"
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 )
 
 // gatedListener holds up the calls of its connections.
@@ -65,20 +63,20 @@
 // callerServer is a server for callers whose connections are held up by gate.
 type callerServer struct {
 	gate     *gatedListener
-	listener *callerListener
-	metrics  callerMetrics
+	listener *Listener
+	metrics  Metrics
 	// begun counts the requests that the handler got, which wait for the end of their context if
 	// awaitsCancel is set.
 	begun        atomic.Int64
 	awaitsCancel atomic.Bool
 }
 
-func newCallerServer(t *testing.T, limits catalog.Limits) *callerServer {
+func newCallerServer(t *testing.T, limits Limits) *callerServer {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &callerServer{gate: &gatedListener{Listener: raw, closing: make(chan struct{}, 1), mayClose: make(chan struct{})}}
-	s.listener = newCallerListener(s.gate, 0, func() catalog.Limits { return limits }, &s.metrics)
+	s.listener = New(s.gate, Options{Limits: func() Limits { return limits }, Metrics: &s.metrics})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.begun.Add(1)
 		if s.awaitsCancel.Load() {
@@ -86,7 +84,7 @@
 		}
 		_, _ = io.WriteString(w, "done")
 	})}
-	trackCallerConns(server, func(http.Header) string { return "" })
+	Track(server, func(http.Header) string { return "" })
 	go func() { _ = server.Serve(s.listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
@@ -122,13 +120,13 @@
 func TestNoRequestBeginsOnAClosingConnection(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		limits catalog.Limits
+		limits Limits
 		// first and second are sent before and after it was decided to close the connection.
 		first, second string
 		drain         bool
 	}{
-		{name: "idle timeout", limits: catalog.Limits{IdleTimeout: 50 * time.Millisecond}, second: getRequest},
-		{name: "header timeout", limits: catalog.Limits{HeaderTimeout: 50 * time.Millisecond}, first: getRequest[:10], second: getRequest[10:]},
+		{name: "idle timeout", limits: Limits{IdleTimeout: 50 * time.Millisecond}, second: getRequest},
+		{name: "header timeout", limits: Limits{HeaderTimeout: 50 * time.Millisecond}, first: getRequest[:10], second: getRequest[10:]},
 		{name: "planned stop", second: getRequest, drain: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -138,7 +136,7 @@
 			defer conn.Close()
 			answers := send(t, conn, getRequest+c.first)
 			if c.drain {
-				go func() { _ = s.listener.drain(t.Context()) }()
+				go func() { _ = s.listener.Drain(t.Context()) }()
 			}
 			<-s.gate.closing
 			answers += send(t, conn, c.second)
@@ -153,7 +151,7 @@
 // Guards against a connection that is closed as idle although a request on it has arrived and this daemon
 // only had no time to read it.
 func TestIdleTimeoutSparesRequestsThatHaveArrived(t *testing.T) {
-	s := newCallerServer(t, catalog.Limits{IdleTimeout: 100 * time.Millisecond})
+	s := newCallerServer(t, Limits{IdleTimeout: 100 * time.Millisecond})
 	close(s.gate.mayClose)
 	conn, err := net.Dial("tcp", s.listener.Addr().String())
 	require.NoError(t, err)
@@ -167,14 +165,14 @@
 
 // Guards against a planned stop that cuts a request whose header has only come in part.
 func TestPlannedStopAwaitsRequestsThatHaveBegunToArrive(t *testing.T) {
-	s := newCallerServer(t, catalog.Limits{})
+	s := newCallerServer(t, Limits{})
 	close(s.gate.mayClose)
 	conn, err := net.Dial("tcp", s.listener.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
 	require.Equal(t, 1, send(t, conn, getRequest+getRequest[:10]))
 	stopped := make(chan error, 1)
-	go func() { stopped <- s.listener.drain(context.Background()) }()
+	go func() { stopped <- s.listener.Drain(context.Background()) }()
 	<-s.listener.accepting.Done()
 	require.Equal(t, 1, s.listener.closeIdle(), "the stop looks for idle connections")
 	require.Equal(t, 1, send(t, conn, getRequest[10:]))
@@ -188,7 +186,7 @@
 
 // Guards against a planned stop that ends while a connection is being accepted, whose request is then cut.
 func TestPlannedStopAwaitsConnectionsThatAreBeingAccepted(t *testing.T) {
-	s := newCallerServer(t, catalog.Limits{})
+	s := newCallerServer(t, Limits{})
 	close(s.gate.mayClose)
 	accepting := make(chan struct{})
 	s.gate.mayAccept.Store(&accepting)
@@ -203,18 +201,18 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	time.AfterFunc(100*time.Millisecond, func() { close(accepting) })
-	require.ErrorIs(t, s.listener.drain(ctx), context.DeadlineExceeded, "the connections are open")
+	require.ErrorIs(t, s.listener.Drain(ctx), context.DeadlineExceeded, "the connections are open")
 }
 
 // Guards against the end of a planned stop that closes the connections of requests before they are refused.
 func TestRequestsAreAnsweredAfterTheyAreCancelled(t *testing.T) {
-	s := newCallerServer(t, catalog.Limits{})
+	s := newCallerServer(t, Limits{})
 	close(s.gate.mayClose)
 	s.awaitsCancel.Store(true)
 	conn, err := net.Dial("tcp", s.listener.Addr().String())
 	require.NoError(t, err)
 	defer conn.Close()
 	require.Zero(t, send(t, conn, getRequest))
-	s.listener.cancelRequests(context.Canceled)
+	s.listener.CancelRequests(context.Canceled)
 	require.Equal(t, 1, countAnswers(conn))
 }
