httplisten, entry: bytes of callers that were not read yet fit into the memory

What callers could do: 300 callers that send bodies of 4 MB and stop 1,000 bytes short of the end, or send 50 MB in chunks, made a daemon with 160 MB hold 229 to 306 MB, and the platform ends a process that does so.

Cause: the budget for bodies (a third of the memory) is enforced by not reading on. What has arrived by then is in the kernel's receive buffers, which grow to some MB a connection, and counts as memory of the process.

Evidence: TestCrowdOfUnfinishedBodies on, MB resident / with unread bytes: whole 131/231, pieces 130/306, chunks 124/233, chunks of one byte 130/266, far over 126/229. The resident part was in bounds.

Change: callers' connections have receive buffers of a sixteenth of the memory divided by the connections, 8 to 256 KB. They are set before the daemon listens, since the first window that a connection advertises can't be taken back.

A whole request of 4,000,000 bytes is served (TestLongestRequestIsServed).

--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -15,6 +15,9 @@
 	// carries in 2.5 ms, about the longest delay between failure domains. By default, the buffer grows
 	// to some MB, which count as memory of the machine but not of the process.
 	callerSendBuffer = 64 << 10
+	// unreadDivisor is the divisor of the memory that gives the bytes that callers may have sent and this daemon
+	// has not read.
+	unreadDivisor = 16
 	// reservedDescriptors are reserved for files and peers.
 	reservedDescriptors = 300
 	// callerFraction is the fraction of the other descriptors for callers' connections; each
@@ -34,7 +37,8 @@
 
 // listenCallers serves callers and returns the address.
 func (p *Process) listenCallers() (string, error) {
-	var buffers httplisten.Buffers
+	conns := maxCallerConns(p.settings.Descriptors)
+	buffers := httplisten.Buffers{Receive: httplisten.ReceiveBuffer(p.settings.MemoryMB<<20/unreadDivisor, conns)}
 	if p.node.overload.SlowCallers() {
 		buffers.Send = callerSendBuffer
 	}
@@ -43,7 +47,7 @@
 		return "", trace.Wrap(err)
 	}
 	p.callerListener = httplisten.New(l, httplisten.Options{
-		MaxConns: maxCallerConns(p.settings.Descriptors), Metrics: &p.callerMetrics,
+		MaxConns: conns, Metrics: &p.callerMetrics,
 		Limits: func() httplisten.Limits {
 			declared := p.node.limits()
 			return httplisten.Limits{HeaderTimeout: declared.HeaderTimeout, IdleTimeout: declared.IdleTimeout}
