httplisten: newcomers displace clients that keep a full listener waiting

What callers saw: while 600 clients send a request slowly or stop in the middle, or 1,500 send nothing, no other caller is served until one of them ends by a timeout, and they can come again.

Cause: a full listener accepted nobody until a connection was closed, and nothing closed one that waits for its client. A refused request whose body stops short kept its connection without any limit: the HTTP library reads on before it sends the answer (path without a route).

Change: when a connection comes to a full listener, the listener evicts those that have waited longest for their clients per byte received, first of addresses with many connections: idle ones, unfinished heads and bodies (answered with 408, not run), refused bodies whose rest is being read, answers that are not taken. Requests under way and bytes that have arrived are spared; so is everything for the first 50 to 100 ms. If none can be evicted, answers announce the end of their connections. The same happens when the process is out of descriptors. An answer before the end of the body announces the end of the connection, unless the rest is short and there within 0.5 s; the rest is read for up to 2 s, so that the client sees the answer instead of a reset, and is never taken for the next request. Refusals have a Content-Length. Counters connections_closed.evicted and unfinished_bodies, log lines connections.evicted and bodies.unfinished, at most one a second each.

--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -10,6 +11,9 @@
 )
 
 const (
+	// headerTimeout and idleTimeout are those of the internal listeners.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
 	// callerSendBuffer is the size of the kernel's send buffer of a caller's connection where slow
 	// callers are bounded; the kernel doubles it for its own data. It holds what a link of 200 Mbit/s
 	// carries in 2.5 ms, about the longest delay between failure domains. By default, the buffer grows
@@ -47,7 +51,7 @@
 		return "", trace.Wrap(err)
 	}
 	p.callerListener = httplisten.New(l, httplisten.Options{
-		MaxConns: conns, Metrics: &p.callerMetrics,
+		Name: "callers", MaxConns: conns, Metrics: &p.callerMetrics,
 		Limits: func() httplisten.Limits {
 			declared := p.node.limits()
 			return httplisten.Limits{HeaderTimeout: declared.HeaderTimeout, IdleTimeout: declared.IdleTimeout}
@@ -63,7 +67,7 @@
 	if address == "" {
 		return "", nil
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: httplisten.DefaultHeaderTimeout, IdleTimeout: httplisten.DefaultIdleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.auxiliary = append(p.auxiliary, server)
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -93,7 +93,7 @@
 	}
 	p.node.registry.SetSelf(func(d *member.Daemon) { d.PeerAddress = p.peers.Address() })
 	p.publishVars()
-	p.callers = &http.Server{Handler: p.node.handler, MaxHeaderBytes: httplisten.MaxHeaderBytes}
+	p.callers = &http.Server{Handler: p.node.handler}
 	if p.node.callerAddress, err = p.listenCallers(); err != nil {
 		return err
 	}
--- a/internal/fault/wire.go
+++ b/internal/fault/wire.go
@@ -65,7 +65,20 @@
 		seconds := int64(math.Ceil(e.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	w.WriteHeader(ResponseFor(e.Kind).Status)
 	// A write fails only if the caller has disconnected, so the error is ignored.
-	_ = json.NewEncoder(w).Encode(e.ToBody())
+	_ = WriteBody(w, ResponseFor(e.Kind).Status, e)
+}
+
+// WriteBody writes a status and the JSON form of e. The answer has a length, so that it is whole even if the
+// connection ends before the rest of the request has been read.
+func WriteBody(w http.ResponseWriter, status int, e *Error) error {
+	text, err := json.Marshal(e.ToBody())
+	if err != nil {
+		return err
+	}
+	text = append(text, '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, err = w.Write(text)
+	return err
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -354,8 +353,7 @@
 	}
 	q.Codec.SetErrorHeaders(header, q.headers.ID, retryAfter)
 	q.closeIfLeaving()
-	q.w.WriteHeader(answer.Status)
-	if err := json.NewEncoder(q.w).Encode(f.ToBody()); err != nil {
+	if err := fault.WriteBody(q.w, answer.Status, f); err != nil {
 		q.incomplete = notWritten
 	}
 }
--- a/internal/httplisten/conn.go
+++ b/internal/httplisten/conn.go
@@ -5,12 +5,17 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 )
 
+// requestTimeoutResponse is the response to a request whose header did not arrive in time.
+// Status 408 means that the request did not run, so the caller may retry it.
+const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // connPhase is what a caller's connection is used for.
 type connPhase int
 
@@ -19,8 +24,9 @@
 	// end of its header.
 	phaseIdle connPhase = iota
 	phaseHeader
-	// phaseRequest lasts until the answer has been written.
+	// phaseRequest lasts until the answer has been written. In phaseDiscard, the rest of a refused body is read.
 	phaseRequest
+	phaseDiscard
 	// phaseClosing means that it was decided to close the connection. No request begins on it.
 	phaseClosing
 )
@@ -34,6 +40,7 @@
 	net.Conn
 	listener   *Listener
 	acceptedAt time.Time
+	address    netip.Addr
 	// closed is closed with the connection.
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -52,6 +59,29 @@
 	timer       *time.Timer
 	// timerID identifies the current timer. One that fires when it has been replaced has no effect.
 	timerID int
+	// headSince is when the current head began to arrive.
+	headSince time.Time
+	// bodyRead is the wait for the client's body and answerWrite that for the client to take the answer.
+	bodyRead, answerWrite clientWait
+	// bodyEvicted and answerEvicted are set once it was decided to end a request while the client was waited for
+	// to send its body or to take its answer.
+	bodyEvicted, answerEvicted bool
+}
+
+// clientWait is the time that a daemon has waited for a client during a request.
+type clientWait struct {
+	// since is when the current wait began; zero if there is none.
+	since  time.Time
+	waited time.Duration
+	bytes  int
+}
+
+func (w *clientWait) begin(now time.Time) { w.since = now }
+
+func (w *clientWait) end(bytes int, now time.Time) {
+	w.waited += now.Sub(w.since)
+	w.bytes += bytes
+	w.since = time.Time{}
 }
 
 // Read implements net.Conn. It drops what is read after it was decided to close the connection.
@@ -64,6 +94,34 @@
 	}
 }
 
+// CloseWrite ends the sending side of the connection.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetReadDeadline implements net.Conn. The deadline of an eviction stays.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bodyEvicted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn. The deadline of an eviction stays.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answerEvicted {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -98,26 +156,124 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseIdle {
-		c.phase = phaseHeader
-		c.startTimer(orDefault(c.listener.options.Limits().HeaderTimeout, DefaultHeaderTimeout), c.rejectSlow)
+		c.phase, c.headSince = phaseHeader, time.Now()
+		c.startTimer(orDefault(c.listener.options.Limits().HeaderTimeout, defaultHeaderTimeout), c.rejectSlow)
 	}
 	return c.phase != phaseClosing
 }
 
+// evict ends a connection that keeps this daemon waiting for its client. It returns false if that is no longer so.
+func (c *conn) evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseDiscard && c.hasUnread() {
+		// This daemon waits for its own processor, not for the client.
+		return false
+	}
+	switch {
+	case c.phase == phaseHeader:
+		c.beginClose()
+		// A client that does not read must not hold up the evictions of others.
+		go c.respondAndClose(requestTimeoutResponse)
+	case c.phase == phaseIdle, c.phase == phaseDiscard:
+		c.beginClose()
+		go func() { _ = c.Close() }()
+	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
+		return false
+	case !c.bodyRead.since.IsZero():
+		c.bodyEvicted = true
+		_ = c.Conn.SetReadDeadline(time.Now())
+	case !c.answerWrite.since.IsZero():
+		c.answerEvicted = true
+		_ = c.Conn.SetWriteDeadline(time.Now())
+	default:
+		return false
+	}
+	return true
+}
+
+// clientWait returns for how long this daemon has waited for the client since the current request began, or since
+// the one before ended, and how many bytes came in that time. ok is false if it does not wait, or only for a moment.
+func (c *conn) clientWait(now time.Time) (waited time.Duration, received int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	least := minClientWait
+	switch {
+	case c.phase == phaseIdle:
+		waited, least = now.Sub(c.idleSince), minIdleWait
+	case c.phase == phaseHeader:
+		waited = now.Sub(c.headSince)
+	case c.phase == phaseDiscard:
+		return discardTime, 0, true
+	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
+		return 0, 0, false
+	case !c.bodyRead.since.IsZero():
+		waited, received = c.bodyRead.waited+now.Sub(c.bodyRead.since), c.bodyRead.bytes
+	case !c.answerWrite.since.IsZero():
+		waited, received, least = now.Sub(c.answerWrite.since), c.answerWrite.bytes, minWriteWait
+	default:
+		return 0, 0, false
+	}
+	return waited, received, waited >= least
+}
+
+// beginBodyRead is called before bytes of a body are read.
+func (c *conn) beginBodyRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseRequest {
+		c.bodyRead.begin(time.Now())
+	}
+}
+
+// endBodyRead is called when n bytes of a body have been read. It reports whether the request was evicted.
+func (c *conn) endBodyRead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.bodyRead.since.IsZero() {
+		c.bodyRead.end(n, time.Now())
+	}
+	return c.bodyEvicted
+}
+
+// beginDiscard is called when the rest of a body is to be read only to ignore it, and endDiscard at its end.
+func (c *conn) beginDiscard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseRequest {
+		c.phase = phaseDiscard
+	}
+}
+
+func (c *conn) endDiscard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseDiscard {
+		c.phase = phaseRequest
+	}
+}
+
 // noteIdle starts the idle timeout.
 func (c *conn) noteIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != phaseClosing {
 		c.phase, c.idleSince = phaseIdle, time.Now()
-		c.startTimer(orDefault(c.listener.options.Limits().IdleTimeout, DefaultIdleTimeout), c.closeIdle)
+		c.bodyRead, c.answerWrite = clientWait{}, clientWait{}
+		c.startTimer(orDefault(c.listener.options.Limits().IdleTimeout, defaultIdleTimeout), c.closeIdle)
 	}
 }
 
 // Write implements net.Conn. The HTTP server does not tell the handler of an answer that fails when its
 // buffer is flushed.
 func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.answerWrite.begin(time.Now())
+	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.answerWrite.end(n, time.Now())
+	c.mu.Unlock()
 	if err != nil {
 		c.noteWriteFailed(err)
 	}
@@ -167,9 +323,17 @@
 	c.stopTimer()
 }
 
+// socketOf returns the socket below a connection.
+func socketOf(c net.Conn) net.Conn {
+	if layer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return layer.NetConn()
+	}
+	return c
+}
+
 // hasUnread reports whether bytes have arrived that were not read yet.
 func (c *conn) hasUnread() bool {
-	n, _ := dial.Peek(c.Conn)
+	n, _ := dial.Peek(socketOf(c.Conn))
 	return n > 0
 }
 
@@ -225,9 +389,14 @@
 func (c *conn) rejectSlow() {
 	c.listener.options.Metrics.Slow.Add(1)
 	slog.Info("caller.slow", "address", c.RemoteAddr().String())
+	c.respondAndClose(requestTimeoutResponse)
+}
+
+// respondAndClose writes a response without the HTTP server and closes the connection.
+func (c *conn) respondAndClose(response string) {
 	// Errors are ignored: the connection is closed in any case.
-	_ = c.SetWriteDeadline(time.Now().Add(slowResponseTimeout))
-	_, _ = io.WriteString(c.Conn, requestTimeoutResponse)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(rawResponseTimeout))
+	_, _ = io.WriteString(c.Conn, response)
 	_ = c.Close()
 }
 
--- a/internal/httplisten/listener.go
+++ b/internal/httplisten/listener.go
@@ -1,5 +1,6 @@
-// Package httplisten listens for HTTP clients. It bounds the connections, applies timeouts that may change while the
-// server runs, and tells a planned stop when all requests have ended.
+// Package httplisten listens for HTTP clients that may misbehave. It bounds the connections
+// and the bytes in the kernel's buffers, applies timeouts that may change while the server runs, and tells a
+// planned stop when all requests have ended.
 package httplisten
 
 import (
@@ -7,40 +8,34 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
-
-	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 )
 
 const (
 	// MaxHeaderBytes is the limit of the HTTP server on a request header. The declared limit,
 	// which may change while the server runs, is checked afterwards.
 	MaxHeaderBytes = 256 << 10
-	// DefaultHeaderTimeout and DefaultIdleTimeout apply if none are declared. DefaultHeaderTimeout is several times what the slowest network
-	// path to a caller needs, and DefaultIdleTimeout twice the usual declaration.
-	DefaultHeaderTimeout = 5 * time.Second
-	DefaultIdleTimeout   = 30 * time.Second
+	// defaultHeaderTimeout and defaultIdleTimeout apply if none are declared. defaultHeaderTimeout is several
+	// times what the slowest network path to a caller needs, and defaultIdleTimeout twice the usual declaration.
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
 	// unreadGrace is how much longer a connection is kept if bytes have arrived that this daemon has not
 	// read yet.
 	unreadGrace = 200 * time.Millisecond
-	// slowResponseTimeout limits the time for writing requestTimeoutResponse to a slow caller.
-	slowResponseTimeout = 200 * time.Millisecond
+	// rawResponseTimeout limits the time for a response that is written without the HTTP server.
+	rawResponseTimeout = 200 * time.Millisecond
 	// firstRequestTime is how long a planned stop waits for the first request of a connection.
 	firstRequestTime = 5 * time.Second
 	// closePoll is the interval at which a planned stop looks for idle connections.
 	closePoll = 20 * time.Millisecond
 )
 
-// requestTimeoutResponse is the response to a request whose header did not arrive in time.
-// Status 408 means that the request did not run, so the caller may retry it.
-const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // Limits are the limits of a listener that may change while it serves.
 type Limits struct {
 	// HeaderTimeout and IdleTimeout are the longest times in which a head arrives and between two requests;
@@ -50,16 +45,17 @@
 
 // Options are the options of a Listener.
 type Options struct {
+	// Name is the name of the listener in logs.
+	Name string
 	// MaxConns is the largest number of open connections; 0 means no limit.
 	MaxConns int
 	Limits   func() Limits
 	Metrics  *Metrics
 }
 
-// Listener applies header and idle timeouts to the connections of clients. Each
-// timeout is read when its timer starts. http.Server has one fixed setting for all
-// connections: it would ignore a changed declaration and close connections that are allowed a
-// longer timeout.
+// Listener accepts connections of HTTP clients. Its timeouts are read when their timers start. http.Server has
+// one fixed setting for all connections: it would ignore a changed declaration and close connections that are
+// allowed a longer timeout.
 //
 // Lock order: accept, then mu, then the mu of a conn.
 type Listener struct {
@@ -69,6 +65,9 @@
 	slots         *semaphore.Weighted
 	accepting     context.Context
 	stopAccepting context.CancelFunc
+	// clientsWait is set while a client waits for a slot, although connections have been evicted.
+	clientsWait atomic.Bool
+	logs        eventLog
 
 	// accept is held while a connection is accepted and added to conns.
 	accept sync.Mutex
@@ -77,37 +76,9 @@
 	conns map[*conn]struct{}
 }
 
-// Metrics counts the connections that this daemon closed.
-type Metrics struct {
-	// Idle, Slow and Stopped count those closed after the idle timeout, after the header timeout, and
-	// by a planned stop. Unread counts closes that were put off since bytes had arrived, and NotBegun
-	// requests that were read while their connection was being closed. NotWritten counts answers that
-	// could not be written.
-	Idle, Slow, Stopped, Unread, NotBegun, NotWritten atomic.Int64
-}
-
-// Vars are the counters of Metrics in /debug/vars.
-type Vars struct {
-	Idle     int64 `json:"idle"`
-	Slow     int64 `json:"slow_header"`
-	Stopped  int64 `json:"stopped"`
-	Unread   int64 `json:"put_off"`
-	NotBegun int64 `json:"requests_not_begun"`
-	// NotWritten also counts callers that left.
-	NotWritten int64 `json:"answers_not_written"`
-}
-
-// Vars returns the current values of the counters.
-func (m *Metrics) Vars() Vars {
-	return Vars{
-		Idle: m.Idle.Load(), Slow: m.Slow.Load(), Stopped: m.Stopped.Load(), Unread: m.Unread.Load(), NotBegun: m.NotBegun.Load(),
-		NotWritten: m.NotWritten.Load(),
-	}
-}
-
 // New returns a listener for the connections of l.
 func New(l net.Listener, o Options) *Listener {
-	out := &Listener{Listener: l, options: o, conns: map[*conn]struct{}{}}
+	out := &Listener{Listener: l, options: o, logs: eventLog{listener: o.Name}, conns: map[*conn]struct{}{}}
 	out.accepting, out.stopAccepting = context.WithCancel(context.Background())
 	if o.MaxConns > 0 {
 		out.slots = semaphore.NewWeighted(int64(o.MaxConns))
@@ -117,29 +88,63 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	if l.slots != nil && l.slots.Acquire(l.accepting, 1) != nil {
-		return nil, net.ErrClosed
-	}
 	l.accept.Lock()
 	defer l.accept.Unlock()
 	raw, err := l.Listener.Accept()
 	if err != nil {
-		l.releaseSlot()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			// The HTTP server calls Accept again after a pause.
+			l.evict(evictDescriptors)
+		}
 		return nil, err
 	}
-	c := &conn{Conn: raw, listener: l, acceptedAt: time.Now(), closed: make(chan struct{})}
+	if !l.acquireSlot() {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
+	c := &conn{Conn: raw, listener: l, acceptedAt: time.Now(), address: clientAddress(raw), closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
 	return c, nil
 }
 
+// clientAddress returns the IP address of the client of a connection.
+func clientAddress(c net.Conn) netip.Addr {
+	address, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr()
+}
+
+// acquireSlot waits for a slot, and evicts connections until there is one. It returns false if the listener is
+// closed before.
+func (l *Listener) acquireSlot() bool {
+	if l.slots == nil || l.slots.TryAcquire(1) {
+		return true
+	}
+	defer l.clientsWait.Store(false)
+	for l.accepting.Err() == nil {
+		l.evict(evictConnections)
+		ctx, cancel := context.WithTimeout(l.accepting, evictInterval)
+		err := l.slots.Acquire(ctx, 1)
+		cancel()
+		if err == nil {
+			return true
+		}
+		l.clientsWait.Store(true)
+	}
+	return false
+}
+
 // Close implements net.Listener. Open connections stay open.
 func (l *Listener) Close() error {
 	l.stopAccepting()
 	return l.Listener.Close()
 }
 
+// releaseSlot makes room for another connection.
 func (l *Listener) releaseSlot() {
 	if l.slots != nil {
 		l.slots.Release(1)
@@ -206,50 +211,8 @@
 	}
 }
 
-type connKey struct{}
-
-// Track makes server report to each connection when it is idle and when a request begins.
-// requestID returns the ID of a request.
-func Track(server *http.Server, requestID func(http.Header) string) {
-	handler := server.Handler
-	server.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
-		ctx = context.WithValue(ctx, connKey{}, raw)
-		if c, ok := raw.(*conn); ok {
-			ctx = c.newContext(ctx)
-		}
-		return ctx
-	}
-	server.ConnState = func(raw net.Conn, state http.ConnState) {
-		if c, ok := raw.(*conn); ok && (state == http.StateNew || state == http.StateIdle) {
-			c.noteIdle()
-		}
-	}
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*conn)
-		if ok && !c.beginRequest(requestID(r.Header)) {
-			c.listener.options.Metrics.NotBegun.Add(1)
-			slog.Info("request.not_begun", "request", requestID(r.Header), "address", c.RemoteAddr().String())
-			// Whoever closes the connection may still be writing to it.
-			<-c.closed
-			panic(http.ErrAbortHandler)
-		}
-		if ok && !r.ProtoAtLeast(1, 1) {
-			c.resetOnClose(true)
-			handler.ServeHTTP(w, r)
-			c.resetOnClose(false)
-			return
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
-// ClientLeft reports whether the client of a request has closed its connection. The HTTP server notices it
-// only when it reads again, for which a daemon that is short of processor time may take long.
-func ClientLeft(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*conn)
-	if !ok {
-		return false
-	}
-	n, err := dial.Peek(c.Conn)
-	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
+// logNotBegun logs a request that was read while its connection was being closed.
+func (l *Listener) logNotBegun(c *conn, request string) {
+	l.options.Metrics.NotBegun.Add(1)
+	slog.Info("request.not_begun", "request", request, "address", c.RemoteAddr().String())
 }
