httplisten, entry: a limit and a budget for the heads of requests

What callers could do: 300 heads of 255 KB of short fields (`aN:`) made a daemon with 160 MB hold 1,067 MB, also at a path without a route (871 MB) and one after the other (881 MB).

Cause: the declared limit of 16 KB was checked by the handler, after the HTTP library had parsed up to 256 KB; a field takes some 100 bytes besides its own, which no limit counted.

Change: the connection measures each head while it arrives. One that is more than 4 KB longer than declared gets 431 and is read no further (below that the handler refuses it as before). What a head costs beyond 8 KB (its bytes and 200 for each field) counts in a budget of a sixteenth of the memory until its request has ended. If it is used up, requests that wait for their clients end with 408, or the new one gets 503, not run. A head of 40 fields costs nothing there. Counters connections_closed.long_heads and no_head_memory, log line heads.refused, at most one a second.

A legal head of some 2,000 fields is served in calm (TestLongestRequestIsServed).

--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// unreadDivisor is the divisor of the memory that gives the bytes that callers may have sent and this daemon
 	// has not read.
 	unreadDivisor = 16
+	// headDivisor is the divisor of the memory that gives the budget for heads of callers' requests.
+	headDivisor = 16
 	// reservedDescriptors are reserved for files and peers.
 	reservedDescriptors = 300
 	// callerFraction is the fraction of the other descriptors for callers' connections; each
@@ -41,8 +44,8 @@
 
 // listenCallers serves callers and returns the address.
 func (p *Process) listenCallers() (string, error) {
-	conns := maxCallerConns(p.settings.Descriptors)
-	buffers := httplisten.Buffers{Receive: httplisten.ReceiveBuffer(p.settings.MemoryMB<<20/unreadDivisor, conns)}
+	conns, memory := maxCallerConns(p.settings.Descriptors), p.settings.MemoryMB<<20
+	buffers := httplisten.Buffers{Receive: httplisten.ReceiveBuffer(memory/unreadDivisor, conns)}
 	if p.node.overload.SlowCallers() {
 		buffers.Send = callerSendBuffer
 	}
@@ -51,10 +54,10 @@
 		return "", trace.Wrap(err)
 	}
 	p.callerListener = httplisten.New(l, httplisten.Options{
-		Name: "callers", MaxConns: conns, Metrics: &p.callerMetrics,
+		Name: "callers", MaxConns: conns, HeadMemory: limit.NewHeldBytes(memory / headDivisor), Metrics: &p.callerMetrics,
 		Limits: func() httplisten.Limits {
 			declared := p.node.limits()
-			return httplisten.Limits{HeaderTimeout: declared.HeaderTimeout, IdleTimeout: declared.IdleTimeout}
+			return httplisten.Limits{HeaderBytes: declared.HeaderBytes, HeaderTimeout: declared.HeaderTimeout, IdleTimeout: declared.IdleTimeout}
 		},
 	})
 	httplisten.Track(p.callers, p.node.codec.RequestID)
--- a/internal/httplisten/conn.go
+++ b/internal/httplisten/conn.go
@@ -10,11 +10,19 @@
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 )
 
-// requestTimeoutResponse is the response to a request whose header did not arrive in time.
-// Status 408 means that the request did not run, so the caller may retry it.
-const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// Responses that are written without the HTTP server. Status 408 and 503 promise that the request did not run, so
+// that the client may repeat it.
+const (
+	requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	headTooLongResponse    = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	noHeadMemoryResponse   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+// refusalTime is how long a refused client may go on sending before its connection is closed.
+const refusalTime = 500 * time.Millisecond
 
 // connPhase is what a caller's connection is used for.
 type connPhase int
@@ -59,8 +67,13 @@
 	timer       *time.Timer
 	// timerID identifies the current timer. One that fires when it has been replaced has no effect.
 	timerID int
-	// headSince is when the current head began to arrive.
+	// scanner measures the head that arrives since headSince.
+	scanner   headScanner
 	headSince time.Time
+	// head is the part of the current head in the listener's HeadMemory; nil if it has none.
+	head *limit.Holding
+	// heldCost is what the current head counts there. Only the goroutine that serves the connection uses it.
+	heldCost int
 	// bodyRead is the wait for the client's body and answerWrite that for the client to take the answer.
 	bodyRead, answerWrite clientWait
 	// bodyEvicted and answerEvicted are set once it was decided to end a request while the client was waited for
@@ -87,8 +100,23 @@
 // Read implements net.Conn. It drops what is read after it was decided to close the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
+		head := c.currentHead()
+		if head != nil {
+			head.BeginWait(time.Now())
+		}
 		n, err := c.Conn.Read(p)
-		if n == 0 || c.noteBytes() {
+		if head != nil {
+			head.EndWait(n, time.Now())
+		}
+		if n == 0 {
+			return n, err
+		}
+		kept, refusal := c.noteBytes(p[:n])
+		if refusal != "" {
+			c.refuse(refusal)
+			return 0, io.EOF
+		}
+		if kept {
 			return n, err
 		}
 	}
@@ -127,6 +155,7 @@
 	c.mu.Lock()
 	c.beginClose()
 	c.mu.Unlock()
+	c.releaseHead()
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
 		close(c.closed)
@@ -150,16 +179,86 @@
 	_ = tcp.SetLinger(linger)
 }
 
-// noteBytes starts the header timeout when the first bytes of a request arrive. It returns false if the
-// connection is being closed.
-func (c *conn) noteBytes() bool {
+// noteBytes starts the header timeout when the first bytes of a request arrive, and measures its head. kept is
+// false if the connection is being closed. refusal is the response to a head that is too long or for which there
+// is no memory.
+func (c *conn) noteBytes(p []byte) (kept bool, refusal string) {
+	limits := c.listener.options.Limits()
+	cost, tooLong := 0, false
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.phase == phaseIdle {
-		c.phase, c.headSince = phaseHeader, time.Now()
-		c.startTimer(orDefault(c.listener.options.Limits().HeaderTimeout, defaultHeaderTimeout), c.rejectSlow)
+		c.phase, c.headSince, c.scanner = phaseHeader, time.Now(), headScanner{}
+		c.startTimer(orDefault(limits.HeaderTimeout, defaultHeaderTimeout), c.rejectSlow)
+	}
+	if c.phase == phaseHeader {
+		c.scanner.add(p)
+		cost = c.scanner.cost()
+		tooLong = limits.HeaderBytes > 0 && c.scanner.bytes > limits.HeaderBytes+headerSlack
+	}
+	kept = c.phase != phaseClosing
+	c.mu.Unlock()
+	switch {
+	case tooLong:
+		c.listener.options.Metrics.LongHeads.Add(1)
+		return false, headTooLongResponse
+	case cost > 0 && !c.holdHead(cost):
+		c.listener.options.Metrics.HeadMemory.Add(1)
+		return false, noHeadMemoryResponse
+	}
+	return kept, ""
+}
+
+// currentHead returns the part in HeadMemory of a head that is arriving, or nil.
+func (c *conn) currentHead() *limit.Holding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseHeader {
+		return nil
+	}
+	return c.head
+}
+
+// holdHead makes the current head count with a cost in HeadMemory. It returns false if there is no memory.
+// Only the goroutine that serves the connection calls it.
+func (c *conn) holdHead(cost int) bool {
+	if c.listener.options.HeadMemory == nil {
+		return true
+	}
+	more := cost - freeHeadCost - c.heldCost
+	if more <= 0 {
+		return true
+	}
+	c.mu.Lock()
+	head := c.head
+	c.mu.Unlock()
+	if head == nil {
+		head = c.listener.options.HeadMemory.Open(c.abortHead)
+		c.mu.Lock()
+		c.head = head
+		c.mu.Unlock()
 	}
-	return c.phase != phaseClosing
+	if !head.Grow(more, time.Now()) {
+		return false
+	}
+	c.heldCost += more
+	return true
+}
+
+// releaseHead frees the memory of the current head.
+func (c *conn) releaseHead() {
+	c.mu.Lock()
+	head := c.head
+	c.head = nil
+	c.mu.Unlock()
+	if head != nil {
+		head.Close()
+	}
+}
+
+// abortHead ends a request whose client keeps this daemon waiting while the memory of its head is needed.
+func (c *conn) abortHead() {
+	c.listener.options.Metrics.HeadMemory.Add(1)
+	c.evict()
 }
 
 // evict ends a connection that keeps this daemon waiting for its client. It returns false if that is no longer so.
@@ -202,7 +301,7 @@
 	case c.phase == phaseIdle:
 		waited, least = now.Sub(c.idleSince), minIdleWait
 	case c.phase == phaseHeader:
-		waited = now.Sub(c.headSince)
+		waited, received = now.Sub(c.headSince), c.scanner.bytes
 	case c.phase == phaseDiscard:
 		return discardTime, 0, true
 	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
@@ -219,21 +318,31 @@
 
 // beginBodyRead is called before bytes of a body are read.
 func (c *conn) beginBodyRead() {
+	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	head := c.head
 	if c.phase == phaseRequest {
-		c.bodyRead.begin(time.Now())
+		c.bodyRead.begin(now)
+	}
+	c.mu.Unlock()
+	if head != nil {
+		head.BeginWait(now)
 	}
 }
 
 // endBodyRead is called when n bytes of a body have been read. It reports whether the request was evicted.
 func (c *conn) endBodyRead(n int) bool {
+	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	head, evicted := c.head, c.bodyEvicted
 	if !c.bodyRead.since.IsZero() {
-		c.bodyRead.end(n, time.Now())
+		c.bodyRead.end(n, now)
+	}
+	c.mu.Unlock()
+	if head != nil {
+		head.EndWait(n, now)
 	}
-	return c.bodyEvicted
+	return evicted
 }
 
 // beginDiscard is called when the rest of a body is to be read only to ignore it, and endDiscard at its end.
@@ -255,6 +364,8 @@
 
 // noteIdle starts the idle timeout.
 func (c *conn) noteIdle() {
+	c.releaseHead()
+	c.heldCost = 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != phaseClosing {
@@ -400,6 +511,26 @@
 	_ = c.Close()
 }
 
+// refuse responds to a head that is not read any further, and reads on for a moment: a client that is still
+// sending would lose the response if the connection were reset.
+func (c *conn) refuse(response string) {
+	c.mu.Lock()
+	if c.phase == phaseClosing {
+		c.mu.Unlock()
+		return
+	}
+	c.phase = phaseDiscard
+	c.stopTimer()
+	c.mu.Unlock()
+	c.releaseHead()
+	c.listener.logs.note("heads.refused", 1, "bytes", c.scanner.bytes, "lines", c.scanner.lines)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(rawResponseTimeout))
+	_, _ = io.WriteString(c.Conn, response)
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxDiscard)
+}
+
 func orDefault(d, byDefault time.Duration) time.Duration {
 	if d <= 0 {
 		return byDefault
--- a/internal/httplisten/handler.go
+++ b/internal/httplisten/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/fault"
 )
 
 const (
@@ -20,6 +21,8 @@
 	// clients read an answer only when they have sent the whole body, and lose it if the connection is reset.
 	maxDiscard  = 16 << 20
 	discardTime = 2 * time.Second
+	// headMemoryRetryAfter is the Retry-After of requests for whose head there is no memory.
+	headMemoryRetryAfter = time.Second
 )
 
 type connKey struct{}
@@ -62,6 +65,13 @@
 		// A client that uses its connection without a pause would keep it from those that wait for one.
 		w.Header().Set("Connection", "close")
 	}
+	if !c.holdHead(headCost(r)) {
+		c.listener.options.Metrics.HeadMemory.Add(1)
+		c.listener.logs.note("heads.refused", 1, "fields", len(r.Header))
+		w.Header().Set("Connection", "close")
+		fault.Write(w, fault.New(fault.NoCapacity, "the memory for request heads is used up").WithRetryAfter(headMemoryRetryAfter))
+		return
+	}
 	if !r.ProtoAtLeast(1, 1) {
 		c.resetOnClose(true)
 	}
--- a/internal/httplisten/listener.go
+++ b/internal/httplisten/listener.go
@@ -1,4 +1,4 @@
-// Package httplisten listens for HTTP clients that may misbehave. It bounds the connections
+// Package httplisten listens for HTTP clients that may misbehave. It bounds the connections, the heads of requests
 // and the bytes in the kernel's buffers, applies timeouts that may change while the server runs, and tells a
 // planned stop when all requests have ended.
 package httplisten
@@ -15,12 +15,11 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 )
 
 const (
-	// MaxHeaderBytes is the limit of the HTTP server on a request header. The declared limit,
-	// which may change while the server runs, is checked afterwards.
-	MaxHeaderBytes = 256 << 10
 	// defaultHeaderTimeout and defaultIdleTimeout apply if none are declared. defaultHeaderTimeout is several
 	// times what the slowest network path to a caller needs, and defaultIdleTimeout twice the usual declaration.
 	defaultHeaderTimeout = 5 * time.Second
@@ -38,6 +37,8 @@
 
 // Limits are the limits of a listener that may change while it serves.
 type Limits struct {
+	// HeaderBytes is the longest head of a request; 0 means MaxHeaderBytes.
+	HeaderBytes int
 	// HeaderTimeout and IdleTimeout are the longest times in which a head arrives and between two requests;
 	// 0 means the defaults.
 	HeaderTimeout, IdleTimeout time.Duration
@@ -50,14 +51,16 @@
 	// MaxConns is the largest number of open connections; 0 means no limit.
 	MaxConns int
 	Limits   func() Limits
-	Metrics  *Metrics
+	// HeadMemory is the budget for the heads of requests beyond freeHeadCost each; nil means no limit.
+	HeadMemory *limit.HeldBytes
+	Metrics    *Metrics
 }
 
 // Listener accepts connections of HTTP clients. Its timeouts are read when their timers start. http.Server has
 // one fixed setting for all connections: it would ignore a changed declaration and close connections that are
 // allowed a longer timeout.
 //
-// Lock order: accept, then mu, then the mu of a conn.
+// Lock order: accept, then mu, then the mu of a conn. The lock of HeadMemory comes before the mu of a conn.
 type Listener struct {
 	net.Listener
 	options Options
--- a/internal/httplisten/metrics.go
+++ b/internal/httplisten/metrics.go
@@ -9,9 +9,10 @@
 	// requests that were read while their connection was being closed. NotWritten counts answers that
 	// could not be written.
 	Idle, Slow, Stopped, Unread, NotBegun, NotWritten atomic.Int64
-	// Evicted counts connections closed to make room for others, and Unfinished those closed since the rest of a
-	// refused body did not arrive.
-	Evicted, Unfinished atomic.Int64
+	// Evicted counts connections closed to make room for others, LongHeads those whose request head exceeded
+	// its limit, HeadMemory those refused or closed since there was no memory for their head, and Unfinished
+	// those closed since the rest of a refused body did not arrive.
+	Evicted, LongHeads, HeadMemory, Unfinished atomic.Int64
 }
 
 // Vars are the counters of Metrics in /debug/vars.
@@ -24,6 +25,8 @@
 	// NotWritten also counts callers that left.
 	NotWritten int64 `json:"answers_not_written"`
 	Evicted    int64 `json:"evicted"`
+	LongHeads  int64 `json:"long_heads"`
+	HeadMemory int64 `json:"no_head_memory"`
 	Unfinished int64 `json:"unfinished_bodies"`
 }
 
@@ -31,6 +34,7 @@
 func (m *Metrics) Vars() Vars {
 	return Vars{
 		Idle: m.Idle.Load(), Slow: m.Slow.Load(), Stopped: m.Stopped.Load(), Unread: m.Unread.Load(), NotBegun: m.NotBegun.Load(),
-		NotWritten: m.NotWritten.Load(), Evicted: m.Evicted.Load(), Unfinished: m.Unfinished.Load(),
+		NotWritten: m.NotWritten.Load(), Evicted: m.Evicted.Load(), LongHeads: m.LongHeads.Load(), HeadMemory: m.HeadMemory.Load(),
+		Unfinished: m.Unfinished.Load(),
 	}
 }
