entry: the internal listeners have the limits of the callers' listener

What clients could do: 1,500 silent connections to the ready, directory or metrics listener took 1,517 of 1,000 descriptors, so that callers, instances and the store could not be reached; heads of 255 KB to 1 MB of short fields or queries made the daemon hold 395 to 1,078 MB of 160, 600 legal heads 182 to 185 MB, unread bodies 255 to 274 MB.

Cause: these listeners had neither a bound on connections nor one on heads but that of the HTTP library (1 MB), and read the rest of each body.

Change: each is a httplisten.Listener with a twentieth of the descriptors (at least 16), heads of 16 KB, a budget of a 64th of the memory for the heads of all three, and receive buffers of 16 KB. Counters internal_connections_closed.

With a fiftieth of the descriptors and 250 ms before an eviction, two cases at the ready listener failed (clients that use their connections without a pause kept them), which announced ends of connections mend.

--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -12,9 +10,6 @@
 )
 
 const (
-	// headerTimeout and idleTimeout are those of the internal listeners.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
 	// callerSendBuffer is the size of the kernel's send buffer of a caller's connection where slow
 	// callers are bounded; the kernel doubles it for its own data. It holds what a link of 200 Mbit/s
 	// carries in 2.5 ms, about the longest delay between failure domains. By default, the buffer grows
@@ -23,13 +18,23 @@
 	// unreadDivisor is the divisor of the memory that gives the bytes that callers may have sent and this daemon
 	// has not read.
 	unreadDivisor = 16
-	// headDivisor is the divisor of the memory that gives the budget for heads of callers' requests.
-	headDivisor = 16
+	// headDivisor and auxiliaryHeadDivisor are the divisors of the memory that give the budgets for heads of
+	// callers' requests and of those to the internal listeners.
+	headDivisor          = 16
+	auxiliaryHeadDivisor = 64
 	// reservedDescriptors are reserved for files and peers.
 	reservedDescriptors = 300
 	// callerFraction is the fraction of the other descriptors for callers' connections; each
 	// of their requests may need a connection to an upstream instance.
 	callerFraction = 0.6
+	// auxiliaryDivisor is the divisor of the descriptors that gives the number of connections of an internal
+	// listener, at least minAuxiliaryConns.
+	auxiliaryDivisor  = 20
+	minAuxiliaryConns = 16
+	// auxiliaryReceiveBuffer is the size of the kernel's receive buffer of a connection to an internal listener.
+	auxiliaryReceiveBuffer = 16 << 10
+	// auxiliaryHeaderBytes is the longest head of a request to an internal listener.
+	auxiliaryHeaderBytes = 16 << 10
 )
 
 // maxCallerConns returns how many connections callers may have open at once; 0 means no limit.
@@ -42,6 +47,14 @@
 	return max(int(callerFraction*float64(descriptors-reservedDescriptors)), 1)
 }
 
+// maxAuxiliaryConns returns how many connections an internal listener may have open at once; 0 means no limit.
+func maxAuxiliaryConns(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(descriptors/auxiliaryDivisor, minAuxiliaryConns)
+}
+
 // listenCallers serves callers and returns the address.
 func (p *Process) listenCallers() (string, error) {
 	conns, memory := maxCallerConns(p.settings.Descriptors), p.settings.MemoryMB<<20
@@ -66,15 +79,20 @@
 
 // listenAuxiliary serves one of the internal interfaces and returns its address. It does
 // nothing if address is empty.
-func (p *Process) listenAuxiliary(address string, handler http.Handler) (string, error) {
+func (p *Process) listenAuxiliary(name, address string, handler http.Handler) (string, error) {
 	if address == "" {
 		return "", nil
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler}
 	p.auxiliary = append(p.auxiliary, server)
-	l, err := net.Listen("tcp", address)
+	l, err := httplisten.Listen(address, httplisten.Buffers{Receive: auxiliaryReceiveBuffer})
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
-	return serve(server, l), nil
+	limits := httplisten.Limits{HeaderBytes: auxiliaryHeaderBytes}
+	httplisten.Track(server, func(http.Header) string { return "" })
+	return serve(server, httplisten.New(l, httplisten.Options{
+		Name: name, MaxConns: maxAuxiliaryConns(p.settings.Descriptors), HeadMemory: p.auxiliaryHeads, Metrics: &p.auxiliaryMetrics,
+		Limits: func() httplisten.Limits { return limits },
+	})), nil
 }
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -19,6 +19,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/catalog"
 	"github.com/hornbeamsill/hornbeamsill/internal/forward"
 	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
@@ -72,7 +73,10 @@
 	peers          *peer.Server
 	callers        *http.Server
 	callerListener *httplisten.Listener
-	callerMetrics  httplisten.Metrics
+	// callerMetrics are those of the listener for callers, and auxiliaryMetrics those of the internal listeners.
+	callerMetrics, auxiliaryMetrics httplisten.Metrics
+	// auxiliaryHeads is the budget for heads of all internal listeners.
+	auxiliaryHeads *limit.HeldBytes
 	auxiliary      []*http.Server
 	loops          sync.WaitGroup
 	stopLoops      context.CancelFunc
@@ -80,7 +84,10 @@
 
 // NewProcess returns a process that has not started.
 func NewProcess(n *Node, r settings.Routes, clock clockwork.Clock) *Process {
-	return &Process{node: n, settings: r, clock: clock}
+	return &Process{
+		node: n, settings: r, clock: clock,
+		auxiliaryHeads: limit.NewHeldBytes(r.MemoryMB << 20 / auxiliaryHeadDivisor),
+	}
 }
 
 func (p *Process) start(context.Context) error {
@@ -97,15 +104,15 @@
 	if p.node.callerAddress, err = p.listenCallers(); err != nil {
 		return err
 	}
-	ready, err := p.listenAuxiliary(s.ReadyListen, platform.ReadyHandler(p.node.Ready))
+	ready, err := p.listenAuxiliary("ready", s.ReadyListen, platform.ReadyHandler(p.node.Ready))
 	if err != nil {
 		return err
 	}
-	directory, err := p.listenAuxiliary(s.DirectoryListen, platform.DirectoryHandler(p.node.directoryAddresses, directoryTTL))
+	directory, err := p.listenAuxiliary("directory", s.DirectoryListen, platform.DirectoryHandler(p.node.directoryAddresses, directoryTTL))
 	if err != nil {
 		return err
 	}
-	metrics, err := p.listenAuxiliary(s.MetricsListen, p.node.debugHandler())
+	metrics, err := p.listenAuxiliary("metrics", s.MetricsListen, p.node.debugHandler())
 	if err != nil {
 		return err
 	}
@@ -291,6 +298,8 @@
 	AbortedCallers int64 `json:"callers_aborted"`
 	// Closed has the connections of callers that this daemon closed.
 	Closed httplisten.Vars `json:"connections_closed"`
+	// ClosedInternal has those of the clients of the internal listeners.
+	ClosedInternal httplisten.Vars `json:"internal_connections_closed"`
 	// Quarantine has the counters of the quarantine.
 	Quarantine quarantineVars `json:"quarantine"`
 	// Survey has the counters of what this daemon learned from engines when it started.
@@ -320,7 +329,7 @@
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(), ErrorAnswers: n.metrics.ErrorAnswers.Load(), ForeignAnswers: n.metrics.ForeignAnswers.Load(),
 			OutOfOrder: n.metrics.OutOfOrder.Load(), EndsConfirmed: n.metrics.EndsConfirmed.Load(), EndsPlanned: n.metrics.EndsPlanned.Load(), EndsUnconfirmed: n.metrics.EndsUnconfirmed.Load(),
 			HeldBytes: n.held.Used(), StalledCallers: n.metrics.StalledCallers.Load(), AbortedCallers: n.metrics.AbortedCallers.Load(),
-			Closed: p.callerMetrics.Vars(),
+			Closed: p.callerMetrics.Vars(), ClosedInternal: p.auxiliaryMetrics.Vars(),
 			Survey: n.survey.vars(), Paths: n.paths.vars(), Directory: n.directory.vars(),
 			Terms: n.terms.vars(),
 		}
