daemon: the listeners of the chat interface have limits for connections and heads

What clients could do: 2,500 connections to the callers' or the operators' listener took 2,522 descriptors; 150 heads of 700 KB of short fields 1,504 to 2,319 MB. The listeners had neither a bound on connections nor one on heads but that of the HTTP library.

Change: both are httplisten.Listeners. New settings limits.memory_mb (512), limits.descriptors (2048) and limits.max_header_bytes (64 KiB), with checks that name the field. Counters connections_closed and operator_connections_closed.

--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/answer"
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
+	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/operator"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
@@ -54,10 +54,6 @@
 	return platformServices{Table: platform.Table{Store: platform.NewStore(s.Platform)}, Client: backing.NewClient(s.Platform)}
 }
 
-// bodyTimeout is the time in which a caller must send its body. A body of 10 MB takes 8 s on a
-// link of 10 Mbit/s.
-const bodyTimeout = 30 * time.Second
-
 func newCaller(n *Node) *caller.Server {
 	return caller.New(caller.Deps{
 		Clock:      n.clock,
@@ -93,6 +89,10 @@
 	})
 }
 
+// memoryLimitFraction is the fraction of the memory that is set as the soft limit of the Go runtime, above which
+// garbage is collected more often.
+const memoryLimitFraction = 0.7
+
 // Process is a running daemon with its listeners.
 type Process struct {
 	node     *Node
@@ -129,6 +129,7 @@
 func (p *Process) start(context.Context) error {
 	gin.SetMode(gin.ReleaseMode)
 	s := p.node.settings
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Limits.MemoryMB<<20)))
 	var err error
 	if p.flushTraces, err = telemetry.SetupTraces(s.Trace, p.node.incarnation); err != nil {
 		return trace.Wrap(err)
@@ -141,19 +142,21 @@
 	if p.peerServer, err = peer.Listen(s.PeerListen, tlsServer, p.node); err != nil {
 		return trace.Wrap(err)
 	}
-	callerListener, err := net.Listen("tcp", s.CallerListen)
+	options, buffers := p.node.callerListener()
+	callerListener, err := listen(s.CallerListen, s.TLS, options, buffers)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	operatorListener, err := net.Listen("tcp", s.OperatorListen)
+	options, buffers = p.node.operatorListener()
+	operatorListener, err := listen(s.OperatorListen, s.TLS, options, buffers)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	p.callerAddress = callerListener.Addr().String()
 	p.operatorAddr = operatorListener.Addr().String()
 	p.setAddresses(s)
-	p.callerHTTP = serve(callerListener, p.caller.Handler(), s.TLS)
-	p.operatorHTTP = serve(operatorListener, p.operator.Handler(), s.TLS)
+	p.callerHTTP = serve(callerListener, p.caller.Handler())
+	p.operatorHTTP = serve(operatorListener, p.operator.Handler())
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopLoops = cancel
 	p.loops.Go(func() { p.node.Run(ctx) })
@@ -182,26 +185,6 @@
 	})
 }
 
-// headerTimeout bounds the time to read the headers of a request.
-const headerTimeout = 10 * time.Second
-
-// serve serves h on l in a goroutine, with TLS if it is enabled.
-func serve(l net.Listener, h http.Handler, t settings.TLS) *http.Server {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go func() {
-		var err error
-		if t.Enabled() {
-			err = server.ServeTLS(l, t.Cert, t.Key)
-		} else {
-			err = server.Serve(l)
-		}
-		if !errors.Is(err, http.ErrServerClosed) {
-			slog.Error("listener.failed", "address", l.Addr(), "error", err)
-		}
-	}()
-	return server
-}
-
 func (p *Process) stop(ctx context.Context) error {
 	drainCtx := p.drainContext
 	if drainCtx == nil {
@@ -245,6 +228,9 @@
 	Daemons      int            `json:"daemons_live"`
 	RatingSeq    int64          `json:"rating_seq"`
 	Goroutines   int            `json:"goroutines"`
+	// Closed and OperatorsClosed have the connections of callers and operators that this daemon closed.
+	Closed          httplisten.Vars `json:"connections_closed"`
+	OperatorsClosed httplisten.Vars `json:"operator_connections_closed"`
 }
 
 // Metrics returns the current values for /debug/vars.
@@ -260,6 +246,8 @@
 		Daemons:      len(n.registry.Live()),
 		RatingSeq:    n.ratings.Seq(),
 		Goroutines:   runtime.NumGoroutine(),
+
+		Closed: n.clients.callers.Vars(), OperatorsClosed: n.clients.operators.Vars(),
 	}
 }
 
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -58,6 +58,7 @@
 	clock       clockwork.Clock
 	incarnation string
 	platform    backing.Platform
+	clients     clientMetrics
 
 	registry       *member.Registry
 	upstreams      *member.Upstreams
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,14 @@
 type Limits struct {
 	// MaxBodyBytes bounds request bodies. Default 4 MiB.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeaderBytes bounds the heads of requests. Default 64 KiB.
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	// MemoryMB is the memory that the process may use, in MB. It gives the budgets for bodies and heads. Default
+	// 512.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of file descriptors that the process may open. It gives the numbers of
+	// connections. Default 2048.
+	Descriptors int `json:"descriptors"`
 	// MaxPendingBills bounds the bills that are not yet in the store. Default
 	// 100000.
 	MaxPendingBills int `json:"max_pending_bills"`
@@ -148,6 +156,9 @@
 		LogLevel:       "info",
 		Limits: Limits{
 			MaxBodyBytes:    4 << 20,
+			MaxHeaderBytes:  64 << 10,
+			MemoryMB:        512,
+			Descriptors:     2048,
 			MaxPendingBills: 100_000,
 			AnswerBytes:     64 << 20,
 			UpstreamsSeen:   64,
@@ -180,6 +191,15 @@
 	return s, trace.Wrap(s.Check())
 }
 
+const (
+	// minHeaderBytes holds the tokens of a session and of a resumed answer.
+	minHeaderBytes = 4 << 10
+	// memoryPerBodyByte is how much memory the longest body needs, so that at least one fits into the budget.
+	memoryPerBodyByte = 16
+	// minDescriptors leaves some for connections beside those that are reserved.
+	minDescriptors = 400
+)
+
 // Check returns an error for the first setting that is missing or out of range.
 func (s Settings) Check() error {
 	switch {
@@ -187,6 +207,12 @@
 		return trace.BadParameter("/platform: missing")
 	case s.Site == "":
 		return trace.BadParameter("/site: missing")
+	case s.Limits.MaxHeaderBytes < minHeaderBytes:
+		return trace.BadParameter("/limits/max_header_bytes: must be at least %d", minHeaderBytes)
+	case int64(s.Limits.MemoryMB)<<20 < memoryPerBodyByte*s.Limits.MaxBodyBytes:
+		return trace.BadParameter("/limits/memory_mb: must be at least %d times max_body_bytes", memoryPerBodyByte)
+	case s.Limits.Descriptors < minDescriptors:
+		return trace.BadParameter("/limits/descriptors: must be at least %d", minDescriptors)
 	case s.Limits.EntriesListed <= 0:
 		return trace.BadParameter("/limits/entries_listed: must be positive")
 	case s.Limits.ReportBytesPerSecond <= 0:
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -60,6 +60,14 @@
 func newSite(t *testing.T, n int, change func(*standin.EngineOptions)) *site {
 	t.Helper()
 	s := newPlatform(t)
+	s.startAll(n, change)
+	return s
+}
+
+// startAll starts two engines and n daemons, and applies the example configuration.
+func (s *site) startAll(n int, change func(*standin.EngineOptions)) {
+	t := s.t
+	t.Helper()
 	for _, id := range []string{"engine-1", "engine-2"} {
 		o := engineOptions(id)
 		if change != nil {
@@ -72,7 +80,6 @@
 	s.startDaemons(n)
 	s.applyExamples(s.Daemons[0])
 	require.NoError(t, s.WaitReady(s.Daemons, len(s.engines)))
-	return s
 }
 
 // newPlatform starts a platform stand-in without engines and daemons. It marks the
@@ -80,6 +87,12 @@
 func newPlatform(t *testing.T) *site {
 	t.Helper()
 	t.Parallel()
+	return newLonePlatform(t)
+}
+
+// newLonePlatform is newPlatform for a test that does not run beside others.
+func newLonePlatform(t *testing.T) *site {
+	t.Helper()
 	c, err := cluster.New(binaries, t.TempDir())
 	require.NoError(t, err)
 	t.Cleanup(func() {
