httpbody, caller, operator: bodies and what is decoded from them fit into the memory

What callers could do: 20 chat requests of 4 MiB of short JSON elements (`"stop":[[],[],…]`, `"messages":[{},{},…]`) made the daemon hold 2,330 to 3,136 MB; 250 bodies of 4 MiB, unfinished or whole, 924 to 2,827 MB. An operator's body had no limit at all: 100 of 19 MB held 3,433 MB.

Cause: bodies counted in no budget, and the number of elements decides the memory, not the bytes.

Change: httpbody.Receiver reads bodies within a budget: a third of the memory for callers, an eighth for operators, whose bodies end at 10 MB. A body counts four times (as it arrives, in one piece, decoded, encoded for the instance), a character that begins or separates elements of JSON 64 bytes more, before it is decoded, until the request has run. Without memory a request waits for 0.5 s and gets 503, not run; one that never fits gets 413. The digest of a request is computed without copies; its value is the same. Counter bodies_refused, log line body.refused.

--- a/internal/caller/chat.go
+++ b/internal/caller/chat.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -85,6 +83,7 @@
 type chatCall struct {
 	snapshot     *config.Snapshot
 	request      dispatch.Request
+	body         *httpbody.Received
 	key          *claim.Key
 	digest       string
 	includeUsage bool
@@ -110,19 +109,28 @@
 	r.writeWhole(reader)
 }
 
-// parseChat reads and validates a chat request.
+// parseChat reads and validates a chat request. The body of the result must be released.
 func (s *Server) parseChat(c *gin.Context) (chatCall, error) {
 	snapshot, organisation, err := s.authenticate(c)
 	if err != nil {
 		return chatCall{}, err
 	}
-	raw, err := s.readBody(c)
+	received, err := s.Bodies.Receive(c.Writer, c.Request)
 	if err != nil {
 		return chatCall{}, err
 	}
+	in, err := s.decodeChat(c, snapshot, organisation, received)
+	if err != nil {
+		received.Release()
+	}
+	return in, err
+}
+
+// decodeChat decodes and validates the body and the headers of a chat request.
+func (s *Server) decodeChat(c *gin.Context, snapshot *config.Snapshot, organisation string, received *httpbody.Received) (chatCall, error) {
 	var body chatBody
-	if err := json.Unmarshal(raw, &body); err != nil {
-		return chatCall{}, fault.New(fault.BadRequest, "body: %v", err)
+	if err := received.DecodeJSON(c.Request, &body, true); err != nil {
+		return chatCall{}, err
 	}
 	chat, err := body.toChat()
 	if err != nil {
@@ -149,33 +157,13 @@
 	if err := s.parseSession(c, &req); err != nil {
 		return chatCall{}, err
 	}
-	in := chatCall{snapshot: snapshot, request: req, includeUsage: body.StreamOptions.IncludeUsage}
+	in := chatCall{snapshot: snapshot, request: req, body: received, includeUsage: body.StreamOptions.IncludeUsage}
 	in.key, err = parseIdempotencyKey(c, organisation, kind.KeyRequired)
-	in.digest = digest(kindName, string(raw))
+	in.digest = digest([]byte(kindName), received.Data)
 	in.request.HasIdempotencyKey = in.key != nil
 	return in, err
 }
 
-// readBody reads the request body. It returns an error if the body exceeds the
-// limit or does not come in time.
-func (s *Server) readBody(c *gin.Context) ([]byte, error) {
-	var deadline time.Time
-	if s.Options.BodyTimeout > 0 {
-		deadline = time.Now().Add(s.Options.BodyTimeout)
-	}
-	raw, err := httpbody.ReadUntil(c.Writer, http.MaxBytesReader(c.Writer, c.Request.Body, s.Options.MaxBody), c.Request.ContentLength, deadline, nil)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, fault.New(fault.BodyTooLarge, "body: longer than %d bytes", s.Options.MaxBody)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, fault.New(fault.SlowRequest, "body: did not come within %v", s.Options.BodyTimeout)
-	case err != nil:
-		return nil, fault.New(fault.BadRequest, "body: %v", err)
-	}
-	return raw.Bytes(), nil
-}
-
 // roles are the roles of messages.
 var roles = []string{"system", "developer", "user", "assistant", "tool", "function"}
 
@@ -311,17 +299,24 @@
 
 // digest identifies the content of a request. It is stored with the idempotency key,
 // so that the key cannot be used again for a different request.
-func digest(parts ...string) string {
-	sum := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
-	return hex.EncodeToString(sum[:])
+func digest(parts ...[]byte) string {
+	sum := sha256.New()
+	for i, part := range parts {
+		if i > 0 {
+			sum.Write([]byte{0})
+		}
+		sum.Write(part)
+	}
+	return hex.EncodeToString(sum.Sum(nil))
 }
 
-// submitChat starts the request, or finds the earlier request with the same
+// submitChat starts the request, which releases its body at its end, or finds the earlier request with the same
 // idempotency key. It returns a reader of the answer and the id of the request.
 func (s *Server) submitChat(c *gin.Context, in chatCall) (Reader, string, error) {
 	id := s.Requests.Next()
 	reader, earlier, err := s.claimKey(c, in.key, in.digest, id)
 	if err != nil || reader != nil {
+		in.body.Release()
 		return reader, earlier, err
 	}
 	tokens := in.request.Chat.MaxTokens
@@ -330,6 +325,7 @@
 	}
 	release, err := s.admit(in.snapshot, in.request.Organisation, tokens)
 	if err != nil {
+		in.body.Release()
 		s.releaseKey(in.key, id)
 		return nil, "", err
 	}
@@ -340,6 +336,7 @@
 	ctx := withTraceFrom(s.BaseContext, c.Request.Context())
 	go func() {
 		defer release()
+		defer in.body.Release()
 		ran := s.Dispatcher.Run(ctx, req, out)
 		slog.InfoContext(ctx, "request.ended", "request", id, "organisation", req.Organisation, "kind", req.KindName, "ran", string(ran))
 	}()
--- a/internal/caller/parse_test.go
+++ b/internal/caller/parse_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 )
 
 // Guards against a very long timeout that overflows and becomes a deadline in the past.
@@ -32,11 +34,11 @@
 // Guards against callers that send half of a body and stop: each held its request and memory for
 // as long as it liked. It is told that the request did not run.
 func TestCallerThatStopsInTheMiddleOfABodyIsAnswered(t *testing.T) {
-	s := &Server{Deps: Deps{Options: Options{MaxBody: 1000, BodyTimeout: 50 * time.Millisecond}}}
+	s := &Server{Deps: Deps{Bodies: httpbody.Receiver{MaxBytes: 1000, Timeout: 50 * time.Millisecond, Memory: limit.NewByteBudget(1 << 20)}}}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := gin.CreateTestContextOnly(w, gin.New())
 		c.Request = r
-		_, err := s.readBody(c)
+		_, err := s.Bodies.Receive(w, r)
 		s.writeError(c, err)
 	}))
 	defer server.Close()
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/dispatch"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/ident"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
@@ -74,14 +75,6 @@
 	Wait(ctx context.Context, after int, haveHead bool) (answer.View, error)
 }
 
-// Options holds the settings of a Server.
-type Options struct {
-	// MaxBody limits the length of a request body, in bytes.
-	MaxBody int64
-	// BodyTimeout limits the time in which a caller sends its body; 0 means no limit.
-	BodyTimeout time.Duration
-}
-
 // Deps holds the dependencies of a Server.
 type Deps struct {
 	Clock      clockwork.Clock
@@ -94,7 +87,8 @@
 	Answers    Answers
 	Signer     *session.Signer
 	Requests   *ident.Requests
-	Options    Options
+	// Bodies reads the bodies of requests.
+	Bodies httpbody.Receiver
 	// BaseContext is the context in which requests run. It outlives the connections
 	// of callers.
 	BaseContext context.Context
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -32,11 +32,17 @@
 		s.writeError(c, err)
 		return
 	}
-	body, err := s.readBody(c)
+	body, err := s.Bodies.Receive(c.Writer, c.Request)
 	if err != nil {
 		s.writeError(c, err)
 		return
 	}
+	started := false
+	defer func() {
+		if !started {
+			body.Release()
+		}
+	}()
 	key, err := parseIdempotencyKey(c, organisation, false)
 	if err != nil {
 		s.writeError(c, err)
@@ -47,7 +53,7 @@
 		path = "/"
 	}
 	id := s.Requests.Next()
-	sum := digest(name, c.Request.Method, path, c.Request.URL.RawQuery, string(body))
+	sum := digest([]byte(name), []byte(c.Request.Method), []byte(path), []byte(c.Request.URL.RawQuery), body.Data)
 	reader, earlier, err := s.claimKey(c, key, sum, id)
 	if err != nil {
 		s.writeError(c, err)
@@ -72,14 +78,16 @@
 		Path:         path,
 		RawQuery:     c.Request.URL.RawQuery,
 		Header:       c.Request.Header,
-		Body:         body,
+		Body:         body.Data,
 		Deadline:     deadline,
 		OnNotRun:     func() { s.releaseKey(key, id) },
 	}
 	out := s.Store.Create(id, organisation)
 	ctx := withTraceFrom(s.BaseContext, c.Request.Context())
+	started = true
 	go func() {
 		defer release()
+		defer body.Release()
 		ran := s.Dispatcher.RunService(ctx, req, out)
 		slog.InfoContext(ctx, "request.ended", "request", id, "organisation", organisation, "service", name, "ran", string(ran))
 	}()
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -6,10 +6,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
@@ -23,10 +25,15 @@
 	// link of 10 Mbit/s.
 	bodyTimeout = 30 * time.Second
 
-	// The divisors of the memory that give the budgets for heads of requests, and for bytes that were not read yet.
+	// The divisors of the memory that give the budgets for bodies of callers and of operators with what is decoded
+	// from them, for heads of requests, and for bytes that were not read yet.
+	callerBodyDivisor   = 3
+	operatorBodyDivisor = 8
 	callerHeadDivisor   = 16
 	operatorHeadDivisor = 64
 	unreadDivisor       = 16
+	// maxOperatorBody is more than the longest object that the store takes.
+	maxOperatorBody = 10 << 20
 
 	// reservedDescriptors are for files, peers, the store and upstreams' control calls, callerFraction is the
 	// fraction of the others for callers' connections, and operatorDivisor the divisor that gives operators'.
@@ -38,7 +45,25 @@
 )
 
 // clientMetrics counts what clients were refused.
-type clientMetrics struct{ callers, operators httplisten.Metrics }
+type clientMetrics struct {
+	callers, operators httplisten.Metrics
+	// bodies counts bodies for which there was no memory.
+	bodies atomic.Int64
+}
+
+func (n *Node) callerBodies() httpbody.Receiver {
+	return httpbody.Receiver{
+		MaxBytes: n.settings.Limits.MaxBodyBytes, Timeout: bodyTimeout, Refused: &n.clients.bodies,
+		Memory: limit.NewByteBudget(n.settings.Limits.MemoryMB << 20 / callerBodyDivisor),
+	}
+}
+
+func (n *Node) operatorBodies() httpbody.Receiver {
+	return httpbody.Receiver{
+		MaxBytes: maxOperatorBody, Timeout: bodyTimeout, Refused: &n.clients.bodies,
+		Memory: limit.NewByteBudget(n.settings.Limits.MemoryMB << 20 / operatorBodyDivisor),
+	}
+}
 
 // callerListener returns the options of the listener for callers and the sizes of its buffers.
 func (n *Node) callerListener() (httplisten.Options, httplisten.Buffers) {
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -69,7 +69,7 @@
 		},
 		Signer:      n.signer,
 		Requests:    n.requests,
-		Options:     caller.Options{MaxBody: n.settings.Limits.MaxBodyBytes, BodyTimeout: bodyTimeout},
+		Bodies:      n.callerBodies(),
 		BaseContext: n.base,
 	})
 }
@@ -86,6 +86,7 @@
 		OnAccepted:      n.OnConfigAccepted,
 		Token:           n.settings.OperatorToken,
 		SessionLifetime: settings.MS(n.settings.Timing.SessionMS),
+		Bodies:          n.operatorBodies(),
 	})
 }
 
@@ -228,9 +229,11 @@
 	Daemons      int            `json:"daemons_live"`
 	RatingSeq    int64          `json:"rating_seq"`
 	Goroutines   int            `json:"goroutines"`
-	// Closed and OperatorsClosed have the connections of callers and operators that this daemon closed.
+	// Closed and OperatorsClosed have the connections of callers and operators that this daemon closed, and
+	// BodiesRefused is the number of bodies for which there was no memory.
 	Closed          httplisten.Vars `json:"connections_closed"`
 	OperatorsClosed httplisten.Vars `json:"operator_connections_closed"`
+	BodiesRefused   int64           `json:"bodies_refused"`
 }
 
 // Metrics returns the current values for /debug/vars.
@@ -247,7 +250,7 @@
 		RatingSeq:    n.ratings.Seq(),
 		Goroutines:   runtime.NumGoroutine(),
 
-		Closed: n.clients.callers.Vars(), OperatorsClosed: n.clients.operators.Vars(),
+		Closed: n.clients.callers.Vars(), OperatorsClosed: n.clients.operators.Vars(), BodiesRefused: n.clients.bodies.Load(),
 	}
 }
 
--- a/internal/limit/fleet.go
+++ b/internal/limit/fleet.go
@@ -141,6 +141,9 @@
 	used int
 }
 
+// Limit returns the size of the budget.
+func (b *ByteBudget) Limit() int { return b.limit }
+
 // NewByteBudget returns a ByteBudget of limit bytes.
 func NewByteBudget(limit int) *ByteBudget { return &ByteBudget{limit: limit} }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"expvar"
 	"net/http"
 	"strconv"
@@ -17,6 +16,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/caller"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/ledger"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/rollout"
@@ -42,6 +42,8 @@
 	// SessionLifetime is how long session tokens stay usable. It determines how long
 	// signing keys are kept after a rotation.
 	SessionLifetime time.Duration
+	// Bodies reads the bodies of requests.
+	Bodies httpbody.Receiver
 }
 
 // Server serves the API.
@@ -109,14 +111,16 @@
 
 // decodeBody decodes the request body into out. If that fails, it responds with an
 // error and returns false. Unknown fields are an error.
-func decodeBody(c *gin.Context, out any) bool {
-	decoder := json.NewDecoder(c.Request.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(out); err != nil {
-		fault.Write(c.Writer, fault.New(fault.BadRequest, "body: %v", err))
-		return false
+func (s *Server) decodeBody(c *gin.Context, out any) bool {
+	body, err := s.Bodies.Receive(c.Writer, c.Request)
+	if err == nil {
+		defer body.Release()
+		err = body.DecodeJSON(c.Request, out, false)
+	}
+	if err != nil {
+		fault.Write(c.Writer, err)
 	}
-	return true
+	return err == nil
 }
 
 // ApplyReply is the response to an accepted configuration change.
@@ -126,7 +130,7 @@
 
 func (s *Server) apply(c *gin.Context) {
 	var req config.ApplyRequest
-	if !decodeBody(c, &req) {
+	if !s.decodeBody(c, &req) {
 		return
 	}
 	change, err := s.Config.Apply(c, req)
@@ -229,7 +233,7 @@
 
 func (s *Server) changeRollout(c *gin.Context, change func(RolloutRequest, config.VersionRef) (int64, error)) {
 	var req RolloutRequest
-	if !decodeBody(c, &req) {
+	if !s.decodeBody(c, &req) {
 		return
 	}
 	generation, err := change(req, config.VersionRef{Model: req.Model, Version: req.Version})
