peer: limits for the listener for other daemons

What clients could do: 1,500 connections to the peers' listener took 1,517 of 1,000 descriptors, and 100 calls that declare 7 MB and stop short of the end 700 MB of 160. They also were what crowds at all listeners together added.

Cause: neither connections nor messages under way had a bound, and a connection that never sends a call was kept.

Change: peer.Limits. A tenth of the descriptors beside tunnels; a new connection displaces the oldest one that has not sent a whole call, or else one that has been idle for a second. The first call must be whole within 5 s. Messages above 64 KB count in a budget of a sixteenth of the memory, at least one message of the greatest length; stalled ones end first. The log of such events moved to package eventlog.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 )
 
@@ -40,6 +41,10 @@
 	reservedDescriptors = 300
 	callerFraction      = 0.6
 	operatorDivisor     = 20
+	// peerDivisor is the divisor of the descriptors that gives the number of connections of other daemons, and
+	// messageDivisor that of the memory for the budget of their long messages.
+	peerDivisor    = 10
+	messageDivisor = 16
 	// operatorReceiveBuffer is the size of the kernel's receive buffer of an operator's connection.
 	operatorReceiveBuffer = 64 << 10
 )
@@ -65,6 +70,11 @@
 	}
 }
 
+// peerLimits returns the limits of the listener for other daemons.
+func peerLimits(l settings.Limits) peer.Limits {
+	return peer.Limits{MaxConns: l.Descriptors / peerDivisor, MessageBytes: l.MemoryMB << 20 / messageDivisor}
+}
+
 // callerListener returns the options of the listener for callers and the sizes of its buffers.
 func (n *Node) callerListener() (httplisten.Options, httplisten.Buffers) {
 	l := n.settings.Limits
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -140,7 +140,7 @@
 		return trace.Wrap(err)
 	}
 	p.node.peerClient.SetTLS(tlsClient)
-	if p.peerServer, err = peer.Listen(s.PeerListen, tlsServer, p.node); err != nil {
+	if p.peerServer, err = peer.Listen(s.PeerListen, tlsServer, p.node, peerLimits(s.Limits)); err != nil {
 		return trace.Wrap(err)
 	}
 	options, buffers := p.node.callerListener()
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -86,7 +86,7 @@
 	_, wrongRoot, err := loadTLS(ours.settings(theirs))
 	require.NoError(t, err)
 	node := NewNode(settings.Defaults(), backing.NewMemory(), clockwork.NewFakeClock())
-	listener, err := peer.Listen("127.0.0.1:0", server, node)
+	listener, err := peer.Listen("127.0.0.1:0", server, node, peer.Limits{})
 	require.NoError(t, err)
 	defer listener.Close()
 	for name, c := range map[string]struct {
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -168,7 +168,7 @@
 	g := newTestNode(clockwork.NewRealClock(), nil)
 	g.table.Apply(changes, 1, time.Time{})
 	g.registry.Merge([]member.Daemon{{Incarnation: n.registry.Self().Incarnation, PeerAddress: "127.0.0.1:1", FailureDomain: "a"}})
-	server, err := peer.ListenRoutes("127.0.0.1:0", g, g.gateway)
+	server, err := peer.ListenRoutes("127.0.0.1:0", g, g.gateway, peer.Limits{})
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	cutOff(n)
--- a/internal/entry/currency_test.go
+++ b/internal/entry/currency_test.go
@@ -132,7 +132,7 @@
 	holder.applyManifest(manifest, "test")
 	require.EqualValues(t, 7, holder.configVersion())
 	packed, _ := holder.packed.of(manifest)
-	server, err := peer.ListenRoutes("127.0.0.1:0", holder, nil)
+	server, err := peer.ListenRoutes("127.0.0.1:0", holder, nil, peer.Limits{})
 	require.NoError(t, err)
 	t.Cleanup(func() { server.Close() })
 	perS := len(packed)
--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -7,6 +7,8 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/httplisten"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+	"github.com/hornbeamsill/hornbeamsill/internal/peer"
+	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 )
 
 const (
@@ -31,6 +33,10 @@
 	// listener, at least minAuxiliaryConns.
 	auxiliaryDivisor  = 20
 	minAuxiliaryConns = 16
+	// peerDivisor is the divisor of the descriptors that gives the number of connections of other daemons beside
+	// tunnels, and messageDivisor that of the memory for the budget of their long messages.
+	peerDivisor    = 10
+	messageDivisor = 16
 	// auxiliaryReceiveBuffer is the size of the kernel's receive buffer of a connection to an internal listener.
 	auxiliaryReceiveBuffer = 16 << 10
 	// auxiliaryHeaderBytes is the longest head of a request to an internal listener.
@@ -55,6 +61,15 @@
 	return max(descriptors/auxiliaryDivisor, minAuxiliaryConns)
 }
 
+// peerLimits returns the limits of the listener for other daemons.
+func peerLimits(s settings.Routes) peer.Limits {
+	limits := peer.Limits{MessageBytes: s.MemoryMB << 20 / messageDivisor}
+	if s.Descriptors > 0 {
+		limits.MaxConns = tunnelLimit(s) + s.Descriptors/peerDivisor
+	}
+	return limits
+}
+
 // listenCallers serves callers and returns the address.
 func (p *Process) listenCallers() (string, error) {
 	conns, memory := maxCallerConns(p.settings.Descriptors), p.settings.MemoryMB<<20
--- a/internal/entry/operator_test.go
+++ b/internal/entry/operator_test.go
@@ -139,7 +139,7 @@
 		if len(update.Changes) > 0 {
 			storeLost <- r.storeHealth.isLost()
 		}
-	}}, nil)
+	}}, nil, peer.Limits{})
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	other.registry.SetSelf(func(d *member.Daemon) { d.PeerAddress = server.Address() })
--- a/internal/entry/paths_test.go
+++ b/internal/entry/paths_test.go
@@ -146,7 +146,7 @@
 		t.Run(name, func(t *testing.T) {
 			n := newGatewayNode(t)
 			cutOff(n)
-			server, err := peer.ListenRoutes("127.0.0.1:0", reachPeer{reply: c.reply}, nil)
+			server, err := peer.ListenRoutes("127.0.0.1:0", reachPeer{reply: c.reply}, nil, peer.Limits{})
 			require.NoError(t, err)
 			defer server.Close()
 			n.registry.Merge([]member.Daemon{{Incarnation: "other", PeerAddress: server.Address(), FailureDomain: "a"}})
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -40,7 +40,7 @@
 func serveNode(t *testing.T, n *Node) *servedNode {
 	t.Helper()
 	s := &servedNode{Node: n}
-	server, err := peer.ListenRoutes("127.0.0.1:0", s, nil)
+	server, err := peer.ListenRoutes("127.0.0.1:0", s, nil, peer.Limits{})
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	t.Cleanup(n.peers.Close)
--- a/internal/httplisten/conn.go
+++ b/internal/httplisten/conn.go
@@ -523,7 +523,7 @@
 	c.stopTimer()
 	c.mu.Unlock()
 	c.releaseHead()
-	c.listener.logs.note("heads.refused", 1, "bytes", c.scanner.bytes, "lines", c.scanner.lines)
+	c.listener.logs.Note("heads.refused", 1, "bytes", c.scanner.bytes, "lines", c.scanner.lines)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(rawResponseTimeout))
 	_, _ = io.WriteString(c.Conn, response)
 	_ = c.CloseWrite()
--- a/internal/httplisten/evict.go
+++ b/internal/httplisten/evict.go
@@ -52,7 +52,7 @@
 	}
 	if evicted > 0 {
 		l.options.Metrics.Evicted.Add(int64(evicted))
-		l.logs.note("connections.evicted", evicted, "reason", string(reason), "open", open)
+		l.logs.Note("connections.evicted", evicted, "reason", string(reason), "open", open)
 	}
 }
 
--- a/internal/httplisten/exchange.go
+++ b/internal/httplisten/exchange.go
@@ -104,7 +104,7 @@
 	if !x.discard(maxDiscard, discardTime) {
 		metrics := x.conn.listener.options.Metrics
 		metrics.Unfinished.Add(1)
-		x.conn.listener.logs.note("bodies.unfinished", 1, "declared", x.request.ContentLength)
+		x.conn.listener.logs.Note("bodies.unfinished", 1, "declared", x.request.ContentLength)
 	}
 }
 
--- a/internal/httplisten/handler.go
+++ b/internal/httplisten/handler.go
@@ -67,7 +67,7 @@
 	}
 	if !c.holdHead(headCost(r)) {
 		c.listener.options.Metrics.HeadMemory.Add(1)
-		c.listener.logs.note("heads.refused", 1, "fields", len(r.Header))
+		c.listener.logs.Note("heads.refused", 1, "fields", len(r.Header))
 		w.Header().Set("Connection", "close")
 		fault.Write(w, fault.New(fault.NoCapacity, "the memory for request heads is used up").WithRetryAfter(headMemoryRetryAfter))
 		return
--- a/internal/httplisten/listener.go
+++ b/internal/httplisten/listener.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/eventlog"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 )
 
@@ -70,7 +71,7 @@
 	stopAccepting context.CancelFunc
 	// clientsWait is set while a client waits for a slot, although connections have been evicted.
 	clientsWait atomic.Bool
-	logs        eventLog
+	logs        *eventlog.Log
 
 	// accept is held while a connection is accepted and added to conns.
 	accept sync.Mutex
@@ -81,7 +82,7 @@
 
 // New returns a listener for the connections of l.
 func New(l net.Listener, o Options) *Listener {
-	out := &Listener{Listener: l, options: o, logs: eventLog{listener: o.Name}, conns: map[*conn]struct{}{}}
+	out := &Listener{Listener: l, options: o, logs: eventlog.New("listener", o.Name), conns: map[*conn]struct{}{}}
 	out.accepting, out.stopAccepting = context.WithCancel(context.Background())
 	if o.MaxConns > 0 {
 		out.slots = semaphore.NewWeighted(int64(o.MaxConns))
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -76,13 +76,15 @@
 	return err
 }
 
-// decode decodes a value. It closes the connection if the value is too long, since net/rpc would answer
+// decode decodes a value. It closes the connection if the value is too long or there is no memory for it, since net/rpc would answer
 // the call and read on.
 func (f *frameConn) decode(value any) error {
 	err := f.dec.Decode(value)
 	var limited *readlimit.Error
 	if errors.As(err, &limited) {
 		f.limited.Store(limited)
+	}
+	if limited != nil || errors.Is(err, errNoMessageMemory) {
 		f.Close()
 	}
 	return err
@@ -125,32 +127,48 @@
 // serverCodec is the server side of a connection; it implements rpc.ServerCodec.
 type serverCodec struct {
 	*frameConn
+	conn *serverConn
 	// calls has an element for each call that is being handled.
 	calls chan struct{}
 }
 
-func newServerCodec(conn net.Conn, traffic *Traffic) *serverCodec {
-	return &serverCodec{frameConn: newFrameConn(conn, traffic), calls: make(chan struct{}, maxCalls)}
+// newServerCodec returns the codec of calls on conn, which is c or reads from it.
+func newServerCodec(c *serverConn, conn net.Conn, traffic *Traffic) *serverCodec {
+	out := &serverCodec{frameConn: newFrameConn(conn, traffic), conn: c, calls: make(chan struct{}, maxCalls)}
+	out.reader.hold = c.holdMessage
+	return out
 }
 
 // ReadRequestHeader implements rpc.ServerCodec. net/rpc calls WriteResponse once for each header.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.calls <- struct{}{}
+	c.conn.releaseMessage()
 	err := c.readHeader(r)
 	if err != nil {
 		<-c.calls
+	} else {
+		c.conn.begin()
 	}
 	c.method = r.ServiceMethod
 	return err
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+func (c *serverCodec) ReadRequestBody(body any) error {
+	err := c.readBody(body)
+	if err == nil {
+		c.conn.prove()
+	}
+	return err
+}
 
 // WriteResponse implements rpc.ServerCodec. A failed write closes the connection: a partial
 // frame may have been sent, after which the client cannot decode further frames.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	defer func() { <-c.calls }()
+	defer func() {
+		c.conn.end()
+		<-c.calls
+	}()
 	err := c.write(r.ServiceMethod, r, body)
 	if err != nil {
 		c.Close()
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -25,7 +25,7 @@
 // Client and server must count each frame under its method, with the same number of bytes.
 // Operators use these counters to find out which calls fill the link of a daemon.
 func TestTrafficCountedByMethod(t *testing.T) {
-	server, err := ListenRoutes("127.0.0.1:0", echoHandler{}, nil)
+	server, err := ListenRoutes("127.0.0.1:0", echoHandler{}, nil, Limits{})
 	require.NoError(t, err)
 	defer server.Close()
 	client := NewClient(nil)
@@ -89,7 +89,7 @@
 func TestServerAcceptsAfterAnError(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server, err := serve(&failingListener{Listener: listener}, routesName, &routesService{handler: echoHandler{}}, nil)
+	server, err := serve(&failingListener{Listener: listener}, routesName, &routesService{handler: echoHandler{}}, nil, Limits{})
 	require.NoError(t, err)
 	defer server.Close()
 	client := NewClient(nil)
--- a/internal/peer/gateway.go
+++ b/internal/peer/gateway.go
@@ -108,7 +108,7 @@
 }
 
 // serve serves a connection on which tunnelPreface has been read.
-func (g *Gateway) serve(conn net.Conn) {
+func (g *Gateway) serve(conn *serverConn) {
 	defer conn.Close()
 	reader := bufio.NewReaderSize(conn, maxFrame)
 	_ = conn.SetReadDeadline(time.Now().Add(openTimeout))
@@ -116,6 +116,7 @@
 	if err := decodeTunnelMessage(reader, &r); err != nil {
 		return
 	}
+	conn.prove()
 	_ = conn.SetReadDeadline(time.Time{})
 	var instance net.Conn
 	refused := TunnelBusy
@@ -300,9 +301,9 @@
 }
 
 // serveConn serves net/rpc calls or a tunnel on a connection.
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(conn *serverConn) {
 	if s.gateway == nil {
-		s.serveCalls(conn)
+		s.serveCalls(conn, conn)
 		return
 	}
 	var first [1]byte
@@ -311,10 +312,12 @@
 		return
 	}
 	if first[0] == tunnelPreface {
+		conn.begin()
+		defer conn.end()
 		s.gateway.serve(conn)
 		return
 	}
-	s.serveCalls(&prefixedConn{Conn: conn, prefix: first[:]})
+	s.serveCalls(conn, &prefixedConn{Conn: conn, prefix: first[:]})
 }
 
 // prefixedConn is a connection of which some bytes have been read already.
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"errors"
 	"math"
 	"strings"
 
@@ -41,8 +42,15 @@
 	// end is the number of bytes at which limit is exceeded.
 	end   int64
 	limit readlimit.Error
+	// hold, unless nil, is called before a message of n bytes is read. It returns false if there is no memory.
+	hold func(n int) bool
+	// heldTo is the number of bytes up to which hold has been called.
+	heldTo int64
 }
 
+// errNoMessageMemory ends a connection whose message does not fit into the memory.
+var errNoMessageMemory = errors.New("the memory for messages is used up")
+
 // newMessageReader returns a reader without a limit.
 func newMessageReader(r *bufio.Reader) *messageReader {
 	return &messageReader{Reader: r, end: math.MaxInt64}
@@ -67,6 +75,12 @@
 	if err := r.exceeded(len(p)); err != nil {
 		return 0, err
 	}
+	if r.hold != nil && r.bytes >= r.heldTo {
+		if !r.hold(len(p)) {
+			return 0, errNoMessageMemory
+		}
+		r.heldTo = r.bytes + int64(len(p))
+	}
 	n, err := r.Reader.Read(p)
 	r.bytes += int64(n)
 	return n, err
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -48,7 +48,7 @@
 
 // Guards against a daemon that answers calls with more than fits into the memory of the caller.
 func TestRepliesAreLimited(t *testing.T) {
-	large, err := ListenRoutes("127.0.0.1:0", largeHandler{}, nil)
+	large, err := ListenRoutes("127.0.0.1:0", largeHandler{}, nil, Limits{})
 	require.NoError(t, err)
 	defer large.Close()
 	reply := encoded(t, rpc.Response{ServiceMethod: "Routes.Beliefs", Seq: 0})
@@ -83,7 +83,7 @@
 
 // Guards against a daemon that sends calls which fill the memory of the daemon that it calls.
 func TestCallsAreLimited(t *testing.T) {
-	server, err := ListenRoutes("127.0.0.1:0", echoHandler{}, NewGateway(1, &tunnelBed{t: t}))
+	server, err := ListenRoutes("127.0.0.1:0", echoHandler{}, NewGateway(1, &tunnelBed{t: t}), Limits{})
 	require.NoError(t, err)
 	defer server.Close()
 	header := encoded(t, rpc.Request{ServiceMethod: "Routes.Beat", Seq: 0})
@@ -133,7 +133,7 @@
 // Guards against calls without an end on one connection, each of which takes memory until it is answered.
 func TestCallsAtOnceAreLimited(t *testing.T) {
 	handler := &blockingHandler{release: make(chan struct{})}
-	server, err := ListenRoutes("127.0.0.1:0", handler, nil)
+	server, err := ListenRoutes("127.0.0.1:0", handler, nil, Limits{})
 	require.NoError(t, err)
 	defer server.Close()
 	client := NewClient(nil)
@@ -188,3 +188,31 @@
 	require.Less(t, 4*len(encoded(t, SyncReply{Members: members})), maxRoutesBody)
 	require.Less(t, 4*len(encoded(t, ListPart{Instances: PackInstances(instances)})), maxRoutesBody)
 }
+
+// Guards against a listener for daemons that is full of clients which are none, or whose unfinished messages take all
+// memory for messages.
+func TestDaemonsDisplaceUnfinishedCalls(t *testing.T) {
+	const conns = 4
+	server, err := ListenRoutes("127.0.0.1:0", echoHandler{}, nil, Limits{MaxConns: conns, MessageBytes: 1})
+	require.NoError(t, err)
+	defer server.Close()
+	var unfinished bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&unfinished).Encode(rpc.Request{ServiceMethod: "Routes.Beat", Seq: 1}))
+	unfinished.Write([]byte{253, 0x6a, 0, 0}) // the length of a message of 7 MB
+	for range 3 * conns {
+		c, err := net.Dial("tcp", server.Address())
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = c.Write(unfinished.Bytes())
+		require.NoError(t, err)
+	}
+	client := NewClient(nil)
+	defer client.Close()
+	for _, length := range []int{1, 7 << 20} {
+		require.Eventually(t, func() bool {
+			_, err := client.RoutesHeartbeat(t.Context(), server.Address(), RoutesHeartbeat{From: member.Daemon{Incarnation: strings.Repeat("i", length)}})
+			return err == nil
+		}, 10*time.Second, 50*time.Millisecond)
+	}
+	require.GreaterOrEqual(t, server.Evicted.Load(), int64(2*conns))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,6 +15,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
 	"github.com/hornbeamsill/hornbeamsill/internal/config"
+	"github.com/hornbeamsill/hornbeamsill/internal/eventlog"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
@@ -31,23 +33,31 @@
 	// gateway carries tunnels; nil if there are none.
 	gateway *Gateway
 
+	maxConns int
+	// messages is the budget for long messages; nil means no limit.
+	messages *limit.HeldBytes
+	logs     *eventlog.Log
+	// Evicted counts connections that were closed to make room for others, and Refused those for which there was
+	// no room.
+	Evicted, Refused atomic.Int64
+
 	mu     sync.Mutex
-	conns  map[net.Conn]bool
+	conns  map[*serverConn]bool
 	closed bool
 }
 
 // Listen serves the Peer service on address. Without tlsConfig connections are plain TCP.
-func Listen(address string, tlsConfig *tls.Config, handler Handler) (*Server, error) {
-	return listen(address, tlsConfig, serviceName, &service{handler: handler}, nil)
+func Listen(address string, tlsConfig *tls.Config, handler Handler, limits Limits) (*Server, error) {
+	return listen(address, tlsConfig, serviceName, &service{handler: handler}, nil, limits)
 }
 
 // ListenRoutes serves the Routes service and tunnels on address, for daemons that serve plain HTTP
 // callers.
-func ListenRoutes(address string, handler RoutesHandler, gateway *Gateway) (*Server, error) {
-	return listen(address, nil, routesName, &routesService{handler: handler}, gateway)
+func ListenRoutes(address string, handler RoutesHandler, gateway *Gateway, limits Limits) (*Server, error) {
+	return listen(address, nil, routesName, &routesService{handler: handler}, gateway, limits)
 }
 
-func listen(address string, tlsConfig *tls.Config, name string, receiver any, gateway *Gateway) (*Server, error) {
+func listen(address string, tlsConfig *tls.Config, name string, receiver any, gateway *Gateway, limits Limits) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -55,12 +65,18 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	return serve(listener, name, receiver, gateway)
+	return serve(listener, name, receiver, gateway, limits)
 }
 
 // serve serves a net/rpc service on the connections of a listener, and tunnels if gateway is not nil.
-func serve(listener net.Listener, name string, receiver any, gateway *Gateway) (*Server, error) {
-	s := &Server{listener: listener, gateway: gateway, rpc: rpc.NewServer(), traffic: NewTraffic(), conns: map[net.Conn]bool{}}
+func serve(listener net.Listener, name string, receiver any, gateway *Gateway, limits Limits) (*Server, error) {
+	s := &Server{
+		listener: listener, gateway: gateway, rpc: rpc.NewServer(), traffic: NewTraffic(), conns: map[*serverConn]bool{},
+		maxConns: limits.MaxConns, logs: eventlog.New("listener", "peers"),
+	}
+	if limits.MessageBytes > 0 {
+		s.messages = limit.NewHeldBytes(max(limits.MessageBytes, leastMessageBytes(name)))
+	}
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -88,27 +104,56 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.mu.Lock()
-		if s.closed {
-			s.mu.Unlock()
+		c, ok := s.add(conn)
+		if !ok {
 			conn.Close()
-			return
+			continue
+		}
+		go s.serve(c)
+	}
+}
+
+// add adds a connection, and closes another one if there are too many. It returns false if there is no room.
+func (s *Server) add(conn net.Conn) (*serverConn, bool) {
+	c := &serverConn{Conn: conn, acceptedAt: time.Now()}
+	if s.messages != nil {
+		// Close may wait for a TLS connection, and the budget is locked here.
+		c.message = s.messages.Open(func() { go conn.Close() })
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, false
+	}
+	if s.maxConns > 0 && len(s.conns) >= s.maxConns {
+		evicted := worst(s.conns, c.acceptedAt)
+		if evicted == nil {
+			s.Refused.Add(1)
+			s.logs.Note("peer.refused", 1, "open", len(s.conns))
+			return nil, false
 		}
-		s.conns[conn] = true
-		s.mu.Unlock()
-		go s.serve(conn)
+		s.Evicted.Add(1)
+		s.logs.Note("peer.evicted", 1, "open", len(s.conns), "proven", evicted.proven.Load())
+		delete(s.conns, evicted)
+		go evicted.Close()
 	}
+	s.conns[c] = true
+	return c, true
 }
 
-func (s *Server) serve(conn net.Conn) {
-	s.serveConn(conn)
+func (s *Server) serve(c *serverConn) {
+	_ = c.SetReadDeadline(c.acceptedAt.Add(firstCallTimeout))
+	s.serveConn(c)
+	if c.message != nil {
+		c.message.Close()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, conn)
+	delete(s.conns, c)
 }
 
-func (s *Server) serveCalls(conn net.Conn) {
-	s.rpc.ServeCodec(newServerCodec(conn, s.traffic))
+func (s *Server) serveCalls(c *serverConn, conn net.Conn) {
+	s.rpc.ServeCodec(newServerCodec(c, conn, s.traffic))
 }
 
 // Close closes the listener and all connections.
--- /dev/null
+++ b/internal/peer/server_conn.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+)
+
+// Limits bound what the connections to a Server use; 0 means no limit.
+type Limits struct {
+	// MaxConns is the number of connections, those of tunnels included.
+	MaxConns int
+	// MessageBytes is the budget for long messages while they are read; one message of any length fits into it.
+	MessageBytes int
+}
+
+const (
+	// firstCallTimeout is the time in which a new connection must have sent a whole call.
+	firstCallTimeout = 5 * time.Second
+	// minPeerIdle is how long a connection must have been without calls to make room for another one.
+	minPeerIdle = 1 * time.Second
+	// smallMessage is the length of a message that does not count in the budget.
+	smallMessage = 64 << 10
+	// messageWait is how long a long message waits for memory, and messageWaitInterval the time between two attempts.
+	messageWait         = 500 * time.Millisecond
+	messageWaitInterval = 10 * time.Millisecond
+)
+
+// leastMessageBytes returns the size of a budget into which one message of any length of a service fits. HeldBytes keeps
+// an eighth for small holdings.
+func leastMessageBytes(service string) int { return int(maxBody(service+".")) * 8 / 7 }
+
+// serverConn is a connection that a Server has accepted.
+type serverConn struct {
+	net.Conn
+	acceptedAt time.Time
+	// proven is set once a whole call or a request for a tunnel has been read. usedAt is when the last call ended,
+	// in Unix nanoseconds, and running the number of calls that are being handled, or 1 for a tunnel.
+	proven  atomic.Bool
+	usedAt  atomic.Int64
+	running atomic.Int64
+	// message is the connection's part of the budget for messages; nil if there is none.
+	message *limit.Holding
+	held    int
+}
+
+// prove marks the connection as one of a daemon, which may be idle.
+func (c *serverConn) prove() {
+	if !c.proven.Swap(true) {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *serverConn) begin() { c.running.Add(1) }
+
+func (c *serverConn) end() {
+	c.usedAt.Store(time.Now().UnixNano())
+	c.running.Add(-1)
+}
+
+// isIdle reports whether the connection has had no calls for a while.
+func (c *serverConn) isIdle(now time.Time) bool {
+	return c.running.Load() == 0 && now.UnixNano()-c.usedAt.Load() >= int64(minPeerIdle)
+}
+
+// holdMessage makes a message of n bytes count in the budget. It returns false if there is no memory for it. The first
+// message of a connection does not wait for memory: the decoder has allocated its buffer already.
+func (c *serverConn) holdMessage(n int) bool {
+	if c.message == nil || n <= smallMessage {
+		return true
+	}
+	for waited := time.Duration(0); !c.message.Grow(n, time.Now()); waited += messageWaitInterval {
+		if waited >= messageWait || !c.proven.Load() || c.message.Aborted() {
+			return false
+		}
+		time.Sleep(messageWaitInterval)
+	}
+	c.held += n
+	return true
+}
+
+// releaseMessage frees the memory of the message that was read last.
+func (c *serverConn) releaseMessage() {
+	if c.held > 0 {
+		c.message.Shrink(c.held)
+		c.held = 0
+	}
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(p []byte) (int, error) {
+	if c.held == 0 {
+		return c.Conn.Read(p)
+	}
+	c.message.BeginWait(time.Now())
+	n, err := c.Conn.Read(p)
+	c.message.EndWait(n, time.Now())
+	return n, err
+}
+
+// worst returns the connection that makes room for another one: the oldest that has not sent a whole call, or else
+// the one that has been idle for the longest time. It returns nil if all are in use.
+func worst(conns map[*serverConn]bool, now time.Time) *serverConn {
+	var unproven, idle *serverConn
+	for c := range conns {
+		switch {
+		case !c.proven.Load():
+			if unproven == nil || c.acceptedAt.Before(unproven.acceptedAt) {
+				unproven = c
+			}
+		case c.isIdle(now):
+			if idle == nil || c.usedAt.Load() < idle.usedAt.Load() {
+				idle = c
+			}
+		}
+	}
+	if unproven != nil {
+		return unproven
+	}
+	return idle
+}
--- a/internal/peer/survey_test.go
+++ b/internal/peer/survey_test.go
@@ -28,7 +28,7 @@
 // Guards against a daemon that takes the answer of an older one, which does not have the method, for
 // knowledge.
 func TestLearnedOfOlderDaemonIsAnError(t *testing.T) {
-	older, err := Listen("127.0.0.1:0", nil, nil)
+	older, err := Listen("127.0.0.1:0", nil, nil, Limits{})
 	require.NoError(t, err)
 	defer older.Close()
 	client := NewClient(nil)
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -64,7 +64,7 @@
 		}
 	}()
 	b.gateway = NewGateway(limit, b)
-	b.server, err = ListenRoutes("127.0.0.1:0", echoHandler{}, b.gateway)
+	b.server, err = ListenRoutes("127.0.0.1:0", echoHandler{}, b.gateway, Limits{})
 	require.NoError(t, err)
 	t.Cleanup(b.server.Close)
 	return b
--- a/test/capacity/bytes.go
+++ b/test/capacity/bytes.go
@@ -90,7 +90,7 @@
 func newCountedPeer() (*countedPeer, error) {
 	s := settings.Defaults()
 	node := daemon.NewNode(s, backing.NewMemory(), clock)
-	server, err := peer.Listen("127.0.0.1:0", nil, node)
+	server, err := peer.Listen("127.0.0.1:0", nil, node, peer.Limits{})
 	if err != nil {
 		return nil, err
 	}
