httplisten: requests that are sent ahead take turns

Cause: each such connection always has another request to run, so that the crowd holds 300 places at the instances all the time.

Change: a request whose head was read together with the request before it was sent ahead. At most a sixteenth as many of them run as there may be connections; the others wait, and their connections are the first to be evicted. Clients that wait for each answer are not affected, and a single one that sends ahead is served as before. Counter connections_closed.waited_sent_ahead.

--- a/internal/httplisten/conn.go
+++ b/internal/httplisten/conn.go
@@ -32,6 +32,8 @@
 	// end of its header.
 	phaseIdle connPhase = iota
 	phaseHeader
+	// phaseAhead lasts while a request that was sent before the answer to the one before waits for its turn.
+	phaseAhead
 	// phaseRequest lasts until the answer has been written. In phaseDiscard, the rest of a refused body is read.
 	phaseRequest
 	phaseDiscard
@@ -70,6 +72,8 @@
 	// scanner measures the head that arrives since headSince.
 	scanner   headScanner
 	headSince time.Time
+	// ahead is set if the current request was sent before the answer to the one before.
+	ahead bool
 	// head is the part of the current head in the listener's HeadMemory; nil if it has none.
 	head *limit.Holding
 	// heldCost is what the current head counts there. Only the goroutine that serves the connection uses it.
@@ -244,6 +248,50 @@
 	return true
 }
 
+// awaitTurn waits until a request that was sent ahead may run, and returns a function that ends its turn. It returns
+// nil if the connection or the request ends before. Such requests of a crowd would otherwise take all instances from
+// clients that send one request at a time.
+func (c *conn) awaitTurn(ctx context.Context) (end func()) {
+	turns := c.listener.turns
+	if turns == nil || !c.ahead {
+		return func() {}
+	}
+	end = func() { turns.Release(1) }
+	if turns.TryAcquire(1) {
+		return end
+	}
+	c.listener.options.Metrics.Ahead.Add(1)
+	c.setPhase(phaseRequest, phaseAhead)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-c.closed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if turns.Acquire(ctx, 1) != nil {
+		return nil
+	}
+	if !c.setPhase(phaseAhead, phaseRequest) {
+		end()
+		return nil
+	}
+	return end
+}
+
+// setPhase changes the phase, unless it is another one than expected.
+func (c *conn) setPhase(from, to connPhase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != from {
+		return false
+	}
+	c.phase = to
+	return true
+}
+
 // releaseHead frees the memory of the current head.
 func (c *conn) releaseHead() {
 	c.mu.Lock()
@@ -265,7 +313,7 @@
 func (c *conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseDiscard && c.hasUnread() {
+	if c.phase != phaseDiscard && c.phase != phaseAhead && c.hasUnread() {
 		// This daemon waits for its own processor, not for the client.
 		return false
 	}
@@ -274,7 +322,7 @@
 		c.beginClose()
 		// A client that does not read must not hold up the evictions of others.
 		go c.respondAndClose(requestTimeoutResponse)
-	case c.phase == phaseIdle, c.phase == phaseDiscard:
+	case c.phase == phaseIdle, c.phase == phaseDiscard, c.phase == phaseAhead:
 		c.beginClose()
 		go func() { _ = c.Close() }()
 	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
@@ -302,7 +350,7 @@
 		waited, least = now.Sub(c.idleSince), minIdleWait
 	case c.phase == phaseHeader:
 		waited, received = now.Sub(c.headSince), c.scanner.bytes
-	case c.phase == phaseDiscard:
+	case c.phase == phaseDiscard, c.phase == phaseAhead:
 		return discardTime, 0, true
 	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
 		return 0, 0, false
@@ -345,23 +393,6 @@
 	return evicted
 }
 
-// beginDiscard is called when the rest of a body is to be read only to ignore it, and endDiscard at its end.
-func (c *conn) beginDiscard() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseRequest {
-		c.phase = phaseDiscard
-	}
-}
-
-func (c *conn) endDiscard() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseDiscard {
-		c.phase = phaseRequest
-	}
-}
-
 // noteIdle starts the idle timeout.
 func (c *conn) noteIdle() {
 	c.releaseHead()
@@ -410,6 +441,8 @@
 	if c.phase == phaseClosing {
 		return false
 	}
+	// A head that was not waited for was read together with the request before.
+	c.ahead = c.used && c.phase == phaseIdle
 	c.phase, c.used, c.request, c.writeFailed = phaseRequest, true, id, false
 	c.stopTimer()
 	return true
--- a/internal/httplisten/exchange.go
+++ b/internal/httplisten/exchange.go
@@ -114,7 +114,7 @@
 		// To read would ask the client for the body.
 		return false
 	}
-	x.conn.beginDiscard()
+	x.conn.setPhase(phaseRequest, phaseDiscard)
 	if x.failed {
 		timeout = 0
 	}
@@ -123,7 +123,7 @@
 	}
 	_, _ = io.CopyN(io.Discard, (*exchangeBody)(x), limit)
 	if x.ended {
-		x.conn.endDiscard()
+		x.conn.setPhase(phaseDiscard, phaseRequest)
 		// An error shows itself at the next read.
 		_ = x.conn.SetReadDeadline(time.Time{})
 	}
--- a/internal/httplisten/handler.go
+++ b/internal/httplisten/handler.go
@@ -65,6 +65,11 @@
 		// A client that uses its connection without a pause would keep it from those that wait for one.
 		w.Header().Set("Connection", "close")
 	}
+	endTurn := c.awaitTurn(r.Context())
+	if endTurn == nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer endTurn()
 	if !c.holdHead(headCost(r)) {
 		c.listener.options.Metrics.HeadMemory.Add(1)
 		c.listener.logs.Note("heads.refused", 1, "fields", len(r.Header))
--- a/internal/httplisten/listener.go
+++ b/internal/httplisten/listener.go
@@ -32,6 +32,9 @@
 	rawResponseTimeout = 200 * time.Millisecond
 	// firstRequestTime is how long a planned stop waits for the first request of a connection.
 	firstRequestTime = 5 * time.Second
+	// aheadDivisor is the divisor of the number of connections that gives how many requests run at once that were
+	// sent before the answer to the one before.
+	aheadDivisor = 16
 	// closePoll is the interval at which a planned stop looks for idle connections.
 	closePoll = 20 * time.Millisecond
 )
@@ -69,6 +72,9 @@
 	slots         *semaphore.Weighted
 	accepting     context.Context
 	stopAccepting context.CancelFunc
+	// turns bounds the requests that run although they were sent before the answer to the one before; nil means no
+	// limit.
+	turns *semaphore.Weighted
 	// clientsWait is set while a client waits for a slot, although connections have been evicted.
 	clientsWait atomic.Bool
 	logs        *eventlog.Log
@@ -86,6 +92,7 @@
 	out.accepting, out.stopAccepting = context.WithCancel(context.Background())
 	if o.MaxConns > 0 {
 		out.slots = semaphore.NewWeighted(int64(o.MaxConns))
+		out.turns = semaphore.NewWeighted(int64(max(o.MaxConns/aheadDivisor, 1)))
 	}
 	return out
 }
--- a/internal/httplisten/metrics.go
+++ b/internal/httplisten/metrics.go
@@ -13,6 +13,8 @@
 	// its limit, HeadMemory those refused or closed since there was no memory for their head, and Unfinished
 	// those closed since the rest of a refused body did not arrive.
 	Evicted, LongHeads, HeadMemory, Unfinished atomic.Int64
+	// Ahead counts requests that waited for their turn since they were sent before the answer to the one before.
+	Ahead atomic.Int64
 }
 
 // Vars are the counters of Metrics in /debug/vars.
@@ -28,6 +30,7 @@
 	LongHeads  int64 `json:"long_heads"`
 	HeadMemory int64 `json:"no_head_memory"`
 	Unfinished int64 `json:"unfinished_bodies"`
+	Ahead      int64 `json:"waited_sent_ahead"`
 }
 
 // Vars returns the current values of the counters.
@@ -35,6 +38,6 @@
 	return Vars{
 		Idle: m.Idle.Load(), Slow: m.Slow.Load(), Stopped: m.Stopped.Load(), Unread: m.Unread.Load(), NotBegun: m.NotBegun.Load(),
 		NotWritten: m.NotWritten.Load(), Evicted: m.Evicted.Load(), LongHeads: m.LongHeads.Load(), HeadMemory: m.HeadMemory.Load(),
-		Unfinished: m.Unfinished.Load(),
+		Unfinished: m.Unfinished.Load(), Ahead: m.Ahead.Load(),
 	}
 }
