httplisten: a failed flush reaches the handler of a request with a body

What callers would have seen: nothing; operators would have counted streams of callers that had stalled or left as delivered one event late.

Cause: http.ResponseController prefers FlushError, which the wrapper did not have, and Flush has no error.

Evidence: TestFailedFlushIsReported got nil before, the time-out now.

--- a/internal/httplisten/evict_test.go
+++ b/internal/httplisten/evict_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -120,3 +121,28 @@
 	require.EqualValues(t, l.options.Metrics.Evicted.Load(), told)
 	require.Positive(t, told)
 }
+
+// Guards against an answer that is taken for delivered although its connection has ended: the error of a flush must
+// reach the handler of a request with a body, too.
+func TestFailedFlushIsReported(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	failed := make(chan error, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		control := http.NewResponseController(w)
+		_ = control.SetWriteDeadline(time.Now().Add(-time.Second))
+		_, _ = io.WriteString(w, "event")
+		failed <- control.Flush()
+	})}
+	Track(server, func(http.Header) string { return "" })
+	go func() {
+		_ = server.Serve(New(raw, Options{Limits: func() Limits { return Limits{} }, Metrics: &Metrics{}}))
+	}()
+	defer server.Close()
+	answer, err := http.Post("http://"+raw.Addr().String(), "", strings.NewReader("body"))
+	if err == nil {
+		answer.Body.Close()
+	}
+	require.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
+}
--- a/internal/httplisten/exchange.go
+++ b/internal/httplisten/exchange.go
@@ -52,13 +52,15 @@
 // Unwrap returns the writer for http.ResponseController.
 func (x *exchange) Unwrap() http.ResponseWriter { return x.ResponseWriter }
 
-// Flush implements http.Flusher.
-func (x *exchange) Flush() {
+// FlushError is Flush for http.ResponseController.
+func (x *exchange) FlushError() error {
 	x.answer(http.StatusOK)
-	// Writers that cannot flush are those of tests.
-	_ = http.NewResponseController(x.ResponseWriter).Flush()
+	return http.NewResponseController(x.ResponseWriter).Flush()
 }
 
+// Flush implements http.Flusher.
+func (x *exchange) Flush() { _ = x.FlushError() }
+
 // WriteHeader implements http.ResponseWriter.
 func (x *exchange) WriteHeader(status int) {
 	if status < http.StatusOK {
