--- a/internal/httplisten/evict_test.go
+++ b/internal/httplisten/evict_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -146,3 +147,43 @@
 	}
 	require.ErrorIs(t, <-failed, os.ErrDeadlineExceeded)
 }
+
+// exhaustedListener fails to accept once it is told to, as if the process had no descriptors left.
+type exhaustedListener struct {
+	net.Listener
+	exhausted chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.exhausted:
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	default:
+		return l.Listener.Accept()
+	}
+}
+
+// Guards against a process without descriptors that accepts nobody until its clients leave.
+func TestListenerWithoutDescriptorsEvicts(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer raw.Close()
+	gate := &exhaustedListener{Listener: raw, exhausted: make(chan struct{})}
+	l := New(gate, Options{Limits: func() Limits { return Limits{} }, Metrics: &Metrics{}})
+	silent, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	defer silent.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	accepted.(*conn).noteIdle()
+	close(gate.exhausted)
+	require.Eventually(t, func() bool {
+		_, err := l.Accept()
+		require.ErrorIs(t, err, syscall.EMFILE)
+		return l.options.Metrics.Evicted.Load() == 1
+	}, time.Second, 5*time.Millisecond)
+	_ = silent.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = silent.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -22,29 +22,20 @@
 	crowdDescriptors = 2048
 	// crowdBodyBytes is the longest body by default.
 	crowdBodyBytes = 4 << 20
-	// crowdTime is how long a crowd is there before the daemon is asked for an answer beside it.
-	crowdTime = 3 * time.Second
-	pathChat  = "/v1/chat/completions"
-	jsonType  = "Content-Type: application/json"
+	pathChat       = "/v1/chat/completions"
+	jsonType       = "Content-Type: application/json"
 	// ordinaryAPIKey is of another organisation than the crowds use, which has limits of its own.
 	ordinaryAPIKey = "example-key-mtkvari"
 )
 
-// faceCrowd lets a crowd use one of a daemon's listeners, and requires that the daemon stays within its memory and
-// descriptors, and answers an ordinary request beside the crowd and one afterwards.
+// faceCrowd runs a trial of a daemon with a crowd at one of its listeners.
 func (s *site) faceCrowd(d *cluster.Daemon, startCrowd func() (stop func())) {
 	s.t.Helper()
-	measured := crowd.Measure(strconv.Itoa(d.Pid()), hostOf(s.t, d.CallerURL), hostOf(s.t, d.OperatorURL), d.PeerAddress)
-	stopCrowd := startCrowd()
-	time.Sleep(crowdTime)
-	s.requireServed(d, "beside the crowd")
-	stopCrowd()
-	s.requireServed(d, "after the crowd")
-	peak := measured()
-	s.t.Logf("resident %d MB, with unread bytes %d MB, %d descriptors", peak.ResidentMB, peak.WithUnreadMB, peak.Descriptors)
-	require.Less(s.t, peak.ResidentMB, crowdMemoryMB)
-	require.Less(s.t, peak.WithUnreadMB, crowdMemoryMB)
-	require.LessOrEqual(s.t, peak.Descriptors, crowdDescriptors)
+	crowd.Trial{
+		PID: strconv.Itoa(d.Pid()), Addresses: []string{hostOf(s.t, d.CallerURL), hostOf(s.t, d.OperatorURL), d.PeerAddress},
+		MemoryMB: crowdMemoryMB, Descriptors: crowdDescriptors,
+		RequireServed: func(when string) { s.requireServed(d, when) },
+	}.Run(s.t, startCrowd)
 }
 
 // requireServed requires that an ordinary request is answered, and a call of an operator.
@@ -172,11 +163,10 @@
 // Guards against a chat request of the greatest length that is refused for the limits against crowds.
 func TestLongestChatIsServed(t *testing.T) {
 	s := newSite(t, 1, nil)
-	for _, prompt := range []string{strings.Repeat("word ", crowdBodyBytes/5-100)} {
-		r, err := cluster.ChatRequest{APIKey: visradAPIKey, Model: "notes-small", Prompt: prompt}.Send(t.Context(), s.Daemons[0].CallerURL, nil)
-		require.NoError(t, err)
-		require.True(t, r.Complete(), "%d %v", r.Status, r.Err)
-	}
+	prompt := strings.Repeat("word ", crowdBodyBytes/5-100)
+	r, err := cluster.ChatRequest{APIKey: visradAPIKey, Model: "notes-small", Prompt: prompt}.Send(t.Context(), s.Daemons[0].CallerURL, nil)
+	require.NoError(t, err)
+	require.True(t, r.Complete(), "%d %v", r.Status, r.Err)
 	const messages = 100_000
 	body := `{"model":"notes-small","messages":[` + strings.TrimSuffix(strings.Repeat(`{"role":"user","content":"x"},`, messages), ",") + `]}`
 	conn, err := net.Dial("tcp", hostOf(t, s.Daemons[0].CallerURL))
--- a/test/routes/crowd_mixed_test.go
+++ b/test/routes/crowd_mixed_test.go
@@ -17,6 +17,9 @@
 	"github.com/hornbeamsill/hornbeamsill/test/crowd"
 )
 
+// crowdTime is how long a crowd is there before it is looked at.
+const crowdTime = 3 * time.Second
+
 // unfinishedCall returns a call between daemons that declares a body of the given length and has part of it.
 func unfinishedCall(t *testing.T, declared, sent int) string {
 	t.Helper()
--- a/test/routes/crowd_test.go
+++ b/test/routes/crowd_test.go
@@ -24,9 +24,7 @@
 	crowdBodyBytes   = 4_000_000
 	// crowdTimeoutMS is longer than a test: no connection of a crowd ends by a timeout.
 	crowdTimeoutMS = 300_000
-	// crowdTime is how long a crowd is there before the daemon is asked for an answer beside it.
-	crowdTime = 3 * time.Second
-	pathNone  = "/no/route"
+	pathNone       = "/no/route"
 )
 
 // startCrowdDaemon starts a daemon and a server for tests of crowds.
@@ -45,22 +43,15 @@
 	return s, d
 }
 
-// faceCrowd lets a crowd use one of the daemon's listeners, and requires that the daemon stays within its memory
-// and descriptors, and answers an ordinary request beside the crowd and one afterwards.
+// faceCrowd runs a trial of the daemon with a crowd at one or more of its listeners.
 func (s *testbed) faceCrowd(d *daemon, startCrowd func() (stop func())) {
 	s.t.Helper()
-	pid := cluster.LogField(d.logLine("msg=daemon.started"), "pid")
-	measured := crowd.Measure(pid, d.callerAddress, d.readyAddress, d.directoryAddress, d.metricsAddress, d.peerAddress)
-	stopCrowd := startCrowd()
-	time.Sleep(crowdTime)
-	s.requireServed(d, "beside the crowd")
-	stopCrowd()
-	s.requireServed(d, "after the crowd")
-	peak := measured()
-	s.t.Logf("resident %d MB, with unread bytes %d MB, %d descriptors", peak.ResidentMB, peak.WithUnreadMB, peak.Descriptors)
-	require.Less(s.t, peak.ResidentMB, crowdMemoryMB)
-	require.Less(s.t, peak.WithUnreadMB, crowdMemoryMB)
-	require.LessOrEqual(s.t, peak.Descriptors, crowdDescriptors)
+	crowd.Trial{
+		PID:       cluster.LogField(d.logLine("msg=daemon.started"), "pid"),
+		Addresses: []string{d.callerAddress, d.readyAddress, d.directoryAddress, d.metricsAddress, d.peerAddress},
+		MemoryMB:  crowdMemoryMB, Descriptors: crowdDescriptors,
+		RequireServed: func(when string) { s.requireServed(d, when) },
+	}.Run(s.t, startCrowd)
 }
 
 // requireServed requires that an ordinary request is answered, and that the daemon says that it is ready.
