--- a/internal/httplisten/conn.go
+++ b/internal/httplisten/conn.go
@@ -13,17 +13,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 )
 
-// Responses that are written without the HTTP server. Status 408 and 503 promise that the request did not run, so
-// that the client may repeat it.
-const (
-	requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	headTooLongResponse    = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	noHeadMemoryResponse   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
-// refusalTime is how long a refused client may go on sending before its connection is closed.
-const refusalTime = 500 * time.Millisecond
-
 // connPhase is what a caller's connection is used for.
 type connPhase int
 
@@ -85,22 +74,6 @@
 	bodyEvicted, answerEvicted bool
 }
 
-// clientWait is the time that a daemon has waited for a client during a request.
-type clientWait struct {
-	// since is when the current wait began; zero if there is none.
-	since  time.Time
-	waited time.Duration
-	bytes  int
-}
-
-func (w *clientWait) begin(now time.Time) { w.since = now }
-
-func (w *clientWait) end(bytes int, now time.Time) {
-	w.waited += now.Sub(w.since)
-	w.bytes += bytes
-	w.since = time.Time{}
-}
-
 // Read implements net.Conn. It drops what is read after it was decided to close the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
@@ -183,104 +156,6 @@
 	_ = tcp.SetLinger(linger)
 }
 
-// noteBytes starts the header timeout when the first bytes of a request arrive, and measures its head. kept is
-// false if the connection is being closed. refusal is the response to a head that is too long or for which there
-// is no memory.
-func (c *conn) noteBytes(p []byte) (kept bool, refusal string) {
-	limits := c.listener.options.Limits()
-	cost, tooLong := 0, false
-	c.mu.Lock()
-	if c.phase == phaseIdle {
-		c.phase, c.headSince, c.scanner = phaseHeader, time.Now(), headScanner{}
-		c.startTimer(orDefault(limits.HeaderTimeout, defaultHeaderTimeout), c.rejectSlow)
-	}
-	if c.phase == phaseHeader {
-		c.scanner.add(p)
-		cost = c.scanner.cost()
-		tooLong = limits.HeaderBytes > 0 && c.scanner.bytes > limits.HeaderBytes+headerSlack
-	}
-	kept = c.phase != phaseClosing
-	c.mu.Unlock()
-	switch {
-	case tooLong:
-		c.listener.options.Metrics.LongHeads.Add(1)
-		return false, headTooLongResponse
-	case cost > 0 && !c.holdHead(cost):
-		c.listener.options.Metrics.HeadMemory.Add(1)
-		return false, noHeadMemoryResponse
-	}
-	return kept, ""
-}
-
-// currentHead returns the part in HeadMemory of a head that is arriving, or nil.
-func (c *conn) currentHead() *limit.Holding {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase != phaseHeader {
-		return nil
-	}
-	return c.head
-}
-
-// holdHead makes the current head count with a cost in HeadMemory. It returns false if there is no memory.
-// Only the goroutine that serves the connection calls it.
-func (c *conn) holdHead(cost int) bool {
-	if c.listener.options.HeadMemory == nil {
-		return true
-	}
-	more := cost - freeHeadCost - c.heldCost
-	if more <= 0 {
-		return true
-	}
-	c.mu.Lock()
-	head := c.head
-	c.mu.Unlock()
-	if head == nil {
-		head = c.listener.options.HeadMemory.Open(c.abortHead)
-		c.mu.Lock()
-		c.head = head
-		c.mu.Unlock()
-	}
-	if !head.Grow(more, time.Now()) {
-		return false
-	}
-	c.heldCost += more
-	return true
-}
-
-// awaitTurn waits until a request that was sent ahead may run, and returns a function that ends its turn. It returns
-// nil if the connection or the request ends before. Such requests of a crowd would otherwise take all instances from
-// clients that send one request at a time.
-func (c *conn) awaitTurn(ctx context.Context) (end func()) {
-	turns := c.listener.turns
-	if turns == nil || !c.ahead {
-		return func() {}
-	}
-	end = func() { turns.Release(1) }
-	if turns.TryAcquire(1) {
-		return end
-	}
-	c.listener.options.Metrics.Ahead.Add(1)
-	c.setPhase(phaseRequest, phaseAhead)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-c.closed:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	if turns.Acquire(ctx, 1) != nil {
-		return nil
-	}
-	if !c.setPhase(phaseAhead, phaseRequest) {
-		end()
-		return nil
-	}
-	return end
-}
-
 // setPhase changes the phase, unless it is another one than expected.
 func (c *conn) setPhase(from, to connPhase) bool {
 	c.mu.Lock()
@@ -292,107 +167,6 @@
 	return true
 }
 
-// releaseHead frees the memory of the current head.
-func (c *conn) releaseHead() {
-	c.mu.Lock()
-	head := c.head
-	c.head = nil
-	c.mu.Unlock()
-	if head != nil {
-		head.Close()
-	}
-}
-
-// abortHead ends a request whose client keeps this daemon waiting while the memory of its head is needed.
-func (c *conn) abortHead() {
-	c.listener.options.Metrics.HeadMemory.Add(1)
-	c.evict()
-}
-
-// evict ends a connection that keeps this daemon waiting for its client. It returns false if that is no longer so.
-func (c *conn) evict() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase != phaseDiscard && c.phase != phaseAhead && c.hasUnread() {
-		// This daemon waits for its own processor, not for the client.
-		return false
-	}
-	switch {
-	case c.phase == phaseHeader:
-		c.beginClose()
-		// A client that does not read must not hold up the evictions of others.
-		go c.respondAndClose(requestTimeoutResponse)
-	case c.phase == phaseIdle, c.phase == phaseDiscard, c.phase == phaseAhead:
-		c.beginClose()
-		go func() { _ = c.Close() }()
-	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
-		return false
-	case !c.bodyRead.since.IsZero():
-		c.bodyEvicted = true
-		_ = c.Conn.SetReadDeadline(time.Now())
-	case !c.answerWrite.since.IsZero():
-		c.answerEvicted = true
-		_ = c.Conn.SetWriteDeadline(time.Now())
-	default:
-		return false
-	}
-	return true
-}
-
-// clientWait returns for how long this daemon has waited for the client since the current request began, or since
-// the one before ended, and how many bytes came in that time. ok is false if it does not wait, or only for a moment.
-func (c *conn) clientWait(now time.Time) (waited time.Duration, received int, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	least := minClientWait
-	switch {
-	case c.phase == phaseIdle:
-		waited, least = now.Sub(c.idleSince), minIdleWait
-	case c.phase == phaseHeader:
-		waited, received = now.Sub(c.headSince), c.scanner.bytes
-	case c.phase == phaseDiscard, c.phase == phaseAhead:
-		return discardTime, 0, true
-	case c.phase != phaseRequest || c.bodyEvicted || c.answerEvicted:
-		return 0, 0, false
-	case !c.bodyRead.since.IsZero():
-		waited, received = c.bodyRead.waited+now.Sub(c.bodyRead.since), c.bodyRead.bytes
-	case !c.answerWrite.since.IsZero():
-		waited, received, least = now.Sub(c.answerWrite.since), c.answerWrite.bytes, minWriteWait
-	default:
-		return 0, 0, false
-	}
-	return waited, received, waited >= least
-}
-
-// beginBodyRead is called before bytes of a body are read.
-func (c *conn) beginBodyRead() {
-	now := time.Now()
-	c.mu.Lock()
-	head := c.head
-	if c.phase == phaseRequest {
-		c.bodyRead.begin(now)
-	}
-	c.mu.Unlock()
-	if head != nil {
-		head.BeginWait(now)
-	}
-}
-
-// endBodyRead is called when n bytes of a body have been read. It reports whether the request was evicted.
-func (c *conn) endBodyRead(n int) bool {
-	now := time.Now()
-	c.mu.Lock()
-	head, evicted := c.head, c.bodyEvicted
-	if !c.bodyRead.since.IsZero() {
-		c.bodyRead.end(n, now)
-	}
-	c.mu.Unlock()
-	if head != nil {
-		head.EndWait(n, now)
-	}
-	return evicted
-}
-
 // noteIdle starts the idle timeout.
 func (c *conn) noteIdle() {
 	c.releaseHead()
@@ -544,26 +318,6 @@
 	_ = c.Close()
 }
 
-// refuse responds to a head that is not read any further, and reads on for a moment: a client that is still
-// sending would lose the response if the connection were reset.
-func (c *conn) refuse(response string) {
-	c.mu.Lock()
-	if c.phase == phaseClosing {
-		c.mu.Unlock()
-		return
-	}
-	c.phase = phaseDiscard
-	c.stopTimer()
-	c.mu.Unlock()
-	c.releaseHead()
-	c.listener.logs.Note("heads.refused", 1, "bytes", c.scanner.bytes, "lines", c.scanner.lines)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(rawResponseTimeout))
-	_, _ = io.WriteString(c.Conn, response)
-	_ = c.CloseWrite()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, maxDiscard)
-}
-
 func orDefault(d, byDefault time.Duration) time.Duration {
 	if d <= 0 {
 		return byDefault
--- a/internal/httplisten/listener.go
+++ b/internal/httplisten/listener.go
@@ -32,9 +32,6 @@
 	rawResponseTimeout = 200 * time.Millisecond
 	// firstRequestTime is how long a planned stop waits for the first request of a connection.
 	firstRequestTime = 5 * time.Second
-	// aheadDivisor is the divisor of the number of connections that gives how many requests run at once that were
-	// sent before the answer to the one before.
-	aheadDivisor = 16
 	// closePoll is the interval at which a planned stop looks for idle connections.
 	closePoll = 20 * time.Millisecond
 )
