test/routes: the setup of endless bodies waited for a cut that could not come

Traced by the daemons' logs: service.cut_off came for the plain service only, and all 4,708 and 4,251 streams of the setup ran at the engine itself, without a gateway. The fault refused new connections, while one to the engine was open already (the daemon checks its instances when it starts), which each stream used again.

Change: the setup's fault resets open connections, too; the daemon is cut off as the test says.

--- a/test/routes/endless_caller_test.go
+++ b/test/routes/endless_caller_test.go
@@ -113,7 +113,8 @@
 				d := b.startFaultDaemon()
 				b.startFaultDaemon()
 				if tunneled {
-					b.setFault(d, faultdial.Refuse)
+					// A connection that is open already, such as that of a status check, must not be used either.
+					b.setFault(d, faultdial.Reset)
 				}
 				b.eventually(func() error {
 					err := b.readEndless(t.Context(), d, false, func(error) bool { return false })
