--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -76,8 +76,8 @@
 	return err
 }
 
-// decode decodes a value. It closes the connection if the value is too long or there is no memory for it, since net/rpc would answer
-// the call and read on.
+// decode decodes a value. It closes the connection if the value is too long or there is no memory for it,
+// since net/rpc would answer the call and read on.
 func (f *frameConn) decode(value any) error {
 	err := f.dec.Decode(value)
 	var limited *readlimit.Error
