test: crowds of costly calls between daemons, without descriptors, while a daemon starts; KNOWN-RED

The trial of a daemon for plain HTTP callers now also requires a call of another daemon to be answered, beside the crowd and after it.

--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -19,27 +19,47 @@
 // Start has n clients use connections to address until stop is called. They read and ignore the answers. A
 // connection that the server closes is replaced.
 func Start(n int, address string, client Client) (stop func()) {
-	return start(n, address, func(ctx context.Context, conn net.Conn) {
-		go client(ctx, conn)
-		_, _ = io.Copy(io.Discard, conn)
-	})
+	return start(n, address, oneAddress, reading(client))
+}
+
+// StartFromMany is Start for clients each of which has an address of its own.
+func StartFromMany(n int, address string, client Client) (stop func()) {
+	return start(n, address, ownAddress, reading(client))
 }
 
 // StartWithoutReading is Start for clients that read no answers and keep their first connection.
 func StartWithoutReading(n int, address string, client Client) (stop func()) {
-	return start(n, address, func(ctx context.Context, conn net.Conn) {
+	return start(n, address, oneAddress, func(ctx context.Context, conn net.Conn) {
 		client(ctx, conn)
 		<-ctx.Done()
 	})
 }
 
-func start(n int, address string, use Client) (stop func()) {
+// reading adds to a client that it reads and ignores the answers.
+func reading(client Client) Client {
+	return func(ctx context.Context, conn net.Conn) {
+		go client(ctx, conn)
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// oneAddress leaves the address of a client to the kernel.
+func oneAddress(int) net.Addr { return nil }
+
+// ownAddress returns the loopback address of a client.
+func ownAddress(client int) net.Addr {
+	const second = 7
+	return &net.TCPAddr{IP: net.IPv4(127, second, byte(client>>8), byte(client))}
+}
+
+func start(n int, address string, from func(client int) net.Addr, use Client) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
-	for range n {
+	for i := range n {
 		clients.Go(func() {
+			dialer := &net.Dialer{LocalAddr: from(i)}
 			for ctx.Err() == nil {
-				connect(ctx, address, use)
+				connect(ctx, dialer, address, use)
 				select {
 				case <-ctx.Done():
 				case <-time.After(reconnectDelay):
@@ -53,8 +73,8 @@
 	}
 }
 
-func connect(ctx context.Context, address string, use Client) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+func connect(ctx context.Context, dialer *net.Dialer, address string, use Client) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return
 	}
--- a/test/routes/crowd_test.go
+++ b/test/routes/crowd_test.go
@@ -29,6 +29,12 @@
 
 // startCrowdDaemon starts a daemon and a server for tests of crowds.
 func startCrowdDaemon(t *testing.T) (*testbed, *daemon) {
+	s := newCrowdBed(t, 0)
+	return s, s.startCrowdDaemon(nil, binaries.StartRoutesDaemon)
+}
+
+// newCrowdBed returns a testbed with a server that adds padding to its answers.
+func newCrowdBed(t *testing.T, padding int) *testbed {
 	s := newTestbed(t)
 	m := newManifest(4)
 	for i := range m.Routes {
@@ -36,21 +42,35 @@
 	}
 	m.Limits = wire.Limits{MaxHeaderBytes: crowdHeaderBytes, MaxBodyBytes: crowdBodyBytes, HeaderTimeoutMS: crowdTimeoutMS, IdleTimeoutMS: crowdTimeoutMS}
 	s.store.PutManifest(m)
-	s.startServer(platformtest.ServerOptions{ID: "cat-1", Service: plainService, Slots: 300})
-	d := s.startDaemon(func(r *settings.Routes) { r.MemoryMB, r.Descriptors = crowdMemoryMB, crowdDescriptors })
+	s.startServer(platformtest.ServerOptions{ID: "cat-1", Service: plainService, Slots: 300, Padding: padding})
+	return s
+}
+
+// startCrowdDaemon starts a daemon with the limits of the tests of crowds. change, if not nil, changes its settings.
+func (s *testbed) startCrowdDaemon(change func(*settings.Routes), start func(name, settings string) (*cluster.Process, string, error)) *daemon {
+	s.t.Helper()
+	d := s.startProcess(func(r *settings.Routes) {
+		r.MemoryMB, r.Descriptors = crowdMemoryMB, crowdDescriptors
+		if change != nil {
+			change(r)
+		}
+	}, start)
 	s.waitForLog(d, "msg=config.in_force", "version=4")
 	s.waitReady(d)
-	return s, d
+	return d
 }
 
 // faceCrowd runs a trial of the daemon with a crowd at one or more of its listeners.
 func (s *testbed) faceCrowd(d *daemon, startCrowd func() (stop func())) {
 	s.t.Helper()
 	crowd.Trial{
-		PID:       cluster.LogField(d.logLine("msg=daemon.started"), "pid"),
+		PID:       d.pid(),
 		Addresses: []string{d.callerAddress, d.readyAddress, d.directoryAddress, d.metricsAddress, d.peerAddress},
 		MemoryMB:  crowdMemoryMB, Descriptors: crowdDescriptors,
-		RequireServed: func(when string) { s.requireServed(d, when) },
+		RequireServed: func(when string) {
+			s.requireServed(d, when)
+			s.requirePeerServed(d)
+		},
 	}.Run(s.t, startCrowd)
 }
 
@@ -68,6 +88,8 @@
 	})
 }
 
+func (d *daemon) pid() string { return cluster.LogField(d.logLine("msg=daemon.started"), "pid") }
+
 // crowdHead returns the head of an ordinary request, without its end.
 func crowdHead(path string) string {
 	return crowd.Head(path, host, wire.HeaderRequestID+": of-a-crowd", wire.HeaderCredential+": "+key)
