peer: calls count what they take once decoded, and until they are answered

Cause: the budget for messages counted bytes as they arrive, above 64 KB each, and until the next call was read. gob makes much more of them: an empty daemon is one byte on the wire and 216 in memory, a map is allocated with the number of entries that the message states, and definitions of types are kept for as long as the connection lasts. The buffer of a connection's first message was allocated before the budget was asked.

--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -259,9 +259,10 @@
 	PeerCalls  *peer.Traffic `json:"peer_calls"`
 	PeerServed *peer.Traffic `json:"peer_served"`
 	// PeerConnsEvicted and PeerConnsRefused count connections to the listener for other daemons that were closed to
-	// make room, and those for which there was none.
-	PeerConnsEvicted int64 `json:"peer_connections_evicted"`
-	PeerConnsRefused int64 `json:"peer_connections_refused"`
+	// make room, and those for which there was none. PeerMessagesRefused counts messages that were not decoded.
+	PeerConnsEvicted    int64 `json:"peer_connections_evicted"`
+	PeerConnsRefused    int64 `json:"peer_connections_refused"`
+	PeerMessagesRefused int64 `json:"peer_messages_refused"`
 	// Evacuated is the number of evacuated failure domains, and Withdrawn the number of times
 	// a request was stopped because its instance was withdrawn just before it was sent.
 	Evacuated int   `json:"evacuated"`
@@ -326,7 +327,9 @@
 			List: n.table.Revision(), ListAgeMS: n.table.Age().Milliseconds(),
 			Daemons: n.registry.LiveCount(), StoreCalls: n.store.Calls(), Dials: n.pool.Dials(),
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
-			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(), PeerConnsEvicted: p.peers.Evicted.Load(), PeerConnsRefused: p.peers.Refused.Load(), Quarantine: n.quarantine.vars(),
+			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(),
+			PeerConnsEvicted: p.peers.Evicted.Load(), PeerConnsRefused: p.peers.Refused.Load(), PeerMessagesRefused: p.peers.MessagesRefused.Load(),
+			Quarantine: n.quarantine.vars(),
 			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
 			Capacity:    n.capacityVars(),
--- a/internal/limit/held.go
+++ b/internal/limit/held.go
@@ -67,6 +67,9 @@
 	return g
 }
 
+// Largest returns the most bytes that one request may hold.
+func (b *HeldBytes) Largest() int { return b.limit - int(reservedFraction*float64(b.limit)) }
+
 // Used returns the number of bytes held.
 func (b *HeldBytes) Used() int {
 	b.mu.Lock()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,15 +77,15 @@
 	return err
 }
 
-// decode decodes a value. It closes the connection if the value is too long or there is no memory for it,
-// since net/rpc would answer the call and read on.
+// decode decodes a value. It closes the connection if the value is too long or was refused, since net/rpc would answer
+// the call and read on.
 func (f *frameConn) decode(value any) error {
 	err := f.dec.Decode(value)
 	var limited *readlimit.Error
 	if errors.As(err, &limited) {
 		f.limited.Store(limited)
 	}
-	if limited != nil || errors.Is(err, errNoMessageMemory) {
+	if limited != nil || errors.Is(err, errMessageRefused) {
 		f.Close()
 	}
 	return err
@@ -125,32 +126,51 @@
 func (c *clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 // serverCodec is the server side of a connection; it implements rpc.ServerCodec.
+//
+// Lock order: no other lock of this package is taken while mu is held.
 type serverCodec struct {
 	*frameConn
 	conn *serverConn
-	// calls has an element for each call that is being handled.
-	calls chan struct{}
+	// slots has an element for each call that is being handled.
+	slots chan struct{}
+
+	mu sync.Mutex
+	// calls are the calls that are being read or handled. Their keys take the place of the numbers that the client
+	// has given them, which it may use more than once.
+	calls map[uint64]serverCall
+	// last is the key of the call that was begun last.
+	last uint64
+}
+
+// serverCall is a call that is being read or handled.
+type serverCall struct {
+	// seq is the client's number of the call, and held what the call takes of the budget for messages.
+	seq  uint64
+	held int
 }
 
 // newServerCodec returns the codec of calls on conn, which is c or reads from it.
 func newServerCodec(c *serverConn, conn net.Conn, traffic *Traffic) *serverCodec {
-	out := &serverCodec{frameConn: newFrameConn(conn, traffic), conn: c, calls: make(chan struct{}, maxCalls)}
+	out := &serverCodec{frameConn: newFrameConn(conn, traffic), conn: c, slots: make(chan struct{}, maxCalls), calls: map[uint64]serverCall{}}
 	out.reader.hold = c.holdMessage
 	return out
 }
 
 // ReadRequestHeader implements rpc.ServerCodec. net/rpc calls WriteResponse once for each header.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	c.calls <- struct{}{}
-	c.conn.releaseMessage()
-	err := c.readHeader(r)
-	if err != nil {
-		<-c.calls
-	} else {
-		c.conn.begin()
+	c.slots <- struct{}{}
+	if err := c.readHeader(r); err != nil {
+		<-c.slots
+		return c.noteRefused(err)
 	}
+	c.conn.begin()
 	c.method = r.ServiceMethod
-	return err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last++
+	c.calls[c.last] = serverCall{seq: r.Seq}
+	r.Seq = c.last
+	return nil
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
@@ -159,15 +179,35 @@
 	if err == nil {
 		c.conn.prove()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[c.last]
+	call.held = c.conn.takeHeld()
+	c.calls[c.last] = call
+	return c.noteRefused(err)
+}
+
+// noteRefused counts the message that an error is about, if it was refused.
+func (c *serverCodec) noteRefused(err error) error {
+	if errors.Is(err, errMessageRefused) {
+		c.conn.server.MessagesRefused.Add(1)
+		c.conn.server.logs.Note("peer.message_refused", 1, "method", c.method, "address", c.conn.RemoteAddr().String(), "reason", err)
+	}
 	return err
 }
 
 // WriteResponse implements rpc.ServerCodec. A failed write closes the connection: a partial
 // frame may have been sent, after which the client cannot decode further frames.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	c.mu.Lock()
+	call := c.calls[r.Seq]
+	delete(c.calls, r.Seq)
+	c.mu.Unlock()
+	r.Seq = call.seq
 	defer func() {
+		c.conn.release(call.held)
 		c.conn.end()
-		<-c.calls
+		<-c.slots
 	}()
 	err := c.write(r.ServiceMethod, r, body)
 	if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,8 +38,8 @@
 	messages *limit.HeldBytes
 	logs     *eventlog.Log
 	// Evicted counts connections that were closed to make room for others, and Refused those for which there was
-	// no room.
-	Evicted, Refused atomic.Int64
+	// no room. MessagesRefused counts messages that were not decoded.
+	Evicted, Refused, MessagesRefused atomic.Int64
 
 	mu     sync.Mutex
 	conns  map[*serverConn]bool
@@ -115,7 +115,7 @@
 
 // add adds a connection, and closes another one if there are too many. It returns false if there is no room.
 func (s *Server) add(conn net.Conn) (*serverConn, bool) {
-	c := &serverConn{Conn: conn, acceptedAt: time.Now()}
+	c := &serverConn{Conn: conn, server: s, acceptedAt: time.Now()}
 	if s.messages != nil {
 		// Close may wait for a TLS connection, and the budget is locked here.
 		c.message = s.messages.Open(func() { go conn.Close() })
@@ -125,22 +125,29 @@
 	if s.closed {
 		return nil, false
 	}
-	if s.maxConns > 0 && len(s.conns) >= s.maxConns {
-		evicted := worst(s.conns, c.acceptedAt)
-		if evicted == nil {
-			s.Refused.Add(1)
-			s.logs.Note("peer.refused", 1, "open", len(s.conns))
-			return nil, false
-		}
-		s.Evicted.Add(1)
-		s.logs.Note("peer.evicted", 1, "open", len(s.conns), "proven", evicted.proven.Load())
-		delete(s.conns, evicted)
-		go evicted.Close()
+	if s.maxConns > 0 && len(s.conns) >= s.maxConns && !s.evict(c.acceptedAt) {
+		s.Refused.Add(1)
+		s.logs.Note("peer.refused", 1, "open", len(s.conns))
+		return nil, false
 	}
 	s.conns[c] = true
 	return c, true
 }
 
+// evict closes the connection that is worth least. It returns false if all are in use. The lock is held.
+func (s *Server) evict(now time.Time) bool {
+	evicted := worst(s.conns, now)
+	if evicted == nil {
+		return false
+	}
+	s.Evicted.Add(1)
+	s.logs.Note("peer.evicted", 1, "open", len(s.conns), "proven", evicted.proven.Load())
+	delete(s.conns, evicted)
+	// The close of a TLS connection may wait.
+	go evicted.Close()
+	return true
+}
+
 func (s *Server) serve(c *serverConn) {
 	_ = c.SetReadDeadline(c.acceptedAt.Add(firstCallTimeout))
 	s.serveConn(c)
--- a/internal/peer/server_conn.go
+++ b/internal/peer/server_conn.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"net"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,7 @@
 	firstCallTimeout = 5 * time.Second
 	// minPeerIdle is how long a connection must have been without calls to make room for another one.
 	minPeerIdle = 1 * time.Second
-	// smallMessage is the length of a message that does not count in the budget.
+	// smallMessage is what a message takes that does not count in the budget.
 	smallMessage = 64 << 10
 	// messageWait is how long a long message waits for memory, and messageWaitInterval the time between two attempts.
 	messageWait         = 500 * time.Millisecond
@@ -35,13 +36,15 @@
 // serverConn is a connection that a Server has accepted.
 type serverConn struct {
 	net.Conn
+	server     *Server
 	acceptedAt time.Time
 	// proven is set once a whole call or a request for a tunnel has been read. usedAt is when the last call ended,
-	// in Unix nanoseconds, and running the number of calls that are being handled, or 1 for a tunnel.
+	// in Unix nanoseconds, and running the number of calls that are being read or handled, or 1 for a tunnel.
 	proven  atomic.Bool
 	usedAt  atomic.Int64
 	running atomic.Int64
-	// message is the connection's part of the budget for messages; nil if there is none.
+	// message is the connection's part of the budget for messages; nil if there is none. held is what the call that
+	// is being read has of it.
 	message *limit.Holding
 	held    int
 }
@@ -65,14 +68,16 @@
 	return c.running.Load() == 0 && now.UnixNano()-c.usedAt.Load() >= int64(minPeerIdle)
 }
 
-// holdMessage makes a message of n bytes count in the budget. It returns false if there is no memory for it. The first
-// message of a connection does not wait for memory: the decoder has allocated its buffer already.
+// holdMessage makes a message that takes n bytes count in the budget. It returns false if there is no memory for it.
 func (c *serverConn) holdMessage(n int) bool {
 	if c.message == nil || n <= smallMessage {
 		return true
 	}
+	if n > c.server.messages.Largest() {
+		return false
+	}
 	for waited := time.Duration(0); !c.message.Grow(n, time.Now()); waited += messageWaitInterval {
-		if waited >= messageWait || !c.proven.Load() || c.message.Aborted() {
+		if waited >= messageWait || c.message.Aborted() {
 			return false
 		}
 		time.Sleep(messageWaitInterval)
@@ -81,11 +86,17 @@
 	return true
 }
 
-// releaseMessage frees the memory of the message that was read last.
-func (c *serverConn) releaseMessage() {
-	if c.held > 0 {
-		c.message.Shrink(c.held)
-		c.held = 0
+// takeHeld returns what the call that has been read holds. The caller releases it when the call has been answered.
+func (c *serverConn) takeHeld() int {
+	held := c.held
+	c.held = 0
+	return held
+}
+
+// release frees memory of a call.
+func (c *serverConn) release(held int) {
+	if held > 0 {
+		c.message.Shrink(held)
 	}
 }
 
@@ -116,8 +127,5 @@
 			}
 		}
 	}
-	if unproven != nil {
-		return unproven
-	}
-	return idle
+	return cmp.Or(unproven, idle)
 }
--- a/test/crowd/calls.go
+++ b/test/crowd/calls.go
@@ -7,6 +7,7 @@
 	"math/bits"
 	"net/rpc"
 	"reflect"
+	"slices"
 	"strconv"
 )
 
@@ -68,6 +69,30 @@
 	return out.String()
 }
 
+// CallWithMap returns a whole call of net/rpc whose body is a struct with a map, as the first field, that states the
+// given number of entries and has one.
+func CallWithMap(method, field string, stated int) string {
+	var b bytes.Buffer
+	encoder := gob.NewEncoder(&b)
+	_ = encoder.Encode(rpc.Request{ServiceMethod: method, Seq: 1})
+	body := reflect.New(reflect.StructOf([]reflect.StructField{{Name: field, Type: reflect.TypeFor[map[uint64]int64]()}})).Elem()
+	body.Field(0).Set(reflect.ValueOf(map[uint64]int64{1: 1}))
+	start := b.Len()
+	_ = encoder.EncodeValue(body)
+	// The value is the last message. It ends with the number of entries, the entry and the end of the struct.
+	const entryBytes = 3
+	messages := b.Bytes()
+	for {
+		size, n := readGobUint(messages[start:])
+		if start+n+int(size) == len(messages) {
+			value := messages[start+n : len(messages)-entryBytes-1]
+			value = slices.Concat(value, gobUint(uint64(stated)), messages[len(messages)-entryBytes:])
+			return string(slices.Concat(messages[:start], gobUint(uint64(len(value))), value))
+		}
+		start += n + int(size)
+	}
+}
+
 // gobUint returns the gob encoding of a number: one byte, or the complement of the number of bytes and the bytes.
 func gobUint(x uint64) []byte {
 	const oneByte = 0x7f
--- a/test/routes/crowd_peers_test.go
+++ b/test/routes/crowd_peers_test.go
@@ -47,6 +47,7 @@
 		"empty strings":        {100, crowd.Send(crowd.Call("Routes.Reach", peer.ReachRequest{Instances: make([]string, 4_000_000)}))},
 		"empty daemons":        {100, crowd.Send(crowd.Call("Routes.Beat", peer.RoutesHeartbeat{News: make([]member.Daemon, 60_000)}))},
 		"many empty daemons":   {20, crowd.Send(crowd.Call("Routes.Beat", peer.RoutesHeartbeat{News: make([]member.Daemon, 4_000_000)}))},
+		"map, little of it":    {20, crowd.Send(crowd.CallWithMap("Routes.Inquire", "Ended", 1_000_000))},
 		"second call, no end":  {600, crowd.Send(crowd.CallAndUnfinished("Routes.Evidence", peer.EvidenceRequest{Service: plainService}))},
 		"long, little of them": {600, crowd.Send(unfinishedCall(7_000_000, 1000))},
 	})
