peer: a second call that does not end makes room for other daemons

Cause: after a whole call a connection has no time limit, and while its second call is being read it counted as one that is in use, which nothing displaces.

A connection that is used for nothing but a call whose body has been incomplete for 1 s now makes room when the listener is full.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -176,6 +176,7 @@
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestBody(body any) error {
 	err := c.readBody(body)
+	c.conn.endReading()
 	if err == nil {
 		c.conn.prove()
 	}
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -232,3 +232,37 @@
 		})
 	}
 }
+
+// Guards against clients that keep all connections of the listener with a whole call and another one that does not end.
+func TestDaemonsDisplaceUnfinishedSecondCalls(t *testing.T) {
+	const conns = 4
+	server, err := ListenRoutes("127.0.0.1:0", echoHandler{}, nil, Limits{MaxConns: conns})
+	require.NoError(t, err)
+	defer server.Close()
+	calls := encoded(t, rpc.Request{ServiceMethod: "Routes.Beat", Seq: 1}, RoutesHeartbeat{Digest: 1}, rpc.Request{ServiceMethod: "Routes.Beat", Seq: 2}, RoutesHeartbeat{Digest: 2})
+	for range conns {
+		conn, err := net.Dial("tcp", server.Address())
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, calls[:len(calls)-1])
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		unfinished := 0
+		for c := range server.conns {
+			if c.proven.Load() && c.running.Load() == 1 {
+				unfinished++
+			}
+		}
+		return unfinished == conns
+	}, 10*time.Second, time.Millisecond)
+	client := NewClient(nil)
+	defer client.Close()
+	require.Eventually(t, func() bool {
+		_, err := client.RoutesHeartbeat(t.Context(), server.Address(), RoutesHeartbeat{})
+		return err == nil
+	}, 10*time.Second, 50*time.Millisecond)
+	require.Positive(t, server.Evicted.Load())
+}
--- a/internal/peer/server_conn.go
+++ b/internal/peer/server_conn.go
@@ -22,6 +22,9 @@
 	firstCallTimeout = 5 * time.Second
 	// minPeerIdle is how long a connection must have been without calls to make room for another one.
 	minPeerIdle = 1 * time.Second
+	// maxBodyTime is how long the body of a call may be incomplete before its connection makes room for another one. A
+	// link of 10 Mbit/s carries 64 KB in 50 ms; the few longer calls are repeated.
+	maxBodyTime = 1 * time.Second
 	// smallMessage is what a message takes that does not count in the budget.
 	smallMessage = 64 << 10
 	// messageWait is how long a long message waits for memory, and messageWaitInterval the time between two attempts.
@@ -43,6 +46,9 @@
 	proven  atomic.Bool
 	usedAt  atomic.Int64
 	running atomic.Int64
+	// readingSince is when the header of the call was read whose body is being read, in Unix nanoseconds; 0 if there
+	// is none.
+	readingSince atomic.Int64
 	// message is the connection's part of the budget for messages; nil if there is none. held is what the call that
 	// is being read has of it.
 	message *limit.Holding
@@ -56,7 +62,12 @@
 	}
 }
 
-func (c *serverConn) begin() { c.running.Add(1) }
+func (c *serverConn) begin() {
+	c.running.Add(1)
+	c.readingSince.Store(time.Now().UnixNano())
+}
+
+func (c *serverConn) endReading() { c.readingSince.Store(0) }
 
 func (c *serverConn) end() {
 	c.usedAt.Store(time.Now().UnixNano())
@@ -68,6 +79,12 @@
 	return c.running.Load() == 0 && now.UnixNano()-c.usedAt.Load() >= int64(minPeerIdle)
 }
 
+// isStalled reports whether the connection is used for nothing but a call whose body has been incomplete for a while.
+func (c *serverConn) isStalled(now time.Time) bool {
+	since := c.readingSince.Load()
+	return c.running.Load() == 1 && since != 0 && now.UnixNano()-since >= int64(maxBodyTime)
+}
+
 // holdMessage makes a message that takes n bytes count in the budget. It returns false if there is no memory for it.
 func (c *serverConn) holdMessage(n int) bool {
 	if c.message == nil || n <= smallMessage {
@@ -111,21 +128,23 @@
 	return n, err
 }
 
-// worst returns the connection that makes room for another one: the oldest that has not sent a whole call, or else
-// the one that has been idle for the longest time. It returns nil if all are in use.
+// worst returns the connection that makes room for another one: the oldest that has not sent a whole call, or else one
+// that is stalled, or the one that has been idle for the longest time. It returns nil if all are in use.
 func worst(conns map[*serverConn]bool, now time.Time) *serverConn {
-	var unproven, idle *serverConn
+	var unproven, stalled, idle *serverConn
 	for c := range conns {
 		switch {
 		case !c.proven.Load():
 			if unproven == nil || c.acceptedAt.Before(unproven.acceptedAt) {
 				unproven = c
 			}
+		case c.isStalled(now):
+			stalled = c
 		case c.isIdle(now):
 			if idle == nil || c.usedAt.Load() < idle.usedAt.Load() {
 				idle = c
 			}
 		}
 	}
-	return cmp.Or(unproven, idle)
+	return cmp.Or(unproven, stalled, idle)
 }
