peer: a listener without descriptors evicts connections

Cause: after an error of accept the listener paused for 100 ms and did nothing else, so that no descriptor ever became free.

The log line peer.not_accepted comes at most once a second.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,11 +3,11 @@
 import (
 	"crypto/tls"
 	"errors"
-	"log/slog"
 	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -90,8 +90,12 @@
 // Traffic returns the counters of the calls that this server receives.
 func (s *Server) Traffic() *Traffic { return s.traffic }
 
-// acceptRetryDelay is the pause after an error of Accept, such as too many open files.
-const acceptRetryDelay = 100 * time.Millisecond
+const (
+	// acceptRetryDelay is the pause after an error of Accept.
+	acceptRetryDelay = 100 * time.Millisecond
+	// evictionDelay is the pause after the eviction of a connection, whose descriptor is free once it is closed.
+	evictionDelay = time.Millisecond
+)
 
 func (s *Server) accept() {
 	for {
@@ -100,8 +104,8 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			slog.Error("peer.not_accepted", "error", err)
-			time.Sleep(acceptRetryDelay)
+			s.logs.Note("peer.not_accepted", 1, "error", err)
+			time.Sleep(s.afterAcceptError(err))
 			continue
 		}
 		c, ok := s.add(conn)
@@ -113,6 +117,19 @@
 	}
 }
 
+// afterAcceptError evicts a connection if there are no descriptors left, and returns the pause before the next attempt.
+func (s *Server) afterAcceptError(err error) time.Duration {
+	if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+		return acceptRetryDelay
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.evict(time.Now()) {
+		return acceptRetryDelay
+	}
+	return evictionDelay
+}
+
 // add adds a connection, and closes another one if there are too many. It returns false if there is no room.
 func (s *Server) add(conn net.Conn) (*serverConn, bool) {
 	c := &serverConn{Conn: conn, server: s, acceptedAt: time.Now()}
