httplisten: unread requests do not protect a client that reads no answers

Clients that had all connections of a listener in use, sent many requests ahead and read none of the answers could not be displaced: a newcomer got no answer in 10 s (TestNewcomersDisplaceUnreadAnswers without the change).

Cause: bytes that have arrived spare a connection, since the daemon then waits for its own processor. That holds while it waits for bytes of a request. While it waits for the client to take an answer, the client's further requests say nothing.

Bytes that have arrived now count only where the daemon waits for bytes. TestCrowdWithUnreadAnswersLargerThanTheConnectionLimit did not show this in its 3 s: the buffers of 600 connections are not full by then.

--- a/internal/httplisten/conn_wait.go
+++ b/internal/httplisten/conn_wait.go
@@ -22,7 +22,7 @@
 func (c *conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != phaseDiscard && c.phase != phaseAhead && c.hasUnread() {
+	if c.awaitsBytes() && c.hasUnread() {
 		// This daemon waits for its own processor, not for the client.
 		return false
 	}
@@ -48,6 +48,11 @@
 	return true
 }
 
+// awaitsBytes reports whether this daemon waits for bytes of a request. The lock is held.
+func (c *conn) awaitsBytes() bool {
+	return c.phase == phaseIdle || c.phase == phaseHeader || c.phase == phaseRequest && !c.bodyRead.since.IsZero()
+}
+
 // clientWait returns for how long this daemon has waited for the client since the current request began, or since
 // the one before ended, and how many bytes came in that time. ok is false if it does not wait, or only for a moment.
 func (c *conn) clientWait(now time.Time) (waited time.Duration, received int, ok bool) {
