peer: the calls of all connections that are handled at once are limited

100 connections with 2,000 calls each to the listener for other daemons took 274 MB of 160.

Cause: each connection may have 1,024 calls handled at once, and each call has a goroutine, its arguments and its reply: 100,000 calls were under way.

The calls of all connections together are now limited in proportion to the budget for messages (8 KB each, at least 1,024). A call counts from the end of its body, so that one that does not end takes no place, until its reply has been written.

TestCallsAtOnceAreLimited/several_connections is new.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -144,9 +144,11 @@
 
 // serverCall is a call that is being read or handled.
 type serverCall struct {
-	// seq is the client's number of the call, and held what the call takes of the budget for messages.
-	seq  uint64
-	held int
+	// seq is the client's number of the call, and held what the call takes of the budget for messages. handled is set
+	// if it counts as one that is being handled.
+	seq     uint64
+	held    int
+	handled bool
 }
 
 // newServerCodec returns the codec of calls on conn, which is c or reads from it.
@@ -179,11 +181,12 @@
 	c.conn.endReading()
 	if err == nil {
 		c.conn.prove()
+		c.conn.server.beginCall()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call := c.calls[c.last]
-	call.held = c.conn.takeHeld()
+	call.held, call.handled = c.conn.takeHeld(), err == nil
 	c.calls[c.last] = call
 	return c.noteRefused(err)
 }
@@ -207,6 +210,9 @@
 	r.Seq = call.seq
 	defer func() {
 		c.conn.release(call.held)
+		if call.handled {
+			c.conn.server.endCall()
+		}
 		c.conn.end()
 		<-c.slots
 	}()
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -130,29 +130,41 @@
 	return b
 }
 
-// Guards against calls without an end on one connection, each of which takes memory until it is answered.
+// Guards against calls without an end on one connection, or on several, each of which takes memory until it is answered.
 func TestCallsAtOnceAreLimited(t *testing.T) {
-	handler := &blockingHandler{release: make(chan struct{})}
-	server, err := ListenRoutes("127.0.0.1:0", handler, nil, Limits{})
-	require.NoError(t, err)
-	defer server.Close()
-	client := NewClient(nil)
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
-	defer cancel()
-	done := make(chan error)
-	for range 2 * maxCalls {
-		go func() {
-			_, err := client.RoutesHeartbeat(ctx, server.Address(), RoutesHeartbeat{Digest: 7})
-			done <- err
-		}()
-	}
-	require.Eventually(t, func() bool { return handler.running.Load() >= maxCalls }, 10*time.Second, time.Millisecond)
-	time.Sleep(50 * time.Millisecond)
-	require.LessOrEqual(t, handler.running.Load(), int64(maxCalls))
-	close(handler.release)
-	for range 2 * maxCalls {
-		require.NoError(t, <-done)
+	for name, c := range map[string]struct {
+		conns  int
+		limits Limits
+	}{
+		"one connection":      {1, Limits{}},
+		"several connections": {3, Limits{MessageBytes: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler := &blockingHandler{release: make(chan struct{})}
+			server, err := ListenRoutes("127.0.0.1:0", handler, nil, c.limits)
+			require.NoError(t, err)
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			done := make(chan error)
+			for range c.conns {
+				client := NewClient(nil)
+				defer client.Close()
+				for range 2 * maxCalls {
+					go func() {
+						_, err := client.RoutesHeartbeat(ctx, server.Address(), RoutesHeartbeat{Digest: 7})
+						done <- err
+					}()
+				}
+			}
+			require.Eventually(t, func() bool { return handler.running.Load() >= maxCalls }, 10*time.Second, time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			require.LessOrEqual(t, handler.running.Load(), int64(maxCalls))
+			close(handler.release)
+			for range c.conns * 2 * maxCalls {
+				require.NoError(t, <-done)
+			}
+		})
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/backing"
 	"github.com/hornbeamsill/hornbeamsill/internal/claim"
@@ -34,8 +36,10 @@
 	gateway *Gateway
 
 	maxConns int
-	// messages is the budget for long messages; nil means no limit.
+	// messages is the budget for calls that take much memory, and calls bounds those that are handled at once; nil means
+	// no limit.
 	messages *limit.HeldBytes
+	calls    *semaphore.Weighted
 	logs     *eventlog.Log
 	// Evicted counts connections that were closed to make room for others, and Refused those for which there was
 	// no room. MessagesRefused counts messages that were not decoded.
@@ -76,6 +80,7 @@
 	}
 	if limits.MessageBytes > 0 {
 		s.messages = limit.NewHeldBytes(max(limits.MessageBytes, leastMessageBytes(name)))
+		s.calls = semaphore.NewWeighted(int64(max(limits.MessageBytes/callBytes, maxCalls)))
 	}
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return nil, trace.Wrap(err)
@@ -165,6 +170,20 @@
 	return true
 }
 
+// beginCall waits until another call may be handled.
+func (s *Server) beginCall() {
+	if s.calls != nil {
+		// Calls end, whether or not their clients are there.
+		_ = s.calls.Acquire(context.Background(), 1)
+	}
+}
+
+func (s *Server) endCall() {
+	if s.calls != nil {
+		s.calls.Release(1)
+	}
+}
+
 func (s *Server) serve(c *serverConn) {
 	_ = c.SetReadDeadline(c.acceptedAt.Add(firstCallTimeout))
 	s.serveConn(c)
--- a/internal/peer/server_conn.go
+++ b/internal/peer/server_conn.go
@@ -13,7 +13,8 @@
 type Limits struct {
 	// MaxConns is the number of connections, those of tunnels included.
 	MaxConns int
-	// MessageBytes is the budget for long messages while they are read; one message of any length fits into it.
+	// MessageBytes is the budget for calls that take much memory; one message of any length fits into it. The number
+	// of calls that are handled at once is limited in proportion to it.
 	MessageBytes int
 }
 
@@ -25,6 +26,8 @@
 	// maxBodyTime is how long the body of a call may be incomplete before its connection makes room for another one. A
 	// link of 10 Mbit/s carries 64 KB in 50 ms; the few longer calls are repeated.
 	maxBodyTime = 1 * time.Second
+	// callBytes is what a small call takes while it is handled.
+	callBytes = 8 << 10
 	// smallMessage is what a message takes that does not count in the budget.
 	smallMessage = 64 << 10
 	// messageWait is how long a long message waits for memory, and messageWaitInterval the time between two attempts.
