entry: calls of other daemons that need the store or an instance are limited

While the store does not answer, 100 connections with calls for it to the listener for other daemons took 1,764 descriptors of 1,000.

Cause: each such call (Store, Reach) opens connections of the daemon's own and waits for them, and nothing bounded their number.

At most a 20th of the descriptors of them run at once. The others are refused at once as not done, so that a daemon asks the next peer (peer_calls_refused, peer.call_refused).

--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -36,6 +36,10 @@
 	if _, reply.CutOff = n.paths.tracker.CutOff(r.Service); reply.CutOff {
 		return reply
 	}
+	if !n.outbound.begin("Reach") {
+		return reply
+	}
+	defer n.outbound.end()
 	ctx, cancel := context.WithTimeout(context.Background(), upconn.DialTimeout)
 	defer cancel()
 	results := make(chan upconn.Liveness, peer.MaxReachInstances)
--- a/internal/entry/module.go
+++ b/internal/entry/module.go
@@ -263,6 +263,8 @@
 	PeerConnsEvicted    int64 `json:"peer_connections_evicted"`
 	PeerConnsRefused    int64 `json:"peer_connections_refused"`
 	PeerMessagesRefused int64 `json:"peer_messages_refused"`
+	// PeerCallsRefused counts calls of other daemons that needed a connection of this one while there were too many.
+	PeerCallsRefused int64 `json:"peer_calls_refused"`
 	// Evacuated is the number of evacuated failure domains, and Withdrawn the number of times
 	// a request was stopped because its instance was withdrawn just before it was sent.
 	Evacuated int   `json:"evacuated"`
@@ -329,8 +331,9 @@
 			Goroutines: runtime.NumGoroutine(), Requests: n.metrics,
 			PeerCalls: n.peers.Traffic(), PeerServed: p.peers.Traffic(),
 			PeerConnsEvicted: p.peers.Evicted.Load(), PeerConnsRefused: p.peers.Refused.Load(), PeerMessagesRefused: p.peers.MessagesRefused.Load(),
-			Quarantine: n.quarantine.vars(),
-			Evacuated: len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
+			PeerCallsRefused: n.outbound.refused.Load(),
+			Quarantine:       n.quarantine.vars(),
+			Evacuated:        len(n.evacuations.InForce()), Withdrawn: n.metrics.Withdrawn.Load(),
 			Limited: limited, NoTurn: n.metrics.NoTurn.Load(), NoEscalation: n.metrics.NoEscalation.Load(),
 			Capacity:    n.capacityVars(),
 			LostAnswers: n.metrics.LostAnswers.Load(), UnprovenRuns: n.metrics.UnprovenRuns.Load(), ErrorAnswers: n.metrics.ErrorAnswers.Load(), ForeignAnswers: n.metrics.ForeignAnswers.Load(),
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -78,6 +78,8 @@
 	// daemons that are.
 	paths   *pathManager
 	gateway *peer.Gateway
+	// outbound bounds the calls of other daemons that need connections of this one.
+	outbound *outboundCalls
 
 	// current is the configuration in force, and manifest its encoded form.
 	configMu sync.Mutex
@@ -200,6 +202,7 @@
 	n.paths = newPathManager(n)
 	n.pool = upconn.NewPool(dialer, n.paths)
 	n.gateway = peer.NewGateway(tunnelLimit(s), n)
+	n.outbound = newOutboundCalls(s.Descriptors)
 	n.quarantine = newQuarantineManager(n)
 	n.endings = endingsLog{Log: endings.NewLog(clock), node: n}
 	bodyMemory, heldMemory := s.MemoryMB<<20/bodyMemoryDivisor, s.MemoryMB<<20/heldMemoryDivisor
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -131,6 +131,10 @@
 	if n.storeHealth.failedSince(n.clock.Now().Add(-relayDoubt)) {
 		return peer.StoreReply{Outcome: peer.StoreNotDone, Why: "the store does not answer here either"}
 	}
+	if !n.outbound.begin("Store") {
+		return peer.StoreReply{Outcome: peer.StoreNotDone, Why: "too many calls to the store for other daemons"}
+	}
+	defer n.outbound.end()
 	// The calling peer waits no longer than this. The outcome of a slower call is unknown to
 	// it.
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
--- a/test/crowd/calls.go
+++ b/test/crowd/calls.go
@@ -20,23 +20,23 @@
 }
 
 // Call returns a whole call of net/rpc.
-func Call(method string, body any) string {
+func Call(method string, body any) string { return CallAgain(method, body, 1) }
+
+// CallAgain returns the given number of equal calls of net/rpc on one connection.
+func CallAgain(method string, body any, times int) string {
 	var b bytes.Buffer
 	encoder := gob.NewEncoder(&b)
-	_ = encoder.Encode(rpc.Request{ServiceMethod: method, Seq: 1})
-	_ = encoder.Encode(body)
+	for seq := range times {
+		_ = encoder.Encode(rpc.Request{ServiceMethod: method, Seq: uint64(seq + 1)})
+		_ = encoder.Encode(body)
+	}
 	return b.String()
 }
 
 // CallAndUnfinished returns a whole call of net/rpc and another one that lacks the end of its body.
 func CallAndUnfinished(method string, body any) string {
-	var b bytes.Buffer
-	encoder := gob.NewEncoder(&b)
-	for seq := range 2 {
-		_ = encoder.Encode(rpc.Request{ServiceMethod: method, Seq: uint64(seq + 1)})
-		_ = encoder.Encode(body)
-	}
-	return string(b.Bytes()[:b.Len()-1])
+	calls := CallAgain(method, body, 2)
+	return calls[:len(calls)-1]
 }
 
 // UnfinishedValue returns the beginning of a gob value of the given length.
--- a/test/routes/crowd_peers_test.go
+++ b/test/routes/crowd_peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
 	"github.com/hornbeamsill/hornbeamsill/internal/peer"
+	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/test/crowd"
 )
 
@@ -52,3 +54,17 @@
 		"long, little of them": {600, crowd.Send(unfinishedCall(7_000_000, 1000))},
 	})
 }
+
+// Guards against calls that wait for the store, so that each takes memory for as long as the store does not answer.
+func TestCrowdOfCallsThatWaitForTheStore(t *testing.T) {
+	s, d := startCrowdDaemon(t)
+	call := crowd.CallAgain("Routes.Store", peer.StoreCall{Get: strings.Repeat("k", 1000)}, 2000)
+	s.faceCrowd(d, func() func() {
+		s.store.SetFault(platformtest.FaultHang)
+		stop := crowd.Start(100, d.peerAddress, crowd.Send(call))
+		return func() {
+			s.store.SetFault(platformtest.FaultNone)
+			stop()
+		}
+	})
+}
