claim: new idempotency keys are refused while the table of keys has no memory left

Callers with ever new keys could end a daemon of the chat interface: a key is kept for two hours, up to three if it was issued in the future, and nothing bounded their number. At 500 requests a second that is 3.6 million keys of some 300 bytes (docs/CAPACITY.md). Suspected from the growth of 58 bytes a request in TestCrowdOfEverNewChatNames, a quarter of whose requests have a key; a daemon was not run until it ended.

Entries now count in a budget of a quarter of the memory, three times what the aim of docs/CAPACITY.md needs (43 MB). A new key beyond it gets 503, not run, with Retry-After; a key whose home is another daemon gets the answer for keys that are being settled, since only the home knows whether it ran. Known keys are answered as before, and those that a stopping daemon hands over are always taken (idempotency_keys_refused, keys.refused).

TestFullTableAcceptsNoNewKeys.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -15,9 +15,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/eventlog"
 )
 
 // A request may run only until Lifetime after its key was issued. Entries are
@@ -109,15 +112,20 @@
 	// Redirect: the key must be requested from the incarnation MovedTo.
 	Redirect
 	// Busy: this daemon is requesting the key from another daemon for an earlier
-	// request; the caller should retry.
+	// request, or has no memory to do so; the caller should retry.
 	Busy
 	// Mismatch: the key was used with a different request body.
 	Mismatch
 	// Expired: the key was issued more than Lifetime ago, or too far in the
 	// future.
 	Expired
+	// Full: there is no entry for the key and no memory for one. The key would have been granted otherwise.
+	Full
 )
 
+// entryBytes is the memory of an entry besides its strings.
+const entryBytes = 200
+
 // Result is an Outcome with its details. RequestID is set for Duplicate, and
 // MovedTo for Redirect.
 type Result struct {
@@ -128,21 +136,59 @@
 
 // Table holds the keys known to one daemon. It is safe for concurrent use.
 //
-// Lock order: no other lock is acquired while mu is held.
+// Lock order: mu before the lock of logs.
 type Table struct {
 	self  string
 	clock clockwork.Clock
 
+	// limit is the memory of all entries at which no new key is accepted; 0 means no limit.
+	limit int
+	logs  *eventlog.Log
+	// Refused counts keys for which there was no memory.
+	Refused atomic.Int64
+
 	mu      sync.Mutex
 	entries map[Key]Entry
+	// bytes is the memory of all entries.
+	bytes int
 	// inheritedHomes is the set of stopped incarnations that handed their keys
 	// over to this daemon, which now acts as the home of those keys.
 	inheritedHomes map[string]bool
 }
 
-// NewTable returns an empty table for the incarnation self.
-func NewTable(self string, clock clockwork.Clock) *Table {
-	return &Table{self: self, clock: clock, entries: map[Key]Entry{}, inheritedHomes: map[string]bool{}}
+// NewTable returns an empty table for the incarnation self, which accepts new keys while its entries take less than limit
+// bytes; 0 means no limit.
+func NewTable(self string, clock clockwork.Clock, limit int) *Table {
+	return &Table{self: self, clock: clock, limit: limit, logs: eventlog.New("table", "idempotency_keys"), entries: map[Key]Entry{}, inheritedHomes: map[string]bool{}}
+}
+
+// set adds or replaces an entry. The lock is held.
+func (t *Table) set(key Key, entry Entry) {
+	t.remove(key)
+	t.entries[key] = entry
+	t.bytes += sizeOf(key, entry)
+}
+
+// remove deletes an entry, if there is one. The lock is held.
+func (t *Table) remove(key Key) {
+	if entry, ok := t.entries[key]; ok {
+		t.bytes -= sizeOf(key, entry)
+		delete(t.entries, key)
+	}
+}
+
+func sizeOf(key Key, entry Entry) int {
+	return entryBytes + len(key.Organisation) + len(key.Value) + len(entry.Digest) + len(entry.RequestID) + len(entry.MovedTo)
+}
+
+// refuseIfFull reports whether there is no memory for a new key. The lock is held.
+func (t *Table) refuseIfFull() bool {
+	if t.limit == 0 || t.bytes < t.limit {
+		return false
+	}
+	t.Refused.Add(1)
+	t.logs.Note("keys.refused", 1, "keys", len(t.entries), "bytes", t.bytes)
+	return true
 }
 
 // IsHome reports whether this daemon acts as home, either as that incarnation
@@ -166,7 +212,7 @@
 		// MovedTo is kept so that Finish can restore the tombstone if the key is
 		// not granted.
 		to := entry.MovedTo
-		t.entries[key] = Entry{State: Pending, Digest: digest, RequestID: requestID, MovedTo: to, Until: entry.Until}
+		t.set(key, Entry{State: Pending, Digest: digest, RequestID: requestID, MovedTo: to, Until: entry.Until})
 		return Result{Outcome: Redirect, MovedTo: to}
 	}
 	if entry.State != Absent {
@@ -176,11 +222,18 @@
 		return Result{Outcome: Expired}
 	}
 	isHome := home.Incarnation == t.self || t.inheritedHomes[home.Incarnation]
+	if t.refuseIfFull() {
+		if isHome {
+			return Result{Outcome: Full}
+		}
+		// Only the home knows whether a request with the key ran.
+		return Result{Outcome: Busy}
+	}
 	if !isHome {
-		t.entries[key] = Entry{State: Pending, Digest: digest, RequestID: requestID, Until: expiry(home)}
+		t.set(key, Entry{State: Pending, Digest: digest, RequestID: requestID, Until: expiry(home)})
 		return Result{Outcome: Redirect, MovedTo: home.Incarnation}
 	}
-	t.entries[key] = Entry{State: Owned, Digest: digest, RequestID: requestID, Until: expiry(home)}
+	t.set(key, Entry{State: Owned, Digest: digest, RequestID: requestID, Until: expiry(home)})
 	return Result{Outcome: Granted, RequestID: requestID}
 }
 
@@ -222,12 +275,12 @@
 	case granted:
 		entry.State = Owned
 		entry.MovedTo = ""
-		t.entries[key] = entry
+		t.set(key, entry)
 	case entry.MovedTo != "":
 		entry.State = Moved
-		t.entries[key] = entry
+		t.set(key, entry)
 	default:
-		delete(t.entries, key)
+		t.remove(key)
 	}
 }
 
@@ -253,7 +306,10 @@
 	if t.isExpired(home) {
 		return Result{Outcome: Expired}
 	}
-	t.entries[key] = Entry{State: Moved, Digest: digest, MovedTo: newOwner, Until: expiry(home)}
+	if t.refuseIfFull() {
+		return Result{Outcome: Full}
+	}
+	t.set(key, Entry{State: Moved, Digest: digest, MovedTo: newOwner, Until: expiry(home)})
 	return Result{Outcome: Granted}
 }
 
@@ -264,7 +320,7 @@
 	defer t.mu.Unlock()
 	entry := t.entries[key]
 	if entry.State == Owned && entry.RequestID == requestID {
-		delete(t.entries, key)
+		t.remove(key)
 	}
 }
 
@@ -283,7 +339,7 @@
 	now := t.clock.Now()
 	for key, entry := range t.entries {
 		if now.After(entry.Until) && entry.State != Pending {
-			delete(t.entries, key)
+			t.remove(key)
 		}
 	}
 }
@@ -327,7 +383,7 @@
 	defer t.mu.Unlock()
 	for _, h := range entries {
 		if t.entries[h.Key].State == Absent {
-			t.entries[h.Key] = h.Entry
+			t.set(h.Key, h.Entry)
 		}
 	}
 	for _, home := range homes {
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -34,7 +34,7 @@
 // knows whether a request with the key ran, and must reject it.
 func TestExpiredKeyIsRejected(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	table := NewTable(incarnation(1), clock)
+	table := NewTable(incarnation(1), clock, 0)
 	home := Home{Incarnation: incarnation(1), Issued: clock.Now()}
 	key := Key{Organisation: "o", Value: "k"}
 	require.Equal(t, Granted, table.Begin(key, home, "d", "r1").Outcome)
@@ -86,7 +86,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := &lossyNetwork{t: t}
 		for i := range 4 {
-			n.tables = append(n.tables, NewTable(incarnation(i), clock))
+			n.tables = append(n.tables, NewTable(incarnation(i), clock, 0))
 		}
 		store := backing.NewMemory()
 		key := Key{Organisation: "o", Value: Prefix(incarnation(0), clock.Now()) + ".x"}
@@ -126,7 +126,7 @@
 // available again, the key runs once.
 func TestStoreFailureWhileAssigningHome(t *testing.T) {
 	store := backing.NewMemory()
-	table := NewTable(incarnation(1), clock)
+	table := NewTable(incarnation(1), clock, 0)
 	r := NewResolver(incarnation(1), table, store, nil, clock)
 	key := Key{Organisation: "o", Value: "plain"}
 	for _, action := range []backing.FaultAction{backing.FaultRefuse, backing.FaultLoseRequest, backing.FaultLoseAnswer} {
@@ -158,7 +158,7 @@
 func TestSweepRows(t *testing.T) {
 	store := backing.NewMemory()
 	clock := clockwork.NewFakeClock()
-	r := NewResolver(incarnation(1), NewTable(incarnation(1), clock), store, nil, clock)
+	r := NewResolver(incarnation(1), NewTable(incarnation(1), clock, 0), store, nil, clock)
 	resolve := func(value string) {
 		_, err := r.Resolve(context.Background(), Key{Organisation: "o", Value: value}, "d", value)
 		require.NoError(t, err)
@@ -180,7 +180,7 @@
 // such a request. Its successor must know of both.
 func TestSuccessorGrantsNoKeyThatWasBeingRequested(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	stopping, successor := NewTable(incarnation(1), clock), NewTable(incarnation(2), clock)
+	stopping, successor := NewTable(incarnation(1), clock, 0), NewTable(incarnation(2), clock, 0)
 	elsewhere := Home{Incarnation: incarnation(3), Issued: clock.Now()}
 	asked := Key{Organisation: "o", Value: "asked"}
 	require.Equal(t, Redirect, stopping.Begin(asked, elsewhere, "d", "r1").Outcome)
@@ -195,3 +195,29 @@
 	require.Equal(t, Redirect, result.Outcome)
 	require.Equal(t, incarnation(4), result.MovedTo)
 }
+
+// Guards against callers with ever new keys, each of which is kept for hours, that use up the memory.
+func TestFullTableAcceptsNoNewKeys(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	own, elsewhere := Home{Incarnation: incarnation(1), Issued: clock.Now()}, Home{Incarnation: incarnation(2), Issued: clock.Now()}
+	key := func(n int) Key { return Key{Organisation: "o", Value: fmt.Sprint(Prefix(own.Incarnation, own.Issued), ".", n)} }
+	const keys = 10
+	table := NewTable(incarnation(1), clock, keys*sizeOf(key(0), Entry{Digest: "d", RequestID: "r"}))
+	for n := range keys {
+		require.Equal(t, Granted, table.Begin(key(n), own, "d", "r").Outcome)
+	}
+	require.Equal(t, Full, table.Begin(key(keys), own, "d", "r").Outcome)
+	require.Equal(t, Full, table.Take(key(keys), own, "d", incarnation(2)).Outcome)
+	require.Equal(t, Busy, table.Begin(key(keys), elsewhere, "d", "r").Outcome)
+	require.EqualValues(t, 3, table.Refused.Load())
+	_, err := NewResolver(incarnation(1), table, backing.NewMemory(), nil, clock).Resolve(t.Context(), key(keys), "d", "r")
+	require.True(t, fault.Is(err, fault.NoCapacity))
+	require.Equal(t, fault.RanNo, fault.From(err).Ran)
+	// Keys that are known are still answered.
+	require.Equal(t, Duplicate, table.Begin(key(0), own, "d", "r2").Outcome)
+	table.Release(key(0), "r")
+	require.Equal(t, Granted, table.Begin(key(keys), own, "d", "r").Outcome)
+	clock.Advance(Lifetime + 2*LifetimeMargin + time.Second)
+	table.Expire()
+	require.Zero(t, table.bytes)
+}
--- a/internal/claim/resolver.go
+++ b/internal/claim/resolver.go
@@ -18,6 +18,8 @@
 	// maxHops bounds the number of daemons that are contacted along a chain of
 	// tombstones.
 	maxHops = 8
+	// fullRetryAfter is the Retry-After of requests for whose key there is no memory.
+	fullRetryAfter = time.Second
 )
 
 // KeyTaker requests ownership of a key from the daemon that acts as the given
@@ -113,6 +115,8 @@
 		return Decision{}, fault.New(fault.KeyReused, "Idempotency-Key: the key was used with another request")
 	case Expired:
 		return Decision{}, fault.New(fault.KeyExpired, "Idempotency-Key: the key is too old; whether it ran is not known any more").WithRan(fault.RanUnknown)
+	case Full:
+		return Decision{}, fault.New(fault.NoCapacity, "Idempotency-Key: the memory for keys is used up").WithRetryAfter(fullRetryAfter)
 	default:
 		return Decision{}, keyUnsettled("the key is being settled")
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -33,6 +33,8 @@
 	callerHeadDivisor   = 16
 	operatorHeadDivisor = 64
 	unreadDivisor       = 16
+	// keyDivisor is the divisor of the memory that gives the budget for idempotency keys.
+	keyDivisor = 4
 	// maxOperatorBody is more than the longest object that the store takes.
 	maxOperatorBody = 10 << 20
 
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -226,6 +226,7 @@
 	BillsPending int            `json:"bills_pending"`
 	BillsHeld    int            `json:"bills_held"`
 	Keys         int            `json:"idempotency_keys"`
+	KeysRefused  int64          `json:"idempotency_keys_refused"`
 	Daemons      int            `json:"daemons_live"`
 	RatingSeq    int64          `json:"rating_seq"`
 	Goroutines   int            `json:"goroutines"`
@@ -246,6 +247,7 @@
 		BillsPending: n.ledger.Pending(),
 		BillsHeld:    n.replicas.Len(),
 		Keys:         n.claims.Len(),
+		KeysRefused:  n.claims.Refused.Load(),
 		Daemons:      len(n.registry.Live()),
 		RatingSeq:    n.ratings.Seq(),
 		Goroutines:   runtime.NumGoroutine(),
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -163,7 +163,7 @@
 		Retention: settings.MS(s.Timing.AnswerRetentionMS),
 		Bytes:     s.Limits.AnswerBytes,
 	})
-	n.claims = claim.NewTable(n.incarnation, n.clock)
+	n.claims = claim.NewTable(n.incarnation, n.clock, s.Limits.MemoryMB<<20/keyDivisor)
 	n.limits = limit.NewOrganisationLimiter(n.clock, n.siteDaemonCount)
 	n.allocator = limit.NewAllocator(n.clock, n.siteDaemonCount)
 	n.ratings = rating.NewCounter()
