--- a/test/routes/crowd_shapes_test.go
+++ b/test/routes/crowd_shapes_test.go
@@ -87,10 +87,9 @@
 // Guards against a daemon that does not get ready, or exceeds its limits, because crowds are there when it starts.
 func TestCrowdWhileADaemonStarts(t *testing.T) {
 	s := newCrowdBed(t, 0)
-	// No client of the test has this address, so that none of them uses a port of the daemon before it starts again.
-	const free = "127.0.0.2:0"
 	first := s.startCrowdDaemon(func(r *settings.Routes) {
-		r.CallerListen, r.ReadyListen, r.DirectoryListen, r.PeerListen, r.MetricsListen = free, free, free, free, free
+		r.CallerListen, r.ReadyListen, r.DirectoryListen = addressOfItsOwn, addressOfItsOwn, addressOfItsOwn
+		r.PeerListen, r.MetricsListen = addressOfItsOwn, addressOfItsOwn
 	}, binaries.StartRoutesDaemon)
 	first.Kill()
 	s.daemons = nil
--- a/test/routes/harness_test.go
+++ b/test/routes/harness_test.go
@@ -43,6 +43,10 @@
 	pathStream    = "/notes/one"
 )
 
+// addressOfItsOwn is a free port of an address that no client uses and where nothing listens by default: the kernel gives
+// the port to nobody else until a daemon that was killed starts again.
+const addressOfItsOwn = "127.0.0.2:0"
+
 // newManifest returns the configuration that most tests start with.
 func newManifest(version int64) wire.Manifest {
 	return wire.Manifest{
--- a/test/routes/restart_test.go
+++ b/test/routes/restart_test.go
@@ -34,7 +34,10 @@
 	silent := s.startServer(platformtest.ServerOptions{ID: "silent", Service: engineService, Delay: time.Millisecond, Events: 3, Engine: &platformtest.EngineState{Hang: true}})
 	ports := make([]string, 3)
 	for i := range ports {
-		ports[i] = s.startDaemon(pressured).peerAddress
+		ports[i] = s.startDaemon(func(r *settings.Routes) {
+			pressured(r)
+			r.PeerListen = addressOfItsOwn
+		}).peerAddress
 	}
 	for _, d := range s.daemons {
 		s.waitForLog(d, "survey.done")
