--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -200,7 +200,9 @@
 func TestFullTableAcceptsNoNewKeys(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	own, elsewhere := Home{Incarnation: incarnation(1), Issued: clock.Now()}, Home{Incarnation: incarnation(2), Issued: clock.Now()}
-	key := func(n int) Key { return Key{Organisation: "o", Value: fmt.Sprint(Prefix(own.Incarnation, own.Issued), ".", n)} }
+	key := func(n int) Key {
+		return Key{Organisation: "o", Value: fmt.Sprint(Prefix(own.Incarnation, own.Issued), ".", n)}
+	}
 	const keys = 10
 	table := NewTable(incarnation(1), clock, keys*sizeOf(key(0), Entry{Digest: "d", RequestID: "r"}))
 	for n := range keys {
--- a/internal/peer/gobscan_test.go
+++ b/internal/peer/gobscan_test.go
@@ -26,7 +26,7 @@
 	return cost, err
 }
 
-// argumentTypes returns the types of the arguments of a net/rpc service.
+// argumentTypes returns the types of the arguments of a net/rpc service, and replyTypes those of its replies.
 func argumentTypes(service any) (out []reflect.Type) {
 	t := reflect.TypeOf(service)
 	for i := range t.NumMethod() {
@@ -35,6 +35,14 @@
 	return out
 }
 
+func replyTypes(service any) (out []reflect.Type) {
+	t := reflect.TypeOf(service)
+	for i := range t.NumMethod() {
+		out = append(out, t.Method(i).Type.In(2).Elem())
+	}
+	return out
+}
+
 // fill sets all that a value consists of, with slices and maps of one element.
 func fill(v reflect.Value, depth int) {
 	if depth > maxGobDepth/2 || !v.CanSet() {
@@ -76,25 +84,27 @@
 	}
 }
 
-// Guards against calls of daemons that are refused because their encoding is not understood.
+// Guards against calls of daemons, and replies, that are refused because their encoding is not understood.
 func TestAllCallsAreScanned(t *testing.T) {
 	for _, service := range []any{&service{}, &routesService{}} {
-		var stream bytes.Buffer
-		encoder, scanner := gob.NewEncoder(&stream), gobScanner{}
-		for _, argument := range argumentTypes(service) {
-			for _, fillIn := range []bool{true, false} {
-				v := reflect.New(argument).Elem()
-				if fillIn {
-					fill(v, 0)
+		for _, types := range [][]reflect.Type{argumentTypes(service), replyTypes(service)} {
+			var stream bytes.Buffer
+			encoder, scanner := gob.NewEncoder(&stream), gobScanner{}
+			for _, typ := range types {
+				for _, filled := range []bool{true, false} {
+					v := reflect.New(typ).Elem()
+					if filled {
+						fill(v, 0)
+					}
+					require.NoError(t, encoder.EncodeValue(v))
+					cost, err := scanAll(&scanner, stream.Bytes())
+					require.NoError(t, err, "%v", typ)
+					require.Less(t, cost, smallMessage, "%v", typ)
+					stream.Reset()
 				}
-				require.NoError(t, encoder.EncodeValue(v))
-				cost, err := scanAll(&scanner, stream.Bytes())
-				require.NoError(t, err, "%v", argument)
-				require.Less(t, cost, smallMessage, "%v", argument)
-				stream.Reset()
 			}
+			require.Less(t, 2*scanner.definitionBytes, maxDefinitionBytes)
 		}
-		require.Less(t, 2*scanner.definitionBytes, maxDefinitionBytes)
 	}
 }
 
