--- a/test/capacity/memory.go
+++ b/test/capacity/memory.go
@@ -195,7 +195,7 @@
 		}),
 		measure("idempotency keys: memory", "B", "key", []int{1000, 10000, 50000}, func(n int) float64 {
 			return heapGrowth(func() any {
-				t := claim.NewTable(incarnation, clock)
+				t := claim.NewTable(incarnation, clock, 0)
 				home := claim.Home{Incarnation: incarnation, Issued: time.Now()}
 				for i := range n {
 					key := claim.Key{Organisation: "visrad", Value: fmt.Sprintf("%s-t0abcd.key-%d", incarnation, i)}
