--- a/internal/peer/gobscan.go
+++ b/internal/peer/gobscan.go
@@ -52,8 +52,8 @@
 	fields    []int64
 }
 
-// builtinGobTypes are the types with fixed IDs. Interfaces are not among them: no call has any.
-var builtinGobTypes = map[int64]gobType{
+// builtinGobTypes are the types with fixed IDs, from 1. Interfaces are not among them: no call has any.
+var builtinGobTypes = [...]gobType{
 	1: {kind: gobNumber}, 2: {kind: gobNumber}, 3: {kind: gobNumber}, 4: {kind: gobNumber},
 	5: {kind: gobBytes}, 6: {kind: gobBytes}, 7: {kind: gobComplex},
 }
@@ -61,7 +61,7 @@
 // gobScanner determines what the messages of a gob stream take when they are decoded. The decoder allocates slices and
 // maps of the sizes that a message states, and an element may be encoded in one byte.
 type gobScanner struct {
-	types           map[int64]gobType
+	types           map[int64]*gobType
 	definitionBytes int
 }
 
@@ -86,9 +86,9 @@
 	return c.cost, c.err
 }
 
-func (s *gobScanner) lookup(id int64) (gobType, bool) {
-	if t, ok := builtinGobTypes[id]; ok {
-		return t, true
+func (s *gobScanner) lookup(id int64) (*gobType, bool) {
+	if id > 0 && id < int64(len(builtinGobTypes)) {
+		return &builtinGobTypes[id], true
 	}
 	t, ok := s.types[id]
 	return t, ok
@@ -105,14 +105,14 @@
 		return c.err
 	}
 	if s.types == nil {
-		s.types = map[int64]gobType{}
+		s.types = map[int64]*gobType{}
 	}
-	s.types[id] = t
+	s.types[id] = &t
 	return nil
 }
 
 // value skips a value and adds its cost.
-func (s *gobScanner) value(c *gobCursor, t gobType, depth int) {
+func (s *gobScanner) value(c *gobCursor, t *gobType, depth int) {
 	if depth > maxGobDepth {
 		c.fail(errGobTooDeep)
 	}
@@ -136,19 +136,19 @@
 	}
 }
 
-func (s *gobScanner) structValue(c *gobCursor, t gobType, depth int) {
+func (s *gobScanner) structValue(c *gobCursor, t *gobType, depth int) {
 	c.cost += structBytes
-	c.fields(func(field int) {
+	for field, ok := c.nextField(-1); ok; field, ok = c.nextField(field) {
 		if field >= len(t.fields) {
 			c.fail(errGobMalformed)
 			return
 		}
 		s.valueOf(c, t.fields[field], depth+1)
-	})
+	}
 }
 
 // elements skips the elements of an array, a slice or a map, each of which costs some bytes.
-func (s *gobScanner) elements(c *gobCursor, t gobType, cost int, depth int) {
+func (s *gobScanner) elements(c *gobCursor, t *gobType, cost int, depth int) {
 	n := c.uint()
 	if n > uint64(len(c.rest)) {
 		c.fail(errGobElementCount)
@@ -238,20 +238,20 @@
 	c.rest = c.rest[n:]
 }
 
+// nextField returns the number of the field that follows another one, at first -1, in a struct value. It returns false at
+// the end of the struct.
+func (c *gobCursor) nextField(field int) (next int, ok bool) {
+	delta := c.uint()
+	const maxFields = 1 << 16
+	if delta > maxFields || field > maxFields {
+		c.fail(errGobMalformed)
+	}
+	return field + int(delta), c.err == nil && delta != 0
+}
+
 // fields calls f for each field that a struct value has, with its number.
 func (c *gobCursor) fields(f func(field int)) {
-	field := -1
-	for c.err == nil {
-		delta := c.uint()
-		if delta == 0 {
-			return
-		}
-		const maxFields = 1 << 16
-		if delta > maxFields || field > maxFields {
-			c.fail(errGobMalformed)
-			return
-		}
-		field += int(delta)
+	for field, ok := c.nextField(-1); ok; field, ok = c.nextField(field) {
 		f(field)
 	}
 }
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -29,7 +29,7 @@
 )
 
 // encoded returns the gob encoding of values on one connection.
-func encoded(t *testing.T, values ...any) string {
+func encoded(t testing.TB, values ...any) string {
 	var b bytes.Buffer
 	enc := gob.NewEncoder(&b)
 	for _, v := range values {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -36,7 +36,7 @@
 )
 
 // messageChunk is what is allocated of a message before its bytes arrive.
-const messageChunk = 4 << 10
+const messageChunk = 16 << 10
 
 // newMessageReader returns a reader without a limit.
 func newMessageReader(r *bufio.Reader) *messageReader {
