--- a/internal/httplisten/ahead_test.go
+++ b/internal/httplisten/ahead_test.go
@@ -15,11 +15,8 @@
 // Guards against clients that send requests ahead and so take all instances from those that send one at a time.
 func TestRequestsSentAheadTakeTurns(t *testing.T) {
 	const conns, each = 8, 5
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	l := New(raw, Options{MaxConns: 2 * conns, Limits: func() Limits { return Limits{} }, Metrics: &Metrics{}})
 	var running, most, done atomic.Int64
-	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	l, address := serveOn(t, 2*conns, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/first" {
 			return
 		}
@@ -29,12 +26,9 @@
 		time.Sleep(5 * time.Millisecond)
 		running.Add(-1)
 		done.Add(1)
-	})}
-	Track(server, func(http.Header) string { return "" })
-	go func() { _ = server.Serve(l) }()
-	defer server.Close()
+	})
 	for range conns {
-		c, err := net.Dial("tcp", raw.Addr().String())
+		c, err := net.Dial("tcp", address)
 		require.NoError(t, err)
 		defer c.Close()
 		_, err = io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"+strings.Repeat("GET /ahead HTTP/1.1\r\nHost: h\r\n\r\n", each))
--- a/internal/httplisten/evict_test.go
+++ b/internal/httplisten/evict_test.go
@@ -113,27 +113,21 @@
 // Guards against clients that do not read their answers and are spared because they have sent more requests.
 func TestNewcomersDisplaceUnreadAnswers(t *testing.T) {
 	const conns = 2
-	raw, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	l := New(raw, Options{MaxConns: conns, Limits: func() Limits { return Limits{} }, Metrics: &Metrics{}})
 	answer := make([]byte, 16<<20)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l, address := serveOn(t, conns, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/long" {
 			_, _ = w.Write(answer)
 		}
-	})}
-	Track(server, func(http.Header) string { return "" })
-	go func() { _ = server.Serve(l) }()
-	defer server.Close()
+	})
 	for range conns {
-		c, err := net.Dial("tcp", raw.Addr().String())
+		c, err := net.Dial("tcp", address)
 		require.NoError(t, err)
 		defer c.Close()
 		_, err = io.WriteString(c, strings.Repeat("GET /long HTTP/1.1\r\nHost: h\r\n\r\n", 1000))
 		require.NoError(t, err)
 	}
 	client := &http.Client{Timeout: 10 * time.Second}
-	short, err := client.Get("http://" + raw.Addr().String() + "/short")
+	short, err := client.Get("http://" + address + "/short")
 	require.NoError(t, err)
 	short.Body.Close()
 	require.Positive(t, l.options.Metrics.Evicted.Load())
--- a/internal/httplisten/exchange_test.go
+++ b/internal/httplisten/exchange_test.go
@@ -12,13 +12,23 @@
 	"github.com/stretchr/testify/require"
 )
 
-// serveBodies starts a server whose handler reads the body of requests to /read only, and returns its address.
-func serveBodies(t *testing.T, maxConns int) (*Listener, string) {
+// serveOn serves a handler on a listener for at most maxConns connections, 0 for any number, until the test ends.
+func serveOn(t *testing.T, maxConns int, handler http.HandlerFunc) (*Listener, string) {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	l := New(raw, Options{MaxConns: maxConns, Limits: func() Limits { return Limits{} }, Metrics: &Metrics{}})
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: handler}
+	Track(server, func(http.Header) string { return "" })
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l, raw.Addr().String()
+}
+
+// serveBodies starts a server whose handler reads the body of requests to /read only, and returns its address.
+func serveBodies(t *testing.T, maxConns int) (*Listener, string) {
+	t.Helper()
+	return serveOn(t, maxConns, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/read" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -26,11 +36,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			w.WriteHeader(http.StatusRequestTimeout)
 		}
-	})}
-	Track(server, func(http.Header) string { return "" })
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return l, raw.Addr().String()
+	})
 }
 
 // Guards against a refusal that its caller never sees, since the connection is reset while the body is being sent.
