test/routes: endless answers had a deadline that slow streams beside them exceed

By the daemon's log all 20 ended 6.0 s after they had begun, at the deadline that the callers had sent, since the ten streams beside them took as long.

The callers now allow a minute, and so do the routes.

--- a/test/routes/crowd_peers_test.go
+++ b/test/routes/crowd_peers_test.go
@@ -68,3 +68,10 @@
 		}
 	})
 }
+
+// Guards against clients that read no replies and have all calls that are handled at once, so that other daemons wait.
+func TestCrowdThatReadsNoReplies(t *testing.T) {
+	s, d := startCrowdDaemon(t)
+	calls := crowd.CallAgain("Routes.Beliefs", peer.SyncRequest{Members: true, Instances: true, Config: -1}, 20_000)
+	s.faceCrowd(d, func() func() { return crowd.StartWithoutReading(100, d.peerAddress, crowd.Send(calls)) })
+}
--- a/test/routes/endless_caller_test.go
+++ b/test/routes/endless_caller_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
+	"github.com/hornbeamsill/hornbeamsill/test/cluster"
 	"github.com/hornbeamsill/hornbeamsill/test/faultdial"
 )
 
@@ -66,7 +67,9 @@
 // readEndless opens a call for an answer without an end, passes the outcome to onOpen, and if that
 // returns true reads until the call is canceled. paced makes it read slowly.
 func (s *testbed) readEndless(ctx context.Context, d *daemon, paced bool, onOpen func(error) bool) error {
-	resp, err := s.newCall(pathSafe).Open(ctx, s.client, d.callerAddress)
+	c := s.newCall(pathSafe)
+	c.Timeout = cluster.WaitTimeout
+	resp, err := c.Open(ctx, s.client, d.callerAddress)
 	if err == nil {
 		defer resp.Body.Close()
 		if resp.StatusCode != http.StatusOK {
@@ -107,6 +110,12 @@
 		for _, paced := range []bool{false, true} {
 			t.Run(fmt.Sprintf("tunneled %v paced %v", tunneled, paced), func(t *testing.T) {
 				b := newTestbed(t)
+				m := newManifest(4)
+				for i := range m.Routes {
+					// No answer ends by its deadline while the callers still read.
+					m.Routes[i].TimeoutMS = float64(cluster.WaitTimeout.Milliseconds())
+				}
+				b.store.PutManifest(m)
 				b.startServer(platformtest.ServerOptions{ID: "eng-0", Service: engineService, Events: events, Confidence: map[string]int{"small": 90}})
 				faulty := startEndlessServer(t)
 				b.store.Put(wire.TableInstances, endlessID, wire.Instance{Service: plainService, Address: faulty.address, Version: "v1", Slots: 2 * callers, State: wire.StateReady})
