test/routes: a request of the setup that failed for its caller counted as an ended answer

The setup takes such notes only for calls that succeed, and the test found one while all callers still read.

The setup now waits until the server answers nothing any more and forgets what has ended until then.

--- a/test/routes/endless_caller_test.go
+++ b/test/routes/endless_caller_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,13 +28,15 @@
 type endlessServer struct {
 	address string
 	closed  chan time.Time
+	// running is the number of requests that are being answered.
+	running atomic.Int64
 }
 
 func startEndlessServer(t *testing.T) *endlessServer {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
-	s := &endlessServer{listener.Addr().String(), make(chan time.Time, 1000)}
+	s := &endlessServer{address: listener.Addr().String(), closed: make(chan time.Time, 1000)}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -56,6 +59,8 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.HeaderInstance, endlessID)
 		return
 	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n\r\n", wire.HeaderInstance, endlessID,
 		wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID), wire.HeaderSeal, platformtest.Seal("a"))
 	for block := strings.Repeat("a", 32<<10); err == nil; {
@@ -87,6 +92,21 @@
 	return err
 }
 
+// forgetEnded waits until no request is being answered, and empties closed. A request of the setup may have reached the
+// server although its caller got an error.
+func (s *endlessServer) forgetEnded(b *testbed) {
+	b.t.Helper()
+	b.eventually(func() error {
+		if n := s.running.Load(); n > 0 {
+			return fmt.Errorf("%d requests are being answered", n)
+		}
+		return nil
+	})
+	for len(s.closed) > 0 {
+		<-s.closed
+	}
+}
+
 // requireCutOff returns an error until a daemon knows that it is cut off from both services, and
 // serves streams through another daemon.
 func (s *testbed) requireCutOff(d *daemon) error {
@@ -127,14 +147,12 @@
 				}
 				b.eventually(func() error {
 					err := b.readEndless(t.Context(), d, false, func(error) bool { return false })
-					if err == nil {
-						<-faulty.closed
-					}
 					if err == nil && tunneled {
 						err = b.requireCutOff(d)
 					}
 					return err
 				})
+				faulty.forgetEnded(b)
 				ctx, leave := context.WithCancel(t.Context())
 				defer leave()
 				opened := make(chan error, callers)
