--- a/test/routes/crowd_shapes_test.go
+++ b/test/routes/crowd_shapes_test.go
@@ -53,7 +53,8 @@
 		s := newCrowdBed(t, crowdPadding)
 		d := s.startCrowdDaemon(nil, binaries.StartFaultDaemon)
 		gateway := s.startCrowdDaemon(nil, binaries.StartFaultDaemon)
-		s.setFault(d, faultdial.Refuse)
+		// A connection that is open already must not be used either.
+		s.setFault(d, faultdial.Reset)
 		s.eventually(func() error {
 			if r := s.send(s.newCall(pathSafe), d); r.Status != http.StatusOK || !d.logsContain("service.cut_off", "service="+plainService) {
 				return trace.Errorf("answered %d", r.Status)
