neterr: one place says that no descriptors are left

The listeners for HTTP clients and for other daemons had the same check of two errors. What they do is unchanged: httplisten and peer with -race and the three cases of TestCrowdWithoutDescriptors passed.

--- a/internal/httplisten/listener.go
+++ b/internal/httplisten/listener.go
@@ -5,19 +5,18 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/eventlog"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
+	"github.com/hornbeamsill/hornbeamsill/internal/neterr"
 )
 
 const (
@@ -100,7 +99,7 @@
 	defer l.accept.Unlock()
 	raw, err := l.Listener.Accept()
 	if err != nil {
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if neterr.IsDescriptorLimit(err) {
 			// The HTTP server calls Accept again after a pause.
 			l.evict(evictDescriptors)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,7 +8,6 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,6 +19,7 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/eventlog"
 	"github.com/hornbeamsill/hornbeamsill/internal/limit"
 	"github.com/hornbeamsill/hornbeamsill/internal/member"
+	"github.com/hornbeamsill/hornbeamsill/internal/neterr"
 	"github.com/hornbeamsill/hornbeamsill/internal/rating"
 	"github.com/hornbeamsill/hornbeamsill/internal/session"
 )
@@ -124,7 +124,7 @@
 
 // afterAcceptError evicts a connection if there are no descriptors left, and returns the pause before the next attempt.
 func (s *Server) afterAcceptError(err error) time.Duration {
-	if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+	if !neterr.IsDescriptorLimit(err) {
 		return acceptRetryDelay
 	}
 	s.mu.Lock()
