--- a/test/routes/crowd_mixed_test.go
+++ b/test/routes/crowd_mixed_test.go
@@ -95,7 +95,7 @@
 func TestCrowdOfEverNewNames(t *testing.T) {
 	s, d := startCrowdDaemon(t)
 	measure := func() int {
-		stopMeasure := crowd.Measure(cluster.LogField(d.logLine("msg=daemon.started"), "pid"), d.callerAddress)
+		stopMeasure := crowd.Measure(d.pid(), d.callerAddress)
 		stop := runWorkers(50, func(worker int) {
 			c := s.newCall([]string{pathSafe, pathStream, pathNone}[worker%3])
 			c.Session = c.ID
--- a/test/routes/slow_callers_test.go
+++ b/test/routes/slow_callers_test.go
@@ -21,7 +21,6 @@
 	"github.com/hornbeamsill/hornbeamsill/internal/settings"
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
-	"github.com/hornbeamsill/hornbeamsill/test/cluster"
 )
 
 const (
@@ -32,7 +31,7 @@
 // peakMemory returns the largest resident memory that a daemon has had, in MB.
 func (d *daemon) peakMemory(t *testing.T) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%s/status", cluster.LogField(d.logLine("msg=daemon.started"), "pid")))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%s/status", d.pid()))
 	require.NoError(t, err)
 	for line := range strings.SplitSeq(string(status), "\n") {
 		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
