dial: a reset that a write has consumed looked like the proper end of the connection

Callers got a part of an answer, or none of its body, as a whole one. A server answers an upload without a length, sends a part and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once. If the write of the request gets the error, the read that follows returns 0 bytes, as at the end of a connection, and that ends an answer without a length. The same at a gateway, which then told the other daemon of an end, and on the OpenAI interface, where net/http writes and reads one connection from two goroutines.

Change: at the end of a connection its state is asked for. After a reset the socket has none; after the end by the peer it still waits to be closed. This does not depend on who was told of the reset, or when. If this process has closed the connection meanwhile, as net/http does after a failed write, the read fails, too.

--- a/internal/backing/client.go
+++ b/internal/backing/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
 
@@ -36,7 +36,7 @@
 func NewClient(address string) *Client {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 16,
-		DialContext:         (&net.Dialer{Timeout: CallTimeout}).DialContext,
+		DialContext:         dial.NewPlain(CallTimeout).DialContext,
 
 		MaxResponseHeaderBytes: readlimit.HeadBytes,
 	}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -4,6 +4,7 @@
 package dial
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -28,16 +29,34 @@
 	BusyTimeout = 3300 * time.Millisecond
 )
 
-// Dialer returns a dialer whose connections are established within timeout and closed soon
+// Dialer opens connections on which each read after a reset fails.
+type Dialer struct{ dialer net.Dialer }
+
+// New returns a dialer whose connections are established within timeout and closed soon
 // after the peer becomes unresponsive.
-func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func New(timeout time.Duration) *Dialer {
+	return &Dialer{net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 		},
 		Control: func(_, _ string, c syscall.RawConn) error { return setTimeout(c, IdleTimeout) },
+	}}
+}
+
+// NewPlain returns a dialer whose connections are established within timeout.
+func NewPlain(timeout time.Duration) *Dialer { return &Dialer{net.Dialer{Timeout: timeout}} }
+
+// DialContext opens a connection.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &conn{TCPConn: tcp}, nil
 	}
+	return c, nil
 }
 
 // SetBusy sets whether a request is under way on a connection, and with it for how long the peer may
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -172,7 +172,7 @@
 func OpenTunnel(ctx context.Context, gateway member.Daemon, r TunnelRequest) (*Tunnel, error) {
 	ctx, cancel := context.WithTimeout(ctx, TunnelTimeout)
 	defer cancel()
-	conn, err := dial.Dialer(gatewayDialTimeout).DialContext(ctx, "tcp", gateway.PeerAddress)
+	conn, err := dial.New(gatewayDialTimeout).DialContext(ctx, "tcp", gateway.PeerAddress)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "cannot connect to gateway %v", gateway.PeerAddress)
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -107,7 +107,7 @@
 }
 
 // NewDialer returns the dialer for connections to upstream instances.
-func NewDialer() Dialer { return dial.Dialer(DialTimeout) }
+func NewDialer() Dialer { return dial.New(DialTimeout) }
 
 // NewPool returns an empty pool that opens direct connections with dialer. paths may be nil if there
 // are only direct ones.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +16,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 	"github.com/hornbeamsill/hornbeamsill/internal/neterr"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
@@ -57,9 +57,8 @@
 
 // NewClient returns a Client that waits at most dialTimeout for a connection.
 func NewClient(dialTimeout time.Duration) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.NewPlain(dialTimeout).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
--- a/test/faultdial/faultdial.go
+++ b/test/faultdial/faultdial.go
@@ -216,9 +216,7 @@
 	c.err = &net.OpError{Op: "read", Net: "tcp", Err: err}
 	c.mu.Unlock()
 	if err == syscall.ECONNRESET {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		_ = c.Conn.(interface{ SetLinger(sec int) error }).SetLinger(0)
 		_ = c.Conn.Close()
 		return
 	}
