upconn, peer: an answer without a length ended before its request was taken, and looked whole

Callers got a part of an answer as a whole one. A server answers an upload without a length, closes its direction of the connection after a part, and takes no more of the upload: it resets the connection later, or reads nothing on.

Cause: only the end of the connection ends such an answer, and that end was believed while the request was still being written. It comes from a server that has ended as well as from one that reads on. Through a gateway the writes that fail are the gateway's, which dropped their errors; the daemon's own go into the tunnel.

Change: such an answer is whole once the whole request has been written, for which the daemon waits for at most two seconds. Through a gateway it then closes its direction of the tunnel; the gateway closes the other one when it has passed all on, and sends a frameReset before if the instance did not take it. No new kind of frame: gateways without the change close the tunnel, as now.

Without the change TestAnswerWithoutLengthEndsAfterItsRequest and two of three cases of TestGatewayTellsOfWritesThatFailAfterTheEnd fail.

--- a/internal/peer/gateway.go
+++ b/internal/peer/gateway.go
@@ -154,6 +154,8 @@
 	user, instance net.Conn
 	frames         frameReader
 	writer         frameWriter
+	// writeFailed is set if the instance has not taken all that was passed on. Only passOn uses it until it returns.
+	writeFailed bool
 	// state is guarded by the lock of the gateway.
 	state tunnelState
 }
@@ -204,6 +206,9 @@
 	c.passOn()
 	c.instance.Close()
 	back.Wait()
+	if c.writeFailed {
+		_ = c.writeBack(frameReset, nil)
+	}
 }
 
 // passOn passes requests on until the user closes the tunnel or a request is refused.
@@ -248,7 +253,9 @@
 		if err != nil {
 			return false
 		}
-		_, _ = c.instance.Write(buffer[:n])
+		if _, err := c.instance.Write(buffer[:n]); err != nil {
+			c.writeFailed = true
+		}
 	}
 	return true
 }
@@ -294,8 +301,9 @@
 			kind = frameEnd
 		}
 		_ = c.writeBack(kind, nil)
-		// passOn reads until the user has closed the tunnel, but not for long.
+		// passOn goes on until the user has closed the tunnel, but not for long.
 		_ = c.user.SetReadDeadline(time.Now().Add(closeTimeout))
+		_ = c.instance.SetWriteDeadline(time.Now().Add(closeTimeout))
 		return
 	}
 }
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -40,7 +40,7 @@
 	// frameDone states that the whole answer to that request has been received.
 	frameDone
 	// frameEnd states that the instance has closed the connection, and frameReset that the connection
-	// to it failed.
+	// to it failed. The connection may fail after its end: the instance takes nothing more.
 	frameEnd
 	frameReset
 	// frameRefused states that no byte of the request that was announced last is passed on.
@@ -55,6 +55,9 @@
 	// TunnelTimeout bounds the time to open a tunnel: the connection to the gateway, and its own to
 	// the instance.
 	TunnelTimeout = 450 * time.Millisecond
+	// confirmTimeout bounds the time in which a gateway passes on what is left of a request. A sound instance may be
+	// silent for one and a half seconds.
+	confirmTimeout = 2 * time.Second
 	// gatewayDialTimeout bounds the connection to the gateway.
 	gatewayDialTimeout = 150 * time.Millisecond
 )
@@ -218,6 +221,26 @@
 	return t.writer.write(frameBegin, []byte(id[:min(len(id), maxFrame)]))
 }
 
+// ConfirmEnd implements upconn.Tunnel. It closes one direction of the tunnel, which makes the gateway close the other one
+// once it has passed all on. A frameReset before that says that the instance did not take it.
+func (t *Tunnel) ConfirmEnd() error {
+	_ = t.Conn.SetReadDeadline(time.Now().Add(confirmTimeout))
+	err := t.Conn.(interface{ CloseWrite() error }).CloseWrite()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrTunnelBroken, hideEOF(err))
+	}
+	kind, _, err := t.frames.next()
+	switch {
+	case err == io.EOF:
+		return nil
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrTunnelBroken, hideEOF(err))
+	case kind == frameReset:
+		return syscall.ECONNRESET
+	}
+	return fmt.Errorf("%w: frame of kind %d after the end", ErrTunnelBroken, kind)
+}
+
 // EndRequest states that the whole answer to the last request has been received.
 func (t *Tunnel) EndRequest() error { return t.writer.write(frameDone, nil) }
 
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -138,6 +138,38 @@
 	}
 }
 
+// Guards against an instance that closes its connection and does not take the rest of the request: the end that the
+// gateway has stated is not the end of the answer then.
+func TestGatewayTellsOfWritesThatFailAfterTheEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(c *net.TCPConn)
+		want error
+	}{
+		"read to its end":     {func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }, nil},
+		"reset":               {func(c *net.TCPConn) { time.Sleep(50 * time.Millisecond); _ = c.SetLinger(0) }, syscall.ECONNRESET},
+		"closed while unread": {func(*net.TCPConn) {}, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTunnelBed(t, 4, func(conn *net.TCPConn) {
+				_ = conn.CloseWrite()
+				c.end(conn)
+				_ = conn.Close()
+			})
+			tunnel := b.mustOpen()
+			_, err := tunnel.Read(make([]byte, 1))
+			require.Equal(t, io.EOF, err)
+			_, err = tunnel.Write(make([]byte, 8<<20))
+			require.NoError(t, err)
+			err = tunnel.ConfirmEnd()
+			if c.want == nil {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, c.want)
+		})
+	}
+}
+
 // Guards against callers that use the way between daemons: only daemons know the incarnations.
 func TestGatewayDeniesStrangers(t *testing.T) {
 	b := newTunnelBed(t, 4, echo)
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -54,8 +54,9 @@
 	// writeStarted is set before the first byte of the request is written.
 	writeStarted atomic.Bool
 	closed       bool
-	// bodyRead is set once the body of the answer has been read to its end.
+	// bodyRead is set once the body of the answer has been read to its end. endErr is the error of all reads from there on.
 	bodyRead bool
+	endErr   error
 }
 
 // errOtherAnswer means that an answer on the connection belongs to another request and could
@@ -274,15 +275,54 @@
 
 // Read reads the body. If the answer marks the end of its body, Read returns io.EOF only
 // there, and io.ErrUnexpectedEOF if the body is shorter than stated. Otherwise it returns io.EOF
-// when the server closes the connection, and an error if the connection is reset.
+// when the server closes the connection after it has received the whole request, and an error if it
+// closes the connection before, or resets it.
 func (e *Exchange) Read(p []byte) (int, error) {
+	if e.endErr != nil {
+		return 0, e.endErr
+	}
 	n, err := e.resp.Body.Read(p)
 	if err == io.EOF {
-		e.bodyRead = true
+		e.endErr = e.checkEnd()
+		e.bodyRead = e.endErr == io.EOF
+		err = e.endErr
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body that has ended is whole.
+func (e *Exchange) checkEnd() error {
+	if e.IsSelfDelimited() || e.resp.Body == http.NoBody {
+		return io.EOF
+	}
+	if err := e.awaitWritten(); err != nil {
+		return fmt.Errorf("the answer ended before the request: %w", err)
+	}
+	return io.EOF
+}
+
+// writeTimeout bounds the wait for the rest of a request after the end of an answer without a length. A sound server
+// may be silent for one and a half seconds.
+const writeTimeout = 2 * time.Second
+
+// awaitWritten waits until the whole request has been written. It returns an error if the server does not take it.
+func (e *Exchange) awaitWritten() error {
+	timer := time.NewTimer(writeTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-e.writeDone:
+		if err != nil {
+			return err
+		}
+	case <-timer.C:
+		return io.ErrUnexpectedEOF
+	}
+	if e.conn.tunnel != nil {
+		return e.conn.tunnel.ConfirmEnd()
+	}
+	return nil
+}
+
 // IsWhole reports whether the body of the answer has been read to its end.
 func (e *Exchange) IsWhole() bool { return e.bodyRead }
 
--- a/internal/upconn/exchange_test.go
+++ b/internal/upconn/exchange_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 )
 
 func noHeader() http.Header { return http.Header{} }
@@ -122,6 +124,43 @@
 	require.EqualValues(t, 1, pool.Dials(), "the connection was kept")
 }
 
+// Guards against a part of an answer without a length that looks whole because its server has closed the connection
+// before it took the whole request, and against the loss of a whole one whose server reads on.
+func TestAnswerWithoutLengthEndsAfterItsRequest(t *testing.T) {
+	for name, readsOn := range map[string]bool{"reads on": true, "closes": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nanswer")
+				_ = c.(*net.TCPConn).CloseWrite()
+				time.Sleep(readTime)
+				if readsOn {
+					_, _ = io.Copy(io.Discard, c)
+				}
+			}()
+			r := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: noHeader, HasBody: true, Body: httpbody.Body{make([]byte, 8<<20)}}
+			x, err := NewPool(NewDialer(), nil).Do(t.Context(), Target{Address: listener.Addr().String()}, 0, r, func(int, http.Header) bool { return true })
+			require.NoError(t, err)
+			defer x.Close()
+			data, err := io.ReadAll(x)
+			require.Equal(t, "answer", string(data))
+			if readsOn {
+				require.NoError(t, err)
+				return
+			}
+			require.Error(t, err)
+			require.False(t, x.IsWhole())
+		})
+	}
+}
+
 // countingPaths is a Paths with direct connections only that counts what it is told.
 type countingPaths struct{ failures, answers atomic.Int32 }
 
--- a/internal/upconn/limit_test.go
+++ b/internal/upconn/limit_test.go
@@ -38,6 +38,7 @@
 
 func (plainTunnel) BeginRequest(string) error { return nil }
 func (plainTunnel) EndRequest() error         { return nil }
+func (plainTunnel) ConfirmEnd() error         { return nil }
 func (plainTunnel) Gateway() string           { return "gateway" }
 
 // tunnelPaths is a Paths on which all instances are reached by tunnel.
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -71,6 +71,9 @@
 	// answer has been received.
 	BeginRequest(id string) error
 	EndRequest() error
+	// ConfirmEnd is called after Read has returned io.EOF, and ends the tunnel. It returns an error if not all
+	// that was written has reached the instance.
+	ConfirmEnd() error
 	// Gateway returns the address of the other daemon.
 	Gateway() string
 }
--- a/test/routes/bare_server_test.go
+++ b/test/routes/bare_server_test.go
@@ -147,6 +147,12 @@
 		bareserver.Reset(c)
 	},
 	"reset unread": func(c *net.TCPConn, _ io.Reader) { _ = c.CloseRead(); bareserver.Reset(c) },
+	"close unread": func(c *net.TCPConn, _ io.Reader) { _ = c.Close() },
+	"close in two steps, unread": func(c *net.TCPConn, _ io.Reader) {
+		_ = c.CloseWrite()
+		time.Sleep(100 * time.Millisecond)
+		bareserver.Reset(c)
+	},
 }
 
 // Guards against a part of an answer that looks whole because its server ended the connection while the request was
