httpanswer: answers whose status is no HTTP status are refused

Callers got the answer of a server in trouble whose status was 000. On the routes' interface statuses below 100 were taken for interim answers, so that an answer inside the body was passed on as the answer; 600 and 999 were passed on as they were. On the OpenAI interface a service's 000 was a 200 with its body, 001, 099 and +20 the JSON of an internal error. An order that was answered with 000 counted as accepted, a write that the store answered so as not executed, and the command-line tool took it for success.

Cause: net/http takes any three characters that are a number for a status. What reads answers compared it with one bound only, below 200 or below 300.

--- a/internal/backing/client.go
+++ b/internal/backing/client.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpanswer"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
 
@@ -42,7 +43,7 @@
 	}
 	return &Client{
 		base: "http://" + address,
-		http: &http.Client{Transport: transport, Timeout: CallTimeout},
+		http: &http.Client{Transport: &httpanswer.Transport{Base: transport}, Timeout: CallTimeout},
 	}
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/fault"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpanswer"
 )
 
 // callTimeout bounds one call to the daemon.
@@ -37,7 +38,8 @@
 	if a.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+a.Token)
 	}
-	resp, err := (&http.Client{Timeout: callTimeout}).Do(req)
+	transport := &httpanswer.Transport{Base: http.DefaultTransport.(*http.Transport)}
+	resp, err := (&http.Client{Timeout: callTimeout, Transport: transport}).Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the daemon at %s cannot be reached: %v", a.Daemon, err)
 	}
--- /dev/null
+++ b/internal/httpanswer/head.go
@@ -0,0 +1,29 @@
+// Package httpanswer refuses answers of HTTP servers that are malformed, though net/http accepts them.
+package httpanswer
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Error means that an answer is malformed.
+type Error struct{ reason string }
+
+// Error implements error.
+func (e *Error) Error() string { return "malformed answer: " + e.reason }
+
+func errorf(format string, args ...any) error { return &Error{fmt.Sprintf(format, args...)} }
+
+// CheckHead returns an *Error if the head of an answer, which may be an interim one, is malformed.
+func CheckHead(resp *http.Response) error {
+	return checkStatus(resp.StatusCode)
+}
+
+// checkStatus returns an error for statuses that HTTP does not define. net/http takes any three characters that are a
+// number, and leaves the framing of an interim answer to those below 200.
+func checkStatus(status int) error {
+	if status < 100 || status > 599 {
+		return errorf("status %03d", status)
+	}
+	return nil
+}
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpanswer"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
 
@@ -59,6 +60,9 @@
 	if limited := c.unread.Err(); limited != nil {
 		return nil, limited
 	}
+	if err == nil {
+		err = httpanswer.CheckHead(resp)
+	}
 	if err != nil && len(err.Error()) > maxErrorText {
 		return nil, fmt.Errorf("%.*s", maxErrorText, err.Error())
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpanswer"
 	"github.com/hornbeamsill/hornbeamsill/internal/neterr"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
@@ -57,14 +58,14 @@
 
 // NewClient returns a Client that waits at most dialTimeout for a connection.
 func NewClient(dialTimeout time.Duration) *Client {
-	transport := &http.Transport{
+	transport := &httpanswer.Transport{Base: &http.Transport{
 		DialContext:         dial.NewPlain(dialTimeout).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: readlimit.HeadBytes,
-	}
+	}}
 	return &Client{
 		stream:  &http.Client{Transport: transport, CheckRedirect: noRedirect},
 		control: &http.Client{Transport: transport, Timeout: controlTimeout},
--- a/test/routes/bare_server_test.go
+++ b/test/routes/bare_server_test.go
@@ -130,6 +130,18 @@
 	return c, reply
 }
 
+// requireSound sends a request that the server answers in the usual way.
+func (b *bareBed) requireSound(path string) {
+	b.t.Helper()
+	b.eventually(func() error {
+		c := b.newCall(path)
+		if r := b.send(c, b.daemon); r.Err != nil || r.Status != http.StatusOK || r.Body != bodyOf(path, c.ID) {
+			return trace.Errorf("%d %s %v", r.Status, r.Body, r.Err)
+		}
+		return nil
+	})
+}
+
 // assertBareWhole asserts that a reply is the whole answer to a call.
 func assertBareWhole(t *testing.T, c platformtest.Call, r platformtest.Reply, what string) {
 	t.Helper()
@@ -138,6 +150,14 @@
 	}
 }
 
+// assertBareRefused asserts that the daemon has answered in place of the server.
+func assertBareRefused(t *testing.T, r platformtest.Reply, what string) {
+	t.Helper()
+	if assert.NoError(t, r.Err, what) {
+		assert.Equal(t, http.StatusBadGateway, r.Status, "%s: %.40s", what, r.Body)
+	}
+}
+
 // bareEndings are ways to end a connection on which an upload has not been read.
 var bareEndings = map[string]func(c *net.TCPConn, body io.Reader){
 	"reset":       func(c *net.TCPConn, _ io.Reader) { bareserver.Reset(c) },
@@ -207,3 +227,33 @@
 		}
 	})
 }
+
+// assertRefusesHeads asserts that answers with malformed heads reach no caller: with an ordinary body, with a whole answer
+// as the body, in all framings, on a connection that has given a sound answer before.
+func assertRefusesHeads(t *testing.T, heads map[string]bareserver.Head) {
+	forEachWay(t, func(t *testing.T, b *bareBed) {
+		for name, head := range heads {
+			for _, path := range barePaths {
+				for _, framing := range bareserver.Framings {
+					for _, isNested := range []bool{false, true} {
+						b.requireSound(path)
+						_, r := b.ask(path, 0, func(c *net.TCPConn, r *http.Request, _ io.Reader) {
+							body := bareBody(r)
+							if isNested {
+								body = bareserver.Head{}.Text(bareFields(r)) + framing.Whole(body)
+							}
+							bareserver.Send(c, head.Text(bareFields(r))+framing.Whole(body))
+							bareserver.CloseInTwoSteps(c)
+						})
+						assertBareRefused(t, r, fmt.Sprintf("%s, %s, %s, nested: %v", name, path, framing, isNested))
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against answers without a valid status that reach callers.
+func TestAnswerWithAnInvalidStatusIsRefused(t *testing.T) {
+	assertRefusesHeads(t, bareserver.InvalidStatuses)
+}
