httpanswer: answers with a malformed field name are refused

Callers got the answer of a server in trouble in whose head the name of a field held a blank, without that line; and where the field was meant to delimit the body, a body that was not the server's: a part of it after "Content-Length : 9999", chunk lines and all after "Transfer-Encoding : chunked". The same with a blank inside the name, in an interim answer, and in a trailer. Control bytes in names and values were refused before; their plays stay in the tests.

Cause: net/http keeps a name with blanks as it is, so that it is not the field which it resembles (RFC 9112, 5.1: a proxy removes the blank or refuses the answer).

--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Error means that an answer is malformed.
@@ -16,7 +18,10 @@
 
 // CheckHead returns an *Error if the head of an answer, which may be an interim one, is malformed.
 func CheckHead(resp *http.Response) error {
-	return checkStatus(resp.StatusCode)
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return CheckFields(resp.Header)
 }
 
 // checkStatus returns an error for statuses that HTTP does not define. net/http takes any three characters that are a
@@ -27,3 +32,15 @@
 	}
 	return nil
 }
+
+// CheckFields returns an *Error if the name of a field of a head or trailer is malformed. net/http keeps names with
+// blanks, so that they are not those of the fields which they resemble.
+func CheckFields(fields http.Header) error {
+	for name, values := range fields {
+		// A trailer that is announced and missing has no values.
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return errorf("field name %.50q", name)
+		}
+	}
+	return nil
+}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hornbeamsill/hornbeamsill/internal/dial"
+	"github.com/hornbeamsill/hornbeamsill/internal/httpanswer"
 	"github.com/hornbeamsill/hornbeamsill/internal/httpbody"
 	"github.com/hornbeamsill/hornbeamsill/internal/readlimit"
 )
@@ -292,6 +293,9 @@
 
 // checkEnd returns io.EOF if the body that has ended is whole.
 func (e *Exchange) checkEnd() error {
+	if err := httpanswer.CheckFields(e.resp.Trailer); err != nil {
+		return err
+	}
 	if e.IsSelfDelimited() || e.resp.Body == http.NoBody {
 		return io.EOF
 	}
--- a/test/routes/bare_server_test.go
+++ b/test/routes/bare_server_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamsill/hornbeamsill/platform/platformtest"
 	"github.com/hornbeamsill/hornbeamsill/platform/wire"
@@ -257,3 +258,56 @@
 func TestAnswerWithAnInvalidStatusIsRefused(t *testing.T) {
 	assertRefusesHeads(t, bareserver.InvalidStatuses)
 }
+
+// Guards against answers with a malformed field in their head that reach callers, without it or with a body that it was
+// meant to delimit.
+func TestAnswerWithAMalformedFieldIsRefused(t *testing.T) {
+	assertRefusesHeads(t, bareserver.InvalidNames)
+}
+
+// Guards against a trailer with a malformed name that is left out of an answer which then looks whole.
+func TestAnswerWithAMalformedTrailerIsRefused(t *testing.T) {
+	forEachWay(t, func(t *testing.T, b *bareBed) {
+		for _, line := range []string{"X Foo: a", "X-Foo : a", "X\tFoo: a", "X\x01Foo: a", "X-Foo: a\x01b"} {
+			for _, path := range []string{pathSafe, pathUnsafe} {
+				_, r := b.ask(path, 0, func(c *net.TCPConn, r *http.Request, _ io.Reader) {
+					whole := bareserver.Head{}.Text(bareFields(r)) + bareserver.ByChunks.Whole(bareBody(r))
+					bareserver.Send(c, strings.TrimSuffix(whole, "\r\n")+line+"\r\n\r\n")
+				})
+				assertBareRefused(t, r, fmt.Sprintf("%q, %s", line, path))
+			}
+		}
+	})
+}
+
+// Guards against a malformed head that looks like the end of a stream which is resumed.
+func TestResumedStreamWithAMalformedHeadIsNotWhole(t *testing.T) {
+	forEachWay(t, func(t *testing.T, b *bareBed) {
+		other := b.startBareServer(engineService, "eng-2")
+		b.eventually(func() error {
+			b.requireSound(pathStream)
+			if other.Served() == 0 {
+				return trace.Errorf("the second server is unknown")
+			}
+			return nil
+		})
+		for name, head := range bareserver.InvalidNames {
+			resumed := make(chan struct{}, 8)
+			answer := func(c *net.TCPConn, r *http.Request, _ io.Reader) {
+				if r.Header.Get(wire.HeaderLastEvent) == "" {
+					bareserver.Send(c, bareserver.Head{}.Text(bareFields(r))+bareserver.ByChunks.Frame(barePart(r), len(bareBody(r))))
+					return
+				}
+				resumed <- struct{}{}
+				bareserver.Send(c, head.Text(bareFields(r))+bareserver.ByClose.Whole(strings.TrimPrefix(bareBody(r), barePart(r))))
+				bareserver.CloseInTwoSteps(c)
+			}
+			c := b.newCall(pathStream)
+			b.servers[pathStream].Play(c.ID, answer)
+			other.Play(c.ID, answer)
+			r := b.send(c, b.daemon)
+			require.NotEmpty(t, resumed, name)
+			assert.Error(t, r.Err, "%s: the answer looks whole: %s", name, r.Body)
+		}
+	})
+}
