httpanswer: what follows an interim answer with a body, or 101, was an answer

Callers got what a server sent after "101 Switching Protocols", which nobody had asked for, or after an interim answer that states a body, as the answer to their request: an answer that is that body, say.

Cause: the framing of interim answers was ignored, and 101 taken for one of them; what follows 101 is no HTTP. net/http passes 101 on as a final answer.

Change: 101 and interim answers that state a length are malformed, in upconn and in the RoundTripper of the other clients. No request asks for another protocol: Upgrade is not passed on.

--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -21,7 +21,13 @@
 	if err := checkStatus(resp.StatusCode); err != nil {
 		return err
 	}
-	return CheckFields(resp.Header)
+	if err := CheckFields(resp.Header); err != nil {
+		return err
+	}
+	if resp.StatusCode < http.StatusOK {
+		return checkInterim(resp.StatusCode, resp.Header)
+	}
+	return nil
 }
 
 // checkStatus returns an error for statuses that HTTP does not define. net/http takes any three characters that are a
@@ -44,3 +50,15 @@
 	}
 	return nil
 }
+
+// checkInterim returns an error for interim answers after which the next answer does not begin.
+func checkInterim(status int, fields http.Header) error {
+	length := fields.Get("Content-Length")
+	switch {
+	case status == http.StatusSwitchingProtocols:
+		return errorf("another protocol, which was not asked for")
+	case length != "" && length != "0":
+		return errorf("body of an interim answer")
+	}
+	return nil
+}
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -32,11 +32,14 @@
 // traceInterim makes requests fail whose interim answers are malformed.
 func traceInterim(trace *httptrace.ClientTrace) {
 	n := 0
-	trace.Got1xxResponse = func(_ int, fields textproto.MIMEHeader) error {
+	trace.Got1xxResponse = func(status int, fields textproto.MIMEHeader) error {
 		if n++; n > maxInterim {
 			return errorf("more than %d interim answers", maxInterim)
 		}
-		return CheckFields(http.Header(fields))
+		if err := CheckFields(http.Header(fields)); err != nil {
+			return err
+		}
+		return checkInterim(status, http.Header(fields))
 	}
 }
 
--- a/test/bareserver/heads.go
+++ b/test/bareserver/heads.go
@@ -26,7 +26,7 @@
 func RequireRefused(t *testing.T, fields, body string, call func(address string) error) {
 	t.Helper()
 	require.NoError(t, call(Serve(t, Head{}.Text(fields)+ByLength.Whole(body))))
-	for _, heads := range []map[string]Head{InvalidStatuses, InvalidNames} {
+	for _, heads := range []map[string]Head{InvalidStatuses, InvalidNames, InvalidInterims} {
 		for name, head := range heads {
 			for _, framing := range Framings {
 				require.Error(t, call(Serve(t, head.Text(fields)+framing.Whole(body))), "%s, %s", name, framing)
--- a/test/routes/bare_server_test.go
+++ b/test/routes/bare_server_test.go
@@ -265,6 +265,11 @@
 	assertRefusesHeads(t, bareserver.InvalidNames)
 }
 
+// Guards against what follows an interim answer, and is not HTTP or belongs to that, as the answer of a caller.
+func TestAnswerAfterAnInvalidInterimOneIsRefused(t *testing.T) {
+	assertRefusesHeads(t, bareserver.InvalidInterims)
+}
+
 // Guards against a trailer with a malformed name that is left out of an answer which then looks whole.
 func TestAnswerWithAMalformedTrailerIsRefused(t *testing.T) {
 	forEachWay(t, func(t *testing.T, b *bareBed) {
