httpanswer: on the OpenAI interface an answer without a length could end before its request

A caller of a plain service got a part of an answer as a whole one: the server answers an upload without a length, closes its direction of the connection after a part, and takes no more of the upload.

Change: the RoundTripper tells the connection of the request that is written on it. A proper end is passed on once the request has been written, after two seconds at most, and is an error if the server did not take it. net/http closes the connection at the end of such an answer, so the check cannot come later: whole answers of servers that close first and read on would fail ("close in two steps").

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -47,7 +47,7 @@
 // NewPlain returns a dialer whose connections are established within timeout.
 func NewPlain(timeout time.Duration) *Dialer { return &Dialer{net.Dialer{Timeout: timeout}} }
 
-// DialContext opens a connection.
+// DialContext opens a connection, which is a Conn if it is a TCP connection.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d.dialer.DialContext(ctx, network, address)
 	if err != nil {
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -7,13 +7,17 @@
 	"net/textproto"
 )
 
-// Transport is a RoundTripper that returns an error for malformed answers.
-type Transport struct{ Base *http.Transport }
+// Transport is a RoundTripper that returns an error for answers which are malformed, or end before their requests.
+type Transport struct {
+	// Base sends the requests. Only with the DialContext of a dial.Dialer, an answer that ends before its request is refused.
+	Base *http.Transport
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{}
 	traceInterim(trace)
+	traceWrites(trace)
 	resp, err := t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -225,7 +225,7 @@
 // once it has passed all on. A frameReset before that says that the instance did not take it.
 func (t *Tunnel) ConfirmEnd() error {
 	_ = t.Conn.SetReadDeadline(time.Now().Add(confirmTimeout))
-	err := t.Conn.(interface{ CloseWrite() error }).CloseWrite()
+	err := t.Conn.(dial.Conn).CloseWrite()
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrTunnelBroken, hideEOF(err))
 	}
--- a/internal/upstream/answer_end_test.go
+++ b/internal/upstream/answer_end_test.go
@@ -24,9 +24,11 @@
 		end     func(c *net.TCPConn)
 		isWhole bool
 	}{
-		"reset":              {bareserver.Reset, false},
-		"reset later":        {func(c *net.TCPConn) { time.Sleep(60 * time.Millisecond); bareserver.Reset(c) }, false},
-		"close in two steps": {bareserver.CloseInTwoSteps, true},
+		"reset":               {bareserver.Reset, false},
+		"reset later":         {func(c *net.TCPConn) { time.Sleep(60 * time.Millisecond); bareserver.Reset(c) }, false},
+		"close":               {func(c *net.TCPConn) { _ = c.Close() }, false},
+		"close in two steps":  {bareserver.CloseInTwoSteps, true},
+		"close and read some": {func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.CopyN(io.Discard, c, 1<<20) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := bareserver.Start(t, "", nil)
