dial: a request that lay in this machine's buffers counted as one that the server took

Cause: a write succeeds once the kernel has taken the bytes, not when the server's has.

Change: after such an answer has ended, what the server's machine has not acknowledged is waited for, for at most two seconds; upconn, the clients that use net/http, and a gateway before it confirms the end. What was acknowledged and not read cannot be told from what was read.

--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -6,8 +6,6 @@
 	"os"
 	"sync/atomic"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // Conn is a TCP connection of a Dialer.
@@ -40,11 +38,11 @@
 
 // checkEnd returns io.EOF after the proper end of the connection.
 func (c *conn) checkEnd() error {
-	broken, err := c.isBroken()
+	state, err := stateOf(c)
 	switch {
 	case err != nil:
 		return err
-	case broken && !c.writeClosed.Load():
+	case state.broken && !c.writeClosed.Load():
 		return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET)}
 	}
 	if check := c.endCheck.Load(); check != nil {
@@ -58,23 +56,6 @@
 // WriteTo implements io.WriterTo with Read.
 func (c *conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
 
-// tcpClose is the kernel's state TCP_CLOSE, that of a socket without a connection.
-const tcpClose = 7
-
-// isBroken reports whether the connection has failed. One that the peer has properly ended still waits for its end by
-// this process. The error is net.ErrClosed if that has come already, so that the state cannot be known.
-func (c *conn) isBroken() (broken bool, err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false, err
-	}
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		broken = err == nil && info.State == tcpClose
-	})
-	return broken, err
-}
-
 // CloseWrite implements Conn.
 func (c *conn) CloseWrite() error {
 	c.writeClosed.Store(true)
--- a/internal/httpanswer/written.go
+++ b/internal/httpanswer/written.go
@@ -15,17 +15,21 @@
 
 // requestWrite is the writing of a request on a connection.
 type requestWrite struct {
+	conn dial.Conn
 	done chan struct{}
 	err  error
 }
 
-// await waits until the whole request has been written. It returns an error if the server does not take it.
+// await waits until the server has received the whole request. It returns an error if it does not take it.
 func (w *requestWrite) await() error {
 	timer := time.NewTimer(writeTimeout)
 	defer timer.Stop()
 	select {
 	case <-w.done:
-		return w.err
+		if w.err != nil {
+			return w.err
+		}
+		return dial.AwaitDelivery(w.conn, writeTimeout)
 	case <-timer.C:
 		return io.ErrUnexpectedEOF
 	}
@@ -42,7 +46,7 @@
 		if !ok {
 			return
 		}
-		w := &requestWrite{done: make(chan struct{})}
+		w := &requestWrite{conn: conn, done: make(chan struct{})}
 		conn.SetEndCheck(w.await)
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/peer/gateway.go
+++ b/internal/peer/gateway.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/hornbeamsill/hornbeamsill/internal/dial"
 )
 
 const (
@@ -154,7 +156,9 @@
 	user, instance net.Conn
 	frames         frameReader
 	writer         frameWriter
-	// writeFailed is set if the instance has not taken all that was passed on. Only passOn uses it until it returns.
+	// ended is set once the instance has closed the connection. writeFailed is set if a write to it failed; only passOn uses
+	// it until it returns.
+	ended       atomic.Bool
 	writeFailed bool
 	// state is guarded by the lock of the gateway.
 	state tunnelState
@@ -204,9 +208,11 @@
 	var back sync.WaitGroup
 	back.Go(c.passBack)
 	c.passOn()
+	// A user that has received a frameEnd asks by its end of the tunnel whether the instance has taken the request.
+	failed := c.writeFailed || c.ended.Load() && dial.AwaitDelivery(c.instance, confirmTimeout) != nil
 	c.instance.Close()
 	back.Wait()
-	if c.writeFailed {
+	if failed {
 		_ = c.writeBack(frameReset, nil)
 	}
 }
@@ -299,6 +305,7 @@
 		kind := frameReset
 		if err == io.EOF {
 			kind = frameEnd
+			c.ended.Store(true)
 		}
 		_ = c.writeBack(kind, nil)
 		// passOn goes on until the user has closed the tunnel, but not for long.
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -309,7 +309,7 @@
 // may be silent for one and a half seconds.
 const writeTimeout = 2 * time.Second
 
-// awaitWritten waits until the whole request has been written. It returns an error if the server does not take it.
+// awaitWritten waits until the server has received the whole request. It returns an error if it does not take it.
 func (e *Exchange) awaitWritten() error {
 	timer := time.NewTimer(writeTimeout)
 	defer timer.Stop()
@@ -324,7 +324,7 @@
 	if e.conn.tunnel != nil {
 		return e.conn.tunnel.ConfirmEnd()
 	}
-	return nil
+	return dial.AwaitDelivery(e.conn.Conn, writeTimeout)
 }
 
 // IsWhole reports whether the body of the answer has been read to its end.
--- a/test/routes/bare_server_test.go
+++ b/test/routes/bare_server_test.go
@@ -179,27 +179,33 @@
 // Guards against a part of an answer that looks whole because its server ended the connection while the request was
 // still being written.
 func TestPartOfAnAnswerToAnUploadIsNotWhole(t *testing.T) {
+	cases := []struct {
+		framing   bareserver.Framing
+		status    int
+		bodyBytes int
+	}{
+		{bareserver.ByClose, http.StatusOK, bareUploadBytes},
+		{bareserver.ByClose, http.StatusOK, bareUploadBytes / 8},
+		{bareserver.ByClose, http.StatusNotFound, bareUploadBytes},
+		{bareserver.ByClose, http.StatusInternalServerError, bareUploadBytes},
+		{bareserver.ByLength, http.StatusOK, bareUploadBytes},
+		{bareserver.ByChunks, http.StatusOK, bareUploadBytes},
+	}
 	forEachWay(t, func(t *testing.T, b *bareBed) {
-		for _, framing := range bareserver.Framings {
-			statuses := []int{http.StatusOK}
-			if framing == bareserver.ByClose {
-				statuses = append(statuses, http.StatusNotFound, http.StatusInternalServerError)
-			}
+		for _, c := range cases {
 			for _, path := range barePaths {
-				for _, status := range statuses {
-					for name, end := range bareEndings {
-						for _, hasBody := range []bool{true, false} {
-							_, r := b.ask(path, bareUploadBytes, func(c *net.TCPConn, r *http.Request, body io.Reader) {
-								part := ""
-								if hasBody {
-									part = barePart(r)
-								}
-								head := bareserver.Head{Status: fmt.Sprintf("%d %s", status, http.StatusText(status))}
-								bareserver.Send(c, head.Text(bareFields(r))+framing.Frame(part, len(bareBody(r))))
-								end(c, body)
-							})
-							assert.False(t, r.Err == nil && r.Status == status, "%s %s %d, %s: %d bytes look whole", framing, path, status, name, len(r.Body))
-						}
+				for name, end := range bareEndings {
+					for _, hasBody := range []bool{true, false} {
+						_, r := b.ask(path, c.bodyBytes, func(conn *net.TCPConn, r *http.Request, body io.Reader) {
+							part := ""
+							if hasBody {
+								part = barePart(r)
+							}
+							head := bareserver.Head{Status: fmt.Sprintf("%d %s", c.status, http.StatusText(c.status))}
+							bareserver.Send(conn, head.Text(bareFields(r))+c.framing.Frame(part, len(bareBody(r))))
+							end(conn, body)
+						})
+						assert.False(t, r.Err == nil && r.Status == c.status, "%+v, %s, %s: %d bytes look whole", c, path, name, len(r.Body))
 					}
 				}
 			}
