--- a/test/process/bare_server_test.go
+++ b/test/process/bare_server_test.go
@@ -112,3 +112,27 @@
 		}
 	}
 }
+
+// Guards against answers of a service with a malformed head, or with a part of one, that reach callers.
+func TestServiceAnswerWithAMalformedHeadIsRefused(t *testing.T) {
+	s := newBareSite(t)
+	assertRefused := func(what, text string) {
+		r := s.ask(http.MethodPost, 10, func(c *net.TCPConn, _ *http.Request, _ io.Reader) {
+			bareserver.Send(c, text)
+			bareserver.CloseInTwoSteps(c)
+		})
+		assert.NoError(t, r.err, what)
+		assert.Equal(t, http.StatusBadGateway, r.status, "%s: %s", what, r.body)
+	}
+	for _, heads := range []map[string]bareserver.Head{bareserver.InvalidStatuses, bareserver.InvalidNames, bareserver.InvalidInterims} {
+		for name, head := range heads {
+			assertRefused(name, head.Text("")+bareserver.ByLength.Whole(bareAnswer))
+			assertRefused(name+", an answer in the body", head.Text("")+bareserver.ByLength.Whole(bareserver.Head{}.Text("")+bareserver.ByLength.Whole(bareAnswer)))
+		}
+	}
+	head := bareserver.Head{}.Text("X-Foo: a\r\n") + bareserver.ByLength.Frame("", len(bareAnswer))
+	for _, left := range []int{1, 2, 3, 4, 10, 20, 30, 40} {
+		assertRefused(fmt.Sprint(left, " bytes left of the head"), head[:len(head)-left])
+	}
+	require.NotContains(t, s.Daemons[0].Log(), "panic")
+}
--- a/test/routes/bare_server_test.go
+++ b/test/routes/bare_server_test.go
@@ -235,6 +235,29 @@
 	})
 }
 
+// Guards against an answer whose server stopped in the middle of its head, and that reaches a caller as an empty or
+// short one.
+func TestAnswerThatEndsInsideItsHeadIsRefused(t *testing.T) {
+	forEachWay(t, func(t *testing.T, b *bareBed) {
+		for _, path := range barePaths {
+			for _, framing := range bareserver.Framings {
+				for _, left := range []int{1, 2, 3, 4, 5, 12, 21, 60, 90} {
+					for _, reset := range []bool{false, true} {
+						_, r := b.ask(path, 0, func(c *net.TCPConn, r *http.Request, _ io.Reader) {
+							head := bareserver.Head{}.Text(bareFields(r)) + framing.Frame("", len(bareBody(r)))
+							bareserver.Send(c, head[:len(head)-left])
+							if reset {
+								bareserver.Reset(c)
+							}
+						})
+						assertBareRefused(t, r, fmt.Sprintf("%s, %s, %d bytes left", path, framing, left))
+					}
+				}
+			}
+		}
+	})
+}
+
 // assertRefusesHeads asserts that answers with malformed heads reach no caller: with an ordinary body, with a whole answer
 // as the body, in all framings, on a connection that has given a sound answer before.
 func assertRefusesHeads(t *testing.T, heads map[string]bareserver.Head) {
