--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -1,4 +1,4 @@
-// Package dial makes TCP connections that detect an unresponsive peer. A host that lost power
+// Package dial makes TCP connections that detect an unresponsive peer, and report a reset to each reader. A host that lost power
 // or is behind a network partition sends no reset; without keep-alive probes a request on an
 // open connection to it waits until the deadline of the request.
 package dial
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -30,8 +30,7 @@
 	return nil
 }
 
-// checkStatus returns an error for statuses that HTTP does not define. net/http takes any three characters that are a
-// number, and leaves the framing of an interim answer to those below 200.
+// checkStatus returns an error for statuses outside those of HTTP. net/http accepts any three characters that are a number.
 func checkStatus(status int) error {
 	if status < 100 || status > 599 {
 		return errorf("status %03d", status)
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -9,7 +9,7 @@
 
 // Transport is a RoundTripper that returns an error for answers which are malformed, or end before their requests.
 type Transport struct {
-	// Base sends the requests. Only with the DialContext of a dial.Dialer, an answer that ends before its request is refused.
+	// Base sends the requests. Its connections are those of a dial.Dialer; on others, the end of an answer is not checked.
 	Base *http.Transport
 }
 
--- a/internal/peer/gateway.go
+++ b/internal/peer/gateway.go
@@ -208,7 +208,7 @@
 	var back sync.WaitGroup
 	back.Go(c.passBack)
 	c.passOn()
-	// A user that has received a frameEnd asks by its end of the tunnel whether the instance has taken the request.
+	// After a frameEnd, the user closes its direction of the tunnel to learn whether the instance has taken the request.
 	failed := c.writeFailed || c.ended.Load() && dial.AwaitDelivery(c.instance, confirmTimeout) != nil
 	c.instance.Close()
 	back.Wait()
